--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3
+BIN := .venv/bin
+PACKAGES := records wire policy control emulator daemon ctl
+STAMP := .venv/.installed
+
+.PHONY: setup test lint format protocol demo fleet proof bench capacity
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
+		$(foreach package,$(PACKAGES),-e packages/daisygauge-$(package))
+	touch $@
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: setup
+	$(BIN)/python -m pytest
+
+# Regenerates the committed protocol code.
+protocol: setup
+	cd packages/daisygauge-wire/src && PATH="$(CURDIR)/$(BIN):$$PATH" python -m grpc_tools.protoc \
+		-I. --python_out=. --grpclib_python_out=. daisygauge_wire/*.proto
--- /dev/null
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operator command line."""
--- /dev/null
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer and agent daemons."""
--- /dev/null
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, fabric, upstreams and callers."""
--- /dev/null
+++ b/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Placement, admission, retry and membership decisions."""
--- /dev/null
+++ b/packages/daisygauge-records/src/daisygauge_records/_instances.py
@@ -0,0 +1,34 @@
+"""The platform's list of instances, which lags behind the truth."""
+
+from __future__ import annotations
+
+import enum
+
+from attrs import frozen
+
+from ._models import Endpoint
+
+
+class Role(enum.Enum):
+    """What an instance of the system does."""
+
+    BALANCER = "balancer"
+    AGENT = "agent"
+
+
+@frozen(kw_only=True)
+class Instance:
+    """One entry of the instance list.
+
+    :param inner: address of the inner datagram socket.
+    :param peer_port: port of the grpc server, on the same address.
+    :param leaving: True once the platform has decided to stop the instance.
+    """
+
+    id: str
+    role: Role
+    inner: Endpoint
+    peer_port: int
+    region: str
+    failure_domain: str
+    leaving: bool = False
--- /dev/null
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_connection_id.py
@@ -0,0 +1,98 @@
+"""QUIC connection IDs that name the agent which issued them.
+
+The layout follows the idea of QUIC-LB (draft-ietf-quic-load-balancers): the
+routing part is one encrypted AES block, so that outsiders can neither read nor
+choose addresses inside the fleet.
+
+========  =====  ==================================================
+offset    bytes  content
+========  =====  ==================================================
+0         1      key number
+1         16     AES-128 block: address, port, service, incarnation, nonce
+17        3      truncated keyed BLAKE2b tag of the bytes before it
+========  =====  ==================================================
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import os
+import socket
+import struct
+
+from attrs import frozen
+
+from daisygauge_records import Endpoint
+
+from ._keyring import DerivedKeys, KeyRing
+
+CONNECTION_ID_BYTES = 20
+TAG_BYTES = 3
+RESET_TOKEN_BYTES = 16
+NONCE_BYTES = 4
+_TAG_OFFSET = CONNECTION_ID_BYTES - TAG_BYTES
+_ROUTE = struct.Struct(">4sHHI4s")
+
+
+@frozen(kw_only=True)
+class Route:
+    """What a connection ID says about its connection.
+
+    :param agent: inner datagram address of the issuing agent.
+    :param service: service number.
+    :param incarnation: start of the issuing agent's process.
+    """
+
+    agent: Endpoint
+    service: int
+    incarnation: int
+
+
+def _tag(key: DerivedKeys, body: bytes) -> bytes:
+    return hashlib.blake2b(
+        body, key=key.connection_id_tag, digest_size=TAG_BYTES
+    ).digest()
+
+
+def encode_connection_id(*, route: Route, key: DerivedKeys) -> bytes:
+    """Issue a connection ID for a route, unlike every earlier one."""
+    block = _ROUTE.pack(
+        socket.inet_aton(route.agent.host),
+        route.agent.port,
+        route.service,
+        route.incarnation,
+        os.urandom(NONCE_BYTES),
+    )
+    body = bytes([key.number]) + key.encrypt_block(block)
+    return body + _tag(key, body)
+
+
+def decode_connection_id(
+    connection_id: bytes, *, keys: KeyRing, now: float
+) -> Route | None:
+    """Read the route out of a connection ID.
+
+    :return: None for an ID that no key in force has issued.
+    """
+    if len(connection_id) != CONNECTION_ID_BYTES:
+        return None
+    key = keys.find(connection_id[0], now=now)
+    if key is None:
+        return None
+    body = connection_id[:_TAG_OFFSET]
+    if not hmac.compare_digest(_tag(key, body), connection_id[_TAG_OFFSET:]):
+        return None
+    host, port, service, incarnation, _ = _ROUTE.unpack(key.decrypt_block(body[1:]))
+    return Route(
+        agent=Endpoint(host=socket.inet_ntoa(host), port=port),
+        service=service,
+        incarnation=incarnation,
+    )
+
+
+def reset_token(connection_id: bytes, *, key: DerivedKeys) -> bytes:
+    """Derive the stateless reset token of a connection ID (RFC 9000, 10.3.2)."""
+    return hashlib.blake2b(
+        connection_id, key=key.reset_token, digest_size=RESET_TOKEN_BYTES
+    ).digest()
--- /dev/null
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_keyring.py
@@ -0,0 +1,85 @@
+"""Keys derived from published secrets, selected by number and time."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+from attrs import frozen
+from cryptography.hazmat.primitives.ciphers import Cipher, algorithms, modes
+
+from daisygauge_records import Key
+
+DERIVED_KEY_BYTES = 32
+CIPHER_KEY_BYTES = 16
+
+
+def derive_key(*, secret: bytes, purpose: bytes, size: int) -> bytes:
+    """Derive a key for one purpose, so that no secret is used for two.
+
+    :param secret: the published secret, 32 bytes.
+    :param purpose: at most 16 bytes, mixed in as BLAKE2 personalization
+        (RFC 7693).
+    :param size: length of the derived key in bytes.
+    """
+    return hashlib.blake2b(key=secret, person=purpose, digest_size=size).digest()
+
+
+class DerivedKeys:
+    """The keys that one published secret gives, ready for use."""
+
+    def __init__(self, key: Key) -> None:
+        secret = bytes.fromhex(key.secret)
+        self.number = key.number
+        self.not_before = key.not_before
+        self.not_after = key.not_after
+        self.connection_id_tag = derive_key(
+            secret=secret, purpose=b"cid-tag", size=DERIVED_KEY_BYTES
+        )
+        self.datagram_tag = derive_key(
+            secret=secret, purpose=b"datagram-tag", size=DERIVED_KEY_BYTES
+        )
+        self.reset_token = derive_key(
+            secret=secret, purpose=b"reset-token", size=DERIVED_KEY_BYTES
+        )
+        self.peer_call = derive_key(
+            secret=secret, purpose=b"peer-call", size=DERIVED_KEY_BYTES
+        )
+        block_key = derive_key(secret=secret, purpose=b"cid-aes", size=CIPHER_KEY_BYTES)
+        cipher = Cipher(algorithms.AES(block_key), modes.ECB())
+        # One block a call: an ECB context keeps no state between whole blocks.
+        self.encrypt_block = cipher.encryptor().update
+        self.decrypt_block = cipher.decryptor().update
+
+
+@frozen(kw_only=True)
+class KeyRing:
+    """The keys in force, by number."""
+
+    keys: dict[int, DerivedKeys]
+
+    @classmethod
+    def from_keys(cls, keys: Iterable[Key]) -> KeyRing:
+        """Derive every key once; two records with one number keep the later key."""
+        ordered = sorted(keys, key=lambda key: (key.not_before, key.id))
+        return cls(keys={key.number: DerivedKeys(key) for key in ordered})
+
+    def newest(self, *, now: float) -> DerivedKeys | None:
+        """Return the key for new packets, or None when no key is in force.
+
+        :param now: Unix time in seconds.
+        """
+        usable = [
+            key for key in self.keys.values() if key.not_before <= now < key.not_after
+        ]
+        return max(usable, key=lambda key: key.not_before, default=None)
+
+    def find(self, number: int, *, now: float) -> DerivedKeys | None:
+        """Return the key with a number unless it has expired.
+
+        A key is accepted before its ``not_before``: another clock may be ahead.
+        """
+        key = self.keys.get(number)
+        if key is None or now >= key.not_after:
+            return None
+        return key
