--- /dev/null
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_ramp.py
@@ -0,0 +1,53 @@
+"""Slow start: a cold host gets a growing share of its weight."""
+
+from __future__ import annotations
+
+import math
+
+FIRST_SHARE = 0.125
+SHARE_STEPS = 8
+
+
+def slow_start_share(*, age_seconds: float, ramp_seconds: float) -> float:
+    """Return the share of its weight that a host gets, in steps up to 1.0.
+
+    Steps keep the number of table changes during a ramp small.
+
+    :param age_seconds: time since the host became ready.
+    :param ramp_seconds: time until the host gets its whole weight.
+    """
+    if ramp_seconds <= 0.0 or age_seconds >= ramp_seconds:
+        return 1.0
+    done = max(age_seconds, 0.0) / ramp_seconds
+    step = math.floor(done * SHARE_STEPS) + 1
+    return max(FIRST_SHARE, min(step / SHARE_STEPS, 1.0))
+
+
+class SlowStart:
+    """Remembers since when each host has been known, and ramps new ones.
+
+    Hosts of the first view count as warm: the observer is new, not they.
+    """
+
+    def __init__(self) -> None:
+        self.since: dict[str, float] = {}
+        self._has_view = False
+
+    def observe_hosts(self, hosts: frozenset[str], *, now: float) -> None:
+        """Take in the ids of all published hosts; the rest is forgotten."""
+        first_seen = now if self._has_view else -math.inf
+        self.since = {host: self.since.get(host, first_seen) for host in hosts}
+        self._has_view = self._has_view or bool(hosts)
+
+    def observe_restart(self, host: str, *, now: float) -> None:
+        """Note that a host has come back as a new incarnation."""
+        if host in self.since:
+            self.since[host] = now
+
+    def shares(self, *, now: float, ramp_seconds: float) -> dict[str, float]:
+        """Return the share of every host that is still ramping."""
+        shares = {
+            host: slow_start_share(age_seconds=now - since, ramp_seconds=ramp_seconds)
+            for host, since in self.since.items()
+        }
+        return {host: share for host, share in shares.items() if share < 1.0}
--- /dev/null
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_suspects.py
@@ -0,0 +1,89 @@
+"""Hosts that do not answer first flights, as one balancer sees them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from attrs import define
+
+SILENCES_TO_SUSPECT = 2
+FIRST_BACK_OFF_SECONDS = 1.0
+LONGEST_BACK_OFF_SECONDS = 30.0
+LARGEST_EJECTED_SHARE = 0.5
+
+
+@define(kw_only=True)
+class Suspicion:
+    """What is held against one host.
+
+    :param silences: first flights without an answer since the last answer.
+    :param since: Unix time in seconds at which the host became suspect.
+    :param until: Unix time in seconds at which the host is tried again.
+    """
+
+    silences: int = 0
+    since: float | None = None
+    until: float = 0.0
+    back_off_seconds: float = FIRST_BACK_OFF_SECONDS
+
+
+class SuspectList:
+    """Ejects silent hosts for a growing time, never more than a bounded share.
+
+    After its back-off a host is offered flows again; one more silence ejects it
+    for twice the time, and any answer clears it.
+    """
+
+    def __init__(self, *, largest_share: float = LARGEST_EJECTED_SHARE) -> None:
+        self.largest_share = largest_share
+        self.suspicions: dict[str, Suspicion] = {}
+
+    def report_silence(self, host: str, *, now: float) -> None:
+        """Note that a host has left a first flight unanswered.
+
+        Silences during the back-off tell nothing new: their flights left before.
+        """
+        suspicion = self.suspicions.setdefault(host, Suspicion())
+        if suspicion.since is not None and now < suspicion.until:
+            return
+        suspicion.silences += 1
+        if suspicion.since is not None:
+            doubled = 2.0 * suspicion.back_off_seconds
+            suspicion.back_off_seconds = min(doubled, LONGEST_BACK_OFF_SECONDS)
+        elif suspicion.silences < SILENCES_TO_SUSPECT:
+            return
+        else:
+            suspicion.since = now
+        suspicion.until = now + suspicion.back_off_seconds
+
+    def report_answer(self, host: str) -> None:
+        """Note that a host has answered."""
+        self.suspicions.pop(host, None)
+
+    def ejected(self, hosts: Iterable[str], *, now: float) -> frozenset[str]:
+        """Return which of a service's hosts get no flows for now.
+
+        When too many hosts are silent, the longest silent ones stay ejected: a
+        network partition must not leave the service without hosts.
+        """
+        hosts = tuple(hosts)
+        silent = [host for host in hosts if self._is_backing_off(host, now=now)]
+        silent.sort(key=lambda host: (self.suspicions[host].since, host))
+        return frozenset(silent[: int(len(hosts) * self.largest_share)])
+
+    def _is_backing_off(self, host: str, *, now: float) -> bool:
+        suspicion = self.suspicions.get(host)
+        return (
+            suspicion is not None
+            and suspicion.since is not None
+            and now < suspicion.until
+        )
+
+    def retain(self, hosts: Iterable[str]) -> None:
+        """Forget every host but the published ones."""
+        kept = frozenset(hosts)
+        self.suspicions = {
+            host: suspicion
+            for host, suspicion in self.suspicions.items()
+            if host in kept
+        }
