--- /dev/null
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_readiness.py
@@ -0,0 +1,29 @@
+"""Whether a daemon wants traffic."""
+
+from __future__ import annotations
+
+from attrs import define, field
+
+
+@define(kw_only=True)
+class Readiness:
+    """Conditions that must all hold before a daemon is ready.
+
+    :param unmet: conditions not met yet, by name.
+    :param leaving: True once the daemon drains; it never becomes ready again.
+    """
+
+    unmet: set[str] = field(factory=set)
+    leaving: bool = False
+
+    @property
+    def ready(self) -> bool:
+        """True while new traffic is welcome."""
+        return not self.leaving and not self.unmet
+
+    def set(self, condition: str, met: bool) -> None:
+        """Record whether a condition is met."""
+        if met:
+            self.unmet.discard(condition)
+        else:
+            self.unmet.add(condition)
