Read, check and merge published records from the platform

Balancers and agents need one view of services, upstreams, keys and instances. Records of schema versions 1 and 2 are converted into one model; each refusal names the record, the field and the remedy, and leaves the last good record in force.

--- a/packages/daisygauge-records/src/daisygauge_records/__init__.py
+++ b/packages/daisygauge-records/src/daisygauge_records/__init__.py
@@ -1,6 +1,22 @@
 """Records that operators publish, and how they are checked and merged."""
 
+from ._errors import (
+    DocumentError,
+    Problem,
+    RecordError,
+    SettingsError,
+    ValueRefusedError,
+)
 from ._instances import Instance, Role
+from ._merge import (
+    Applied,
+    Conflict,
+    MergeOutcome,
+    Outdated,
+    RecordStore,
+    Unchanged,
+    merge_records,
+)
 from ._models import (
     Endpoint,
     FifoQueue,
@@ -20,25 +36,47 @@
     Upstream,
     WorthQueue,
 )
+from ._parse import parse_record, parse_record_value
+from ._settings import load_settings, parse_settings
+from ._structure import structure
+from ._unstructure import unstructure
 
 __all__ = [
+    "Applied",
+    "Conflict",
+    "DocumentError",
     "Endpoint",
     "FifoQueue",
     "HandOff",
     "Instance",
     "Key",
     "LoadHandOff",
+    "MergeOutcome",
     "NoHandOff",
+    "Outdated",
     "Placement",
+    "Problem",
     "PublishedLoadPlacement",
     "Queue",
     "Record",
+    "RecordError",
+    "RecordStore",
     "RendezvousPlacement",
     "RequestClass",
     "Role",
     "RoundRobinPlacement",
     "Service",
+    "SettingsError",
     "Spec",
+    "Unchanged",
     "Upstream",
+    "ValueRefusedError",
     "WorthQueue",
+    "load_settings",
+    "merge_records",
+    "parse_record",
+    "parse_record_value",
+    "parse_settings",
+    "structure",
+    "unstructure",
 ]
--- a/packages/daisygauge-records/src/daisygauge_records/_models.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_models.py
@@ -187,6 +187,7 @@
     :param spec: the effective content, or None for a deletion (tombstone).
     :param digest: hexadecimal digest of the published content, which settles
         two contents published with one revision.
+    :param document: the published content in canonical form, for other daemons.
     """
 
     kind: str
@@ -194,3 +195,4 @@
     revision: int
     spec: Spec | None
     digest: str
+    document: bytes = field(default=b"", repr=False, eq=False)
--- /dev/null
+++ b/testing/control/conftest.py
@@ -0,0 +1,7 @@
+import pytest
+from control.fakes import FakePlatform
+
+
+@pytest.fixture
+def platform():
+    return FakePlatform()
