Add stand-ins for the platform, fabric, upstreams and callers

Tests, the demo and experiments need the whole path as separate processes. The platform serves Consul-shaped blocking queries; the fabric sprays each datagram from one socket per caller; upstreams write a ledger of their runs that outlives a kill; callers on aioquic and qh3 tell whole answers, not-run and unknown apart. aioquic reports neither GOAWAY nor stateless resets, so the caller finds both itself. The fleet module starts a deployment; the daemons that it needs are not complete yet.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,11 @@
 protocol: setup
 	cd packages/daisygauge-wire/src && PATH="$(CURDIR)/$(BIN):$$PATH" python -m grpc_tools.protoc \
 		-I. --python_out=. --grpclib_python_out=. daisygauge_wire/*.proto
+
+# Runs the whole path on loopback, with failures, and checks every outcome.
+demo: setup
+	$(BIN)/python -m daisygauge_emulator.demo
+
+# Keeps a fleet up until Ctrl-C; FLEET_FILE names a file for its description.
+fleet: setup
+	$(BIN)/python -m daisygauge_emulator.fleet
--- /dev/null
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/__init__.py
@@ -0,0 +1,18 @@
+"""HTTP/3 callers for tests, the demo and experiments, on two libraries."""
+
+from ._caller import Caller, Client, Request, Target
+from ._feed import Feed
+from ._outcome import Answered, Defect, NotRun, Outcome, Unknown
+
+__all__ = [
+    "Answered",
+    "Caller",
+    "Client",
+    "Defect",
+    "Feed",
+    "NotRun",
+    "Outcome",
+    "Request",
+    "Target",
+    "Unknown",
+]
--- /dev/null
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_caller.py
@@ -0,0 +1,182 @@
+"""A caller of one service, with as many connections as GOAWAY demands."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import uuid
+from collections.abc import Awaitable, Callable
+
+from attrs import field, frozen
+
+from ._aioquic import connect_aioquic
+from ._answer import AnswerReader
+from ._exchange import Connection, Exchange, Headers
+from ._outcome import NotRun, Outcome, Unknown
+from ._qh3 import connect_qh3
+
+CONNECT_TIMEOUT_SECONDS = 5.0
+IDLE_TIMEOUT_SECONDS = 10.0
+LINGER_SECONDS = 0.1
+
+
+class Client(enum.Enum):
+    """The library that a caller uses."""
+
+    AIOQUIC = "aioquic"
+    QH3 = "qh3"
+
+
+_CONNECT: dict[Client, Callable[..., Awaitable[Connection]]] = {
+    Client.AIOQUIC: connect_aioquic,
+    Client.QH3: connect_qh3,
+}
+
+
+@frozen(kw_only=True)
+class Target:
+    """A service as callers see it.
+
+    :param service: id that X-Service has to name.
+    :param server_name: name in the certificate.
+    :param ca_path: file with the certificate of the authority.
+    """
+
+    service: str
+    host: str
+    port: int
+    server_name: str
+    ca_path: str
+
+
+@frozen(kw_only=True)
+class Request:
+    """One request.
+
+    :param deadline_seconds: time after which the answer is of no use, or None.
+    :param first_host: ``x-daisygauge-host`` to which an earlier try of the same
+        idempotency key went.
+    """
+
+    path: str
+    method: str = "GET"
+    request_id: str = field(factory=lambda: uuid.uuid4().hex)
+    idempotency_key: str | None = None
+    deadline_seconds: float | None = 10.0
+    first_host: str | None = None
+    body: bytes = b""
+
+    def headers(self, target: Target) -> Headers:
+        """Return the header block that is sent."""
+        optional = {
+            "idempotency-key": self.idempotency_key,
+            "x-daisygauge-first": self.first_host,
+            "x-deadline-ms": self.deadline_seconds
+            and str(int(self.deadline_seconds * 1_000)),
+        }
+        fields = {
+            ":method": self.method,
+            ":scheme": "https",
+            ":authority": target.server_name,
+            ":path": self.path,
+            "x-request-id": self.request_id,
+            **{name: value for name, value in optional.items() if value is not None},
+        }
+        return [(name.encode(), value.encode()) for name, value in fields.items()]
+
+
+class Caller:
+    """Sends requests to one service and repeats none by itself."""
+
+    def __init__(
+        self,
+        target: Target,
+        *,
+        client: Client = Client.AIOQUIC,
+        idle_timeout_seconds: float = IDLE_TIMEOUT_SECONDS,
+        connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
+    ) -> None:
+        self.target = target
+        self.client = client
+        self.idle_timeout_seconds = idle_timeout_seconds
+        self.connect_timeout_seconds = connect_timeout_seconds
+        self.connections: list[Connection] = []
+        self.opening = asyncio.Lock()
+        self.opened = 0
+
+    async def connect(self) -> Connection:
+        """Return a connection for a new request, opened if there is none.
+
+        :raises ConnectionError: the handshake failed.
+        :raises TimeoutError: the handshake took too long.
+        """
+        async with self.opening:
+            self.drop_unused()
+            for connection in self.connections:
+                if connection.exchanges.usable:
+                    return connection
+            async with asyncio.timeout(self.connect_timeout_seconds):
+                connection = await _CONNECT[self.client](
+                    host=self.target.host,
+                    port=self.target.port,
+                    server_name=self.target.server_name,
+                    ca_path=self.target.ca_path,
+                    idle_timeout_seconds=self.idle_timeout_seconds,
+                )
+            self.opened += 1
+            self.connections.append(connection)
+            return connection
+
+    def drop_unused(self) -> None:
+        """Close connections that are leaving and have nothing in flight."""
+        for connection in list(self.connections):
+            exchanges = connection.exchanges
+            if exchanges.usable or exchanges.open:
+                continue
+            self.connections.remove(connection)
+            connection.close()
+            connection.release()
+
+    async def start(self, request: Request) -> tuple[Connection, Exchange]:
+        """Send a request on a usable connection.
+
+        :raises ConnectionError: no connection could be opened.
+        :raises TimeoutError: no connection could be opened in time.
+        """
+        connection = await self.connect()
+        exchange = connection.start(request.headers(self.target), request.body)
+        return connection, exchange
+
+    def finish(self, connection: Connection, exchange: Exchange) -> None:
+        """Forget an exchange."""
+        connection.exchanges.open.pop(exchange.stream_id, None)
+        self.drop_unused()
+
+    async def request(self, request: Request) -> Outcome:
+        """Send a request and wait for its outcome, up to its deadline."""
+        try:
+            async with asyncio.timeout(request.deadline_seconds):
+                connection, exchange = await self.start(request)
+        except (ConnectionError, TimeoutError) as error:
+            return NotRun(reason=f"no connection: {type(error).__name__} {error}")
+        reader = AnswerReader(service=self.target.service, request=request)
+        try:
+            async with asyncio.timeout(request.deadline_seconds):
+                return await reader.read(connection, exchange)
+        except TimeoutError:
+            connection.cancel(exchange)
+            return Unknown(reason="deadline passed", host=connection.exchanges.host)
+        except asyncio.CancelledError:
+            connection.cancel(exchange)
+            raise
+        finally:
+            self.finish(connection, exchange)
+
+    async def close(self) -> None:
+        """End every connection."""
+        for connection in self.connections:
+            connection.close()
+        await asyncio.sleep(LINGER_SECONDS)
+        for connection in self.connections:
+            connection.release()
+        self.connections.clear()
--- /dev/null
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/__init__.py
@@ -0,0 +1,33 @@
+"""Fleets of real daemons and stand-ins on loopback addresses."""
+
+from ._certificates import Certificates, create_certificates
+from ._deployment import (
+    BRANNOCK,
+    DEPLOYMENTS,
+    KUISEB,
+    AddressPlan,
+    Deployment,
+    ServicePlan,
+)
+from ._factory import FleetOptions
+from ._fleet import Balancer, Fleet, Host
+from ._process import ManagedProcess
+from ._stand_ins import FleetError, StandIns
+
+__all__ = [
+    "BRANNOCK",
+    "DEPLOYMENTS",
+    "KUISEB",
+    "AddressPlan",
+    "Balancer",
+    "Certificates",
+    "Deployment",
+    "Fleet",
+    "FleetError",
+    "FleetOptions",
+    "Host",
+    "ManagedProcess",
+    "ServicePlan",
+    "StandIns",
+    "create_certificates",
+]
--- /dev/null
+++ b/testing/emulator/test_fabric.py
@@ -0,0 +1,140 @@
+import asyncio
+import socket
+from collections import Counter
+
+import pytest
+
+from daisygauge_emulator._spray import (
+    Balancer,
+    Direction,
+    Faults,
+    ServiceAddress,
+    Sprayer,
+)
+
+HOSTS = {"a": "127.0.0.2", "b": "127.0.0.3"}
+
+
+class Receiver(asyncio.DatagramProtocol):
+    def __init__(self):
+        self.received = []
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, addr):
+        self.received.append((data, addr))
+
+
+def free_port():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+async def listen(host, port):
+    loop = asyncio.get_running_loop()
+    _, receiver = await loop.create_datagram_endpoint(Receiver, local_addr=(host, port))
+    return receiver
+
+
+@pytest.fixture
+async def path():
+    port = free_port()
+    balancers = {id: await listen(host, port) for id, host in HOSTS.items()}
+    caller = await listen("127.0.0.1", 0)
+    sprayer = Sprayer(source_host="127.0.0.1", seed=1)
+    sprayer.set_services([ServiceAddress(id="s", host="127.0.0.1", port=port)])
+    sprayer.set_balancers(
+        [Balancer(id=id, host=host, ready_url="") for id, host in HOSTS.items()]
+    )
+    for id in HOSTS:
+        sprayer.set_live(id, live=True)
+    yield sprayer, balancers, caller, ("127.0.0.1", port)
+    sprayer.close()
+    for receiver in [*balancers.values(), caller]:
+        receiver.transport.close()
+
+
+async def settle(sprayer, *, datagrams):
+    while sprayer.counters.towards_balancers < datagrams:
+        await asyncio.sleep(0.001)
+    await asyncio.sleep(0.01)
+
+
+async def test_datagrams_of_one_caller_reach_all_balancers_from_one_address(path):
+    sprayer, balancers, caller, service = path
+
+    for number in range(40):
+        caller.transport.sendto(bytes([number]), service)
+    await settle(sprayer, datagrams=40)
+
+    sources = {addr for r in balancers.values() for _, addr in r.received}
+    counts = Counter({id: len(r.received) for id, r in balancers.items()})
+    assert len(sources) == 1
+    assert counts.total() == 40
+    assert min(counts.values()) > 0
+
+
+async def test_replies_come_from_the_service_address(path):
+    sprayer, balancers, caller, service = path
+    caller.transport.sendto(b"ask", service)
+    await settle(sprayer, datagrams=1)
+
+    asked = next(r for r in balancers.values() if r.received)
+    asked.transport.sendto(b"answer", asked.received[0][1])
+    while not caller.received:
+        await asyncio.sleep(0.001)
+
+    assert caller.received == [(b"answer", service)]
+
+
+async def test_a_withdrawn_balancer_gets_nothing(path):
+    sprayer, balancers, caller, service = path
+
+    sprayer.set_live("a", live=False)
+    for _ in range(10):
+        caller.transport.sendto(b"x", service)
+    await settle(sprayer, datagrams=10)
+
+    assert len(balancers["a"].received) == 0
+    assert len(balancers["b"].received) == 10
+
+
+async def test_forgotten_callers_are_silent_while_new_ones_work(path):
+    sprayer, balancers, caller, service = path
+    caller.transport.sendto(b"old", service)
+    await settle(sprayer, datagrams=1)
+
+    forgotten = sprayer.forget(service="s", caller=None, direction=Direction.IN)
+    caller.transport.sendto(b"old", service)
+    other = await listen("127.0.0.1", 0)
+    other.transport.sendto(b"new", service)
+    await settle(sprayer, datagrams=3)
+    other.transport.close()
+
+    received = [data for r in balancers.values() for data, _ in r.received]
+    assert forgotten == 1
+    assert sorted(received) == [b"new", b"old"]
+
+
+async def test_a_cut_balancer_loses_what_is_sent_to_it(path):
+    sprayer, balancers, caller, service = path
+
+    sprayer.set_faults(Faults(cuts={"a": Direction.IN}))
+    for _ in range(20):
+        caller.transport.sendto(b"x", service)
+    await settle(sprayer, datagrams=20)
+
+    assert balancers["a"].received == []
+    assert len(balancers["b"].received) + sprayer.counters.lost == 20
+
+
+async def test_doubled_datagrams_arrive_twice(path):
+    sprayer, balancers, caller, service = path
+
+    sprayer.set_faults(Faults(duplicate=1.0))
+    caller.transport.sendto(b"x", service)
+    await settle(sprayer, datagrams=1)
+
+    assert sum(len(r.received) for r in balancers.values()) == 2
