Tie the flow control of received streams to what was read

The QUIC library doubles a stream's window as data comes in, whether or not anyone reads it, so a slow upstream let a caller's upload fill the agent's memory. The window now follows the bytes that were read.

--- a/packages/daisygauge-wire/src/daisygauge_wire/__init__.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/__init__.py
@@ -22,7 +22,12 @@
 from ._gauge import Gauge, decode_gauge, encode_gauge
 from ._keyring import DerivedKeys, KeyRing, derive_key
 from ._packet import PacketHeader, PacketKind, read_packet_header
-from ._quic import IssuedId, RoutedConnection, send_goaway
+from ._quic import (
+    STREAM_WINDOW_BYTES,
+    IssuedId,
+    RoutedConnection,
+    send_goaway,
+)
 
 __all__ = [
     "ANY_INCARNATION",
@@ -39,6 +44,7 @@
     "MalformedDatagramError",
     "PacketHeader",
     "PacketKind",
+    "STREAM_WINDOW_BYTES",
     "PlacedStatus",
     "Route",
     "RoutedConnection",
--- a/packages/daisygauge-wire/src/daisygauge_wire/_quic.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_quic.py
@@ -1,7 +1,9 @@
 """The only module that depends on the inner workings of the QUIC library.
 
 aioquic 1.7.2 draws connection IDs and reset tokens at random in two places.
-``RoutedConnection`` replaces both, so that every ID names the issuing agent.
+``RoutedConnection`` replaces both, so that every ID names the issuing agent. It
+also ties the flow control of received streams to what has been read: the library
+doubles the window of a stream whether or not anyone reads it.
 A contract test guards the pinned version.
 """
 
@@ -12,10 +14,16 @@
 
 from aioquic.buffer import encode_uint_var
 from aioquic.h3.connection import FrameType, H3Connection, encode_frame
-from aioquic.quic.connection import QuicConnection, QuicConnectionId
+from aioquic.quic.connection import (
+    MAX_STREAM_DATA_FRAME_CAPACITY,
+    QuicConnection,
+    QuicConnectionId,
+)
+from aioquic.quic.packet import QuicFrameType
 from attrs import frozen
 
 MAX_ISSUED_IDS = 8
+STREAM_WINDOW_BYTES = 256 * 1024
 
 
 @frozen(kw_only=True)
@@ -32,6 +40,7 @@
     def __init__(self, *, issue_id: Callable[[], IssuedId], **options: Any) -> None:
         super().__init__(**options)
         self.issue_id = issue_id
+        self.unread_bytes: dict[int, int] = {}
         first = issue_id()
         self._host_cids = [
             QuicConnectionId(
@@ -57,6 +66,44 @@
             )
             self._host_cid_seq += 1
 
+    def _write_stream_limits(self, builder: Any, space: Any, stream: Any) -> None:
+        if not stream.max_stream_data_local:
+            return
+        unread = self.unread_bytes.get(stream.stream_id, 0)
+        wanted = stream.receiver.highest_offset - unread + STREAM_WINDOW_BYTES
+        if wanted - stream.max_stream_data_local > STREAM_WINDOW_BYTES // 2:
+            stream.max_stream_data_local = wanted
+        if stream.max_stream_data_local_sent == stream.max_stream_data_local:
+            return
+        frame = builder.start_frame(
+            QuicFrameType.MAX_STREAM_DATA,
+            capacity=MAX_STREAM_DATA_FRAME_CAPACITY,
+            handler=self._on_max_stream_data_delivery,
+            handler_args=(stream,),
+        )
+        frame.push_uint_var(stream.stream_id)
+        frame.push_uint_var(stream.max_stream_data_local)
+        stream.max_stream_data_local_sent = stream.max_stream_data_local
+
+    def unsent_bytes(self, stream_id: int) -> int:
+        """Bytes of a stream that the caller has not acknowledged yet."""
+        stream = self._streams.get(stream_id)
+        if stream is None:
+            return 0
+        return stream.sender._buffer_stop - stream.sender._buffer_start
+
+    def has_unacknowledged_answers(self) -> bool:
+        """Tell whether the caller may still miss a part of an answer."""
+        return any(
+            stream_id % 4 == 0 and not stream.sender.is_finished
+            for stream_id, stream in self._streams.items()
+        )
+
+    def can_send(self, stream_id: int) -> bool:
+        """Tell whether a stream is still known and open for sending."""
+        stream = self._streams.get(stream_id)
+        return stream is not None and stream.sender._reset_error_code is None
+
     @property
     def issued_ids(self) -> tuple[bytes, ...]:
         """Connection IDs that callers may use now."""
