Add the agent: QUIC and HTTP/3 beside an HTTP/1.1 upstream

Inner datagrams are checked for service and incarnation first; connection IDs name the agent; replies go through balancers that answered a probe; unknown connections get stateless resets. Answers are streamed with backpressure both ways, and a truncated upstream answer is reset, never ended.

The HTTP client repeats idempotent methods by itself after a disconnect; a middleware turns that off, because retries are bounded by a budget elsewhere.

--- /dev/null
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_dispatch.py
@@ -0,0 +1,166 @@
+"""What the agent does with each inner datagram."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from attrs import evolve
+
+from daisygauge_records import Endpoint
+from daisygauge_wire import (
+    ANY_INCARNATION,
+    Datagram,
+    Kind,
+    MalformedDatagramError,
+    PacketHeader,
+    PacketKind,
+    PlacedStatus,
+    decode_connection_id,
+    decode_datagram,
+    read_packet_header,
+)
+
+from . import _events as events
+from ._flights import Flights
+from ._metrics import AgentMetrics
+from ._node import AgentNode
+from ._reset import ResetLimit, build_stateless_reset
+from ._table import ConnectionTable
+
+
+class Dispatcher:
+    """Checks inner datagrams and gives each to what handles its kind.
+
+    Service and incarnation are checked before anything else is read.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: AgentNode,
+        table: ConnectionTable,
+        flights: Flights,
+        metrics: AgentMetrics,
+        listeners: dict[Kind, Callable[[Datagram], None]],
+    ) -> None:
+        self.node = node
+        self.table = table
+        self.flights = flights
+        self.metrics = metrics
+        self.reset_limit = ResetLimit()
+        self.handlers: dict[Kind, Callable[[Datagram], None]] = {
+            Kind.FORWARD: self.on_forward,
+            **listeners,
+        }
+        self.packet_handlers: dict[
+            PacketKind, Callable[[Datagram, PacketHeader], None]
+        ] = {
+            PacketKind.FIRST_FLIGHT: self.on_first_flight,
+            PacketKind.OTHER_LONG: self.on_unknown_long,
+            PacketKind.SHORT: self.on_unknown_short,
+        }
+
+    def on_datagram(self, data: bytes, sender: Endpoint) -> None:
+        """Handle one inner datagram."""
+        now = self.node.now()
+        try:
+            datagram = decode_datagram(data, keys=self.node.keys, now=now)
+        except MalformedDatagramError as error:
+            self.drop(sender, reason=error.reason)
+            return
+        handler = self.handlers.get(datagram.kind)
+        if handler is None:
+            self.drop(sender, reason="kind")
+            return
+        handler(datagram)
+
+    def drop(self, sender: Endpoint, *, reason: str) -> None:
+        """Count a datagram that is not handled."""
+        self.metrics.dropped.labels(reason).inc()
+        self.node.log.write(events.DATAGRAM_DROPPED, sender=str(sender), reason=reason)
+
+    def on_forward(self, datagram: Datagram) -> None:
+        """Handle a caller's packet."""
+        if datagram.service != self.node.service_number:
+            self.refuse(datagram, status=PlacedStatus.WRONG_SERVICE)
+            return
+        if datagram.incarnation not in (ANY_INCARNATION, self.node.incarnation):
+            self.refuse(datagram, status=PlacedStatus.WRONG_INCARNATION)
+            return
+        self.metrics.received.inc()
+        self.node.last_balancer = datagram.sender
+        header = read_packet_header(datagram.payload)
+        if header is None:
+            self.drop(datagram.sender, reason="packet")
+            return
+        connection = self.table.by_id.get(header.destination_id)
+        if connection is not None:
+            connection.receive(datagram.payload, caller=datagram.caller)
+            return
+        self.packet_handlers[header.kind](datagram, header)
+
+    def refuse(self, datagram: Datagram, *, status: PlacedStatus) -> None:
+        """Answer a packet that was meant for another agent."""
+        reason = status.name.lower()
+        self.drop(datagram.sender, reason=reason)
+        header = read_packet_header(datagram.payload)
+        if header is None:
+            return
+        if header.kind is PacketKind.FIRST_FLIGHT:
+            self.flights.report(datagram, header.destination_id, status=status)
+        elif header.kind is PacketKind.SHORT:
+            self.reset(datagram, header, reason=reason)
+
+    def on_first_flight(self, datagram: Datagram, header: PacketHeader) -> None:
+        """Place a new connection, unless the packet is late for one of ours."""
+        if self.decode_route(header) is not None:
+            self.drop(datagram.sender, reason="ended-connection")
+            return
+        self.flights.receive(datagram, header)
+
+    def on_unknown_long(self, datagram: Datagram, header: PacketHeader) -> None:
+        """Drop a handshake packet of a connection that no longer exists."""
+        self.drop(datagram.sender, reason="unknown-connection")
+
+    def on_unknown_short(self, datagram: Datagram, header: PacketHeader) -> None:
+        """Tell the caller that its connection no longer exists."""
+        self.reset(datagram, header, reason="unknown_connection")
+
+    def decode_route(self, header: PacketHeader) -> object:
+        """Read the route of a packet's ID, None for one we did not issue."""
+        return decode_connection_id(
+            header.destination_id, keys=self.node.keys, now=self.node.now()
+        )
+
+    def reset(self, datagram: Datagram, header: PacketHeader, *, reason: str) -> None:
+        """Send a stateless reset for an ID that names this agent's address.
+
+        The address is ours now, so no other live agent owns the connection.
+        """
+        now = self.node.now()
+        route = decode_connection_id(
+            header.destination_id, keys=self.node.keys, now=now
+        )
+        if route is None or route.agent != self.node.inner:
+            return
+        key = self.node.keys.find(header.destination_id[0], now=now)
+        packet = build_stateless_reset(
+            connection_id=header.destination_id,
+            key=key,
+            packet_bytes=len(datagram.payload),
+        )
+        if packet is None or not self.reset_limit.take(now=now):
+            return
+        self.metrics.resets.inc()
+        self.node.log.write(
+            events.RESET_SENT, caller=str(datagram.caller), reason=reason
+        )
+        reply = evolve(
+            datagram,
+            kind=Kind.REPLY,
+            sender=self.node.inner,
+            incarnation=self.node.incarnation,
+            candidates=(),
+            payload=packet,
+        )
+        self.node.send(reply, receiver=datagram.sender)
--- /dev/null
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_flights.py
@@ -0,0 +1,203 @@
+"""What becomes of first flights: served here, passed to a peer or refused."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from aioquic.buffer import Buffer
+from aioquic.quic.configuration import SMALLEST_MAX_DATAGRAM_SIZE
+from aioquic.quic.packet import (
+    QuicPacketType,
+    encode_quic_version_negotiation,
+    pull_quic_header,
+)
+from attrs import evolve, frozen
+
+from daisygauge_records import Endpoint
+from daisygauge_wire import (
+    ANY_INCARNATION,
+    CONNECTION_ID_BYTES,
+    MAX_HOPS,
+    Datagram,
+    Kind,
+    PacketHeader,
+    PlacedStatus,
+)
+
+from . import _events as events
+from ._connection import CallerConnection
+from ._metrics import AgentMetrics
+from ._node import AgentNode
+from ._placing import AcceptFlight, FlightDecision, PassFlight, RefuseFlight
+from ._table import ConnectionTable
+
+PASSED_MEMORY_SECONDS = 10.0
+MAX_PASSED_FLIGHTS = 10_000
+VERSION_NEGOTIATION = QuicPacketType.VERSION_NEGOTIATION
+
+FlightKey = tuple[Endpoint, bytes]
+
+
+@frozen(kw_only=True)
+class PassedFlight:
+    """A first flight that a peer was offered.
+
+    :param expires: Unix time in seconds after which the flight is forgotten.
+    """
+
+    peer: Endpoint
+    expires: float
+
+
+class Flights:
+    """Accepts, passes on and refuses new connections.
+
+    :param accept: opens a connection for a first flight.
+    :param choose: decides about a first flight that was not seen before.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: AgentNode,
+        table: ConnectionTable,
+        metrics: AgentMetrics,
+        accept: Callable[[Datagram, FlightKey], CallerConnection],
+        choose: Callable[[Datagram], FlightDecision],
+    ) -> None:
+        self.node = node
+        self.table = table
+        self.metrics = metrics
+        self.accept = accept
+        self.choose = choose
+        self.passed: dict[FlightKey, PassedFlight] = {}
+
+    def receive(self, datagram: Datagram, header: PacketHeader) -> None:
+        """Handle an Initial or 0-RTT packet with an ID that the caller chose."""
+        flight = (datagram.caller, header.destination_id)
+        now = self.node.now()
+        connection = self.table.by_flight.get(flight)
+        if connection is not None:
+            connection.receive(datagram.payload, caller=datagram.caller)
+            self.report(datagram, flight[1], status=PlacedStatus.ACCEPTED)
+            return
+        if self.table.has_ended(flight, now=now):
+            self.report(datagram, flight[1], status=PlacedStatus.ACCEPTED)
+            return
+        passed = self.passed.get(flight)
+        if passed is not None and passed.expires > now and datagram.hops < MAX_HOPS:
+            self.pass_on(datagram, flight, peer=passed.peer)
+            return
+        if self.opens_connection(datagram):
+            self.place(datagram, flight)
+
+    def opens_connection(self, datagram: Datagram) -> bool:
+        """Tell whether a packet may open a connection; negotiate its version."""
+        packet = datagram.payload
+        if len(packet) < SMALLEST_MAX_DATAGRAM_SIZE:
+            return False
+        try:
+            header = pull_quic_header(
+                Buffer(data=packet), host_cid_length=CONNECTION_ID_BYTES
+            )
+        except ValueError:
+            return False
+        if header.packet_type == VERSION_NEGOTIATION:
+            return False
+        if header.version not in self.node.supported_versions:
+            self.negotiate_version(
+                datagram, source_id=header.destination_cid, target_id=header.source_cid
+            )
+            return False
+        return header.packet_type == QuicPacketType.INITIAL
+
+    def negotiate_version(
+        self, datagram: Datagram, *, source_id: bytes, target_id: bytes
+    ) -> None:
+        """Tell the caller which versions are supported (RFC 9000, 6.1)."""
+        packet = encode_quic_version_negotiation(
+            source_cid=source_id,
+            destination_cid=target_id,
+            supported_versions=list(self.node.supported_versions),
+        )
+        reply = evolve(
+            datagram,
+            kind=Kind.REPLY,
+            sender=self.node.inner,
+            candidates=(),
+            payload=packet,
+        )
+        self.node.send(reply, receiver=datagram.sender)
+
+    def place(self, datagram: Datagram, flight: FlightKey) -> None:
+        """Decide about a new connection and act on it."""
+        match self.choose(datagram):
+            case AcceptFlight():
+                connection = self.accept(datagram, flight)
+                connection.receive(datagram.payload, caller=datagram.caller)
+                self.count("accepted")
+                self.report(datagram, flight[1], status=PlacedStatus.ACCEPTED)
+                self.node.log.write(
+                    events.FLIGHT_ACCEPTED,
+                    caller=str(datagram.caller),
+                    hops=datagram.hops,
+                    connections=len(self.table),
+                )
+            case PassFlight(peer=peer, reason=reason):
+                self.remember(flight, peer=peer)
+                self.count("passed-on")
+                self.node.log.write(
+                    events.FLIGHT_PASSED_ON,
+                    caller=str(datagram.caller),
+                    peer=str(peer),
+                    reason=reason,
+                    hops=datagram.hops + 1,
+                )
+                self.pass_on(datagram, flight, peer=peer)
+            case RefuseFlight(status=status):
+                reason = status.name.lower()
+                self.count(f"refused-{reason}")
+                self.node.log.write(
+                    events.FLIGHT_REFUSED, caller=str(datagram.caller), reason=reason
+                )
+                self.report(datagram, flight[1], status=status)
+
+    def count(self, outcome: str) -> None:
+        """Count a decision."""
+        self.metrics.flights.labels(outcome).inc()
+
+    def remember(self, flight: FlightKey, *, peer: Endpoint) -> None:
+        """Let later pieces of a first flight follow its first."""
+        while len(self.passed) >= MAX_PASSED_FLIGHTS:
+            del self.passed[next(iter(self.passed))]
+        expires = self.node.now() + PASSED_MEMORY_SECONDS
+        self.passed[flight] = PassedFlight(peer=peer, expires=expires)
+
+    def pass_on(self, datagram: Datagram, flight: FlightKey, *, peer: Endpoint) -> None:
+        """Send a first flight to a peer; the balancer's address stays in it."""
+        rest = tuple(other for other in datagram.candidates if other != peer)
+        forwarded = evolve(
+            datagram,
+            hops=datagram.hops + 1,
+            candidates=rest,
+            incarnation=ANY_INCARNATION,
+        )
+        self.node.send(forwarded, receiver=peer)
+        self.report(datagram, flight[1], status=PlacedStatus.PASSED_ON)
+
+    def report(
+        self, datagram: Datagram, caller_id: bytes, *, status: PlacedStatus
+    ) -> None:
+        """Tell the balancer what became of a first flight."""
+        answer = Datagram(
+            kind=Kind.PLACED,
+            service=datagram.service,
+            incarnation=self.node.incarnation,
+            status=status,
+            hops=datagram.hops,
+            caller=datagram.caller,
+            address=datagram.address,
+            sender=self.node.inner,
+            payload=caller_id,
+        )
+        self.node.send(answer, receiver=datagram.sender)
--- /dev/null
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_request.py
@@ -0,0 +1,104 @@
+"""One task for each request of a caller."""
+
+from __future__ import annotations
+
+import asyncio
+import traceback
+
+from aioquic.h3.connection import ErrorCode
+
+from . import _events as events
+from ._answers import STATUS_MALFORMED, CallerAnswer
+from ._execution import Executor
+from ._headers import MalformedRequestError, read_request
+from ._metrics import AgentMetrics
+from ._model import Answered, NotRun, Outcome, Request, Unknown
+from ._node import AgentNode, NotConfiguredError
+from ._streams import RequestStream
+
+OUTCOME_NAMES = {Answered: "answered", NotRun: "not-run", Unknown: "unknown"}
+
+
+class RequestServer:
+    """Reads a request, has it run and tells the caller the outcome."""
+
+    def __init__(
+        self, *, node: AgentNode, executor: Executor, metrics: AgentMetrics
+    ) -> None:
+        self.node = node
+        self.executor = executor
+        self.metrics = metrics
+
+    async def serve(
+        self, stream: RequestStream, fields: list[tuple[bytes, bytes]], caller: str
+    ) -> None:
+        """Answer one request; cancelled when the caller gives up."""
+        answer = CallerAnswer(stream=stream, host=self.node.host)
+        try:
+            request = read_request(
+                fields,
+                service=self.node.service,
+                caller=caller,
+                fallback_id=f"{caller}/{stream.stream_id}",
+                now=self.node.now(),
+            )
+        except MalformedRequestError as error:
+            await answer.refuse(
+                status=STATUS_MALFORMED, outcome=b"not-run", reason=str(error)
+            )
+            return
+        except NotConfiguredError:
+            await answer.finish(NotRun(reason="not-configured"))
+            return
+        await self.serve_request(request, stream=stream, answer=answer)
+
+    async def serve_request(
+        self, request: Request, *, stream: RequestStream, answer: CallerAnswer
+    ) -> None:
+        """Run a request that was read and account for it."""
+        try:
+            outcome = await self.run(request, stream=stream, answer=answer)
+            await answer.finish(outcome)
+        except asyncio.CancelledError:
+            self.report(request, name="cancelled", status=0, reason="caller gave up")
+            raise
+        except Exception as error:
+            self.node.log.write(
+                events.REQUEST_FAILED,
+                request=request.id,
+                error=repr(error),
+                traceback="".join(traceback.format_exception(error)),
+            )
+            stream.reset(ErrorCode.H3_INTERNAL_ERROR)
+            self.report(request, name="unknown", status=0, reason="internal error")
+            return
+        self.report(
+            request,
+            name=OUTCOME_NAMES[type(outcome)],
+            status=getattr(outcome, "status", 0),
+            reason=getattr(outcome, "reason", ""),
+        )
+
+    async def run(
+        self, request: Request, *, stream: RequestStream, answer: CallerAnswer
+    ) -> Outcome:
+        """Decide where the request runs and run it."""
+        if self.node.leaving:
+            return NotRun(reason="leaving")
+        return await self.executor.run(request, body=stream, answer=answer)
+
+    def report(self, request: Request, *, name: str, status: int, reason: str) -> None:
+        """Count and log the end of a request."""
+        class_name = request.request_class.name
+        seconds = self.node.now() - request.arrived
+        self.metrics.requests.labels(class_name, name).inc()
+        self.metrics.seconds.labels(class_name).observe(seconds)
+        self.node.log.write(
+            events.REQUEST_ENDED,
+            request=request.id,
+            caller=request.caller,
+            outcome=name,
+            status=status,
+            reason=reason,
+            seconds=round(seconds, 4),
+        )
--- /dev/null
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_reset.py
@@ -0,0 +1,57 @@
+"""Stateless resets for connections that no longer exist (RFC 9000, 10.3)."""
+
+from __future__ import annotations
+
+import os
+
+from daisygauge_wire import DerivedKeys, reset_token
+
+MIN_RESET_BYTES = 21
+MAX_RESET_BYTES = 43
+RESETS_PER_SECOND = 200.0
+TOKEN_BYTES = 16
+_FIXED_BIT = 0x40
+_SHORT_HEADER_MASK = 0x3F
+
+
+class ResetLimit:
+    """Bounds the resets that an agent sends.
+
+    :param per_second: resets allowed each second, and in one burst.
+    """
+
+    def __init__(self, *, per_second: float = RESETS_PER_SECOND) -> None:
+        self.per_second = per_second
+        self.tokens = per_second
+        self.updated = 0.0
+
+    def take(self, *, now: float) -> bool:
+        """Take the right to send one reset.
+
+        :param now: Unix time in seconds.
+        """
+        earned = max(now - self.updated, 0.0) * self.per_second
+        self.tokens = min(self.tokens + earned, self.per_second)
+        self.updated = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+def build_stateless_reset(
+    *, connection_id: bytes, key: DerivedKeys, packet_bytes: int
+) -> bytes | None:
+    """Build the reset that answers a short-header packet.
+
+    :param key: the key that issued the connection ID.
+    :param packet_bytes: length of the packet to answer. A reset is shorter, so
+        that two endpoints can't reset each other for ever.
+    :return: None when the packet is too short to be answered.
+    """
+    size = min(packet_bytes - 1, MAX_RESET_BYTES)
+    if size < MIN_RESET_BYTES:
+        return None
+    noise = bytearray(os.urandom(size - TOKEN_BYTES))
+    noise[0] = noise[0] & _SHORT_HEADER_MASK | _FIXED_BIT
+    return bytes(noise) + reset_token(connection_id, key=key)
--- /dev/null
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_returns.py
@@ -0,0 +1,73 @@
+"""How packets reach callers: through balancers that answered lately."""
+
+from __future__ import annotations
+
+import asyncio
+
+from daisygauge_policy import ReturnPaths
+from daisygauge_records import Endpoint
+from daisygauge_wire import Datagram, Kind, encode_gauge
+
+from ._gauges import GaugeExchange
+from ._node import AgentNode
+
+PROBE_SECONDS = 0.3
+
+
+class Returns:
+    """Probes balancers and spreads packets over those that answer."""
+
+    def __init__(self, *, node: AgentNode, gauges: GaugeExchange) -> None:
+        self.node = node
+        self.gauges = gauges
+        self.paths = ReturnPaths(agent=node.settings.id)
+        self.known_version = -1
+
+    def take_answer(self, datagram: Datagram) -> None:
+        """Note that a balancer answered a probe."""
+        self.paths.report_answer(datagram.sender, now=self.node.now())
+
+    def send_reply(self, packet: bytes, *, caller: Endpoint, via: Endpoint) -> None:
+        """Send a packet to a caller.
+
+        :param via: service address that the caller uses.
+        """
+        balancer = self.paths.choose(now=self.node.now()) or self.node.last_balancer
+        if balancer is None:
+            return
+        reply = Datagram(
+            kind=Kind.REPLY,
+            service=self.node.service_number or 0,
+            incarnation=self.node.incarnation,
+            caller=caller,
+            address=via,
+            sender=self.node.inner,
+            payload=packet,
+        )
+        self.node.send(reply, receiver=balancer)
+
+    def follow_instances(self) -> None:
+        """Take in a changed instance list."""
+        view = self.node.view
+        if view.version != self.known_version:
+            self.known_version = view.version
+            self.paths.set_known(view.instances.values())
+
+    def send_probes(self) -> None:
+        """Ask the balancers of this agent for a sign of life."""
+        probe = Datagram(
+            kind=Kind.PROBE,
+            service=self.node.service_number or 0,
+            incarnation=self.node.incarnation,
+            sender=self.node.inner,
+            payload=encode_gauge(self.gauges.own_gauge()),
+        )
+        for balancer in self.paths.probe_targets(now=self.node.now()):
+            self.node.send(probe, receiver=balancer)
+
+    async def run(self) -> None:
+        """Probe balancers until cancelled."""
+        while True:
+            self.follow_instances()
+            self.send_probes()
+            await asyncio.sleep(PROBE_SECONDS)
--- /dev/null
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_socket.py
@@ -0,0 +1,64 @@
+"""The socket for inner datagrams."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from daisygauge_records import Endpoint
+
+RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+SEND_BUFFER_BYTES = 2 * 1024 * 1024
+
+
+class InnerSocket(asyncio.DatagramProtocol):
+    """Hands every datagram to ``on_datagram``.
+
+    :param on_datagram: called with the datagram and its sender.
+    """
+
+    def __init__(self, *, on_datagram: Callable[[bytes, Endpoint], None]) -> None:
+        self.on_datagram = on_datagram
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport for sending."""
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Pass a datagram on."""
+        self.on_datagram(data, Endpoint(host=addr[0], port=addr[1]))
+
+    def send(self, data: bytes, receiver: Endpoint) -> None:
+        """Send a datagram; a full socket buffer drops it, as a network does."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.sendto(data, (receiver.host, receiver.port))
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self.transport is not None:
+            self.transport.close()
+
+
+async def open_inner_socket(
+    *, local: Endpoint, on_datagram: Callable[[bytes, Endpoint], None]
+) -> InnerSocket:
+    """Bind the inner socket.
+
+    :raises OSError: the address is taken or is not one of this machine.
+    """
+    inner = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    inner.setblocking(False)
+    inner.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    inner.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    try:
+        inner.bind((local.host, local.port))
+    except OSError:
+        inner.close()
+        raise
+    _, protocol = await asyncio.get_running_loop().create_datagram_endpoint(
+        lambda: InnerSocket(on_datagram=on_datagram), sock=inner
+    )
+    return protocol
--- /dev/null
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_upstream.py
@@ -0,0 +1,188 @@
+"""The HTTP/1.1 client of the upstream beside the agent."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from types import SimpleNamespace
+from typing import Any
+
+import aiohttp
+from attrs import define
+from multidict import CIMultiDict
+from yarl import URL
+
+from daisygauge_records import Endpoint
+
+from ._headers import DEADLINE_HEADER, drop_hop_by_hop
+from ._model import Answer, Answered, Body, NotRun, Outcome, Request, Unknown
+
+CONNECT_SECONDS = 2.0
+READ_BYTES = 64 * 1024
+LINE_BYTES = 64 * 1024
+BODYLESS_STATUSES = frozenset({204, 304})
+
+
+class UpstreamBrokenError(Exception):
+    """The upstream ended a connection on which a request was sent."""
+
+
+class DeadlinePassedError(Exception):
+    """The deadline passed before the first byte was sent."""
+
+
+@define(kw_only=True)
+class Attempt:
+    """How far the sending of one request came.
+
+    :param deadline: Unix time in seconds.
+    :ivar sent: True once a byte may have reached the upstream.
+    """
+
+    deadline: float
+    sent: bool = False
+
+
+async def _before_first_byte(
+    session: aiohttp.ClientSession, context: SimpleNamespace, params: Any
+) -> None:
+    # A process that was paused while it connected must not run a late request.
+    attempt: Attempt = context.trace_request_ctx
+    if time.time() >= attempt.deadline:
+        raise DeadlinePassedError
+    attempt.sent = True
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    # The client library repeats idempotent methods by itself on these errors; a
+    # type of our own keeps retries within the budget.
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise UpstreamBrokenError(str(error)) from error
+
+
+def _tracing() -> aiohttp.TraceConfig:
+    tracing = aiohttp.TraceConfig()
+    tracing.on_connection_create_end.append(_before_first_byte)
+    tracing.on_connection_reuseconn.append(_before_first_byte)
+    return tracing
+
+
+async def _parts(body: Body) -> AsyncIterator[bytes]:
+    while part := await body.read():
+        yield part
+
+
+def _has_body(request: Request) -> bool:
+    names = {name for name, _ in request.headers}
+    return request.method not in ("GET", "HEAD") or b"content-length" in names
+
+
+def _is_framed(request: Request, response: aiohttp.ClientResponse) -> bool:
+    # A body that ends with the connection can't be told from a truncated one.
+    if request.method == "HEAD" or response.status in BODYLESS_STATUSES:
+        return True
+    names = response.headers
+    return "Content-Length" in names or "Transfer-Encoding" in names
+
+
+class UpstreamClient:
+    """Runs requests at the upstream.
+
+    :param endpoint: address of the upstream's HTTP server.
+    """
+
+    def __init__(self, *, endpoint: Endpoint) -> None:
+        self.base = f"http://{endpoint.host}:{endpoint.port}"
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, ttl_dns_cache=None),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+            auto_decompress=False,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            trace_configs=[_tracing()],
+            middlewares=(_send_once,),
+            max_line_size=LINE_BYTES,
+            max_field_size=LINE_BYTES,
+        )
+
+    async def close(self) -> None:
+        """Close every connection to the upstream."""
+        await self.session.close()
+
+    async def fetch_json(self, path: str, *, timeout_seconds: float) -> Any:
+        """Read one of the upstream's own endpoints.
+
+        :raises aiohttp.ClientError: there is no usable answer.
+        """
+        attempt = Attempt(deadline=time.time() + timeout_seconds)
+        timeout = aiohttp.ClientTimeout(total=timeout_seconds)
+        async with self.session.get(
+            self.base + path, timeout=timeout, trace_request_ctx=attempt
+        ) as response:
+            response.raise_for_status()
+            return await response.json(content_type=None)
+
+    async def run(self, request: Request, *, body: Body, answer: Answer) -> Outcome:
+        """Run a request and pass its answer on as it comes.
+
+        Cancelling this call closes the connection to the upstream.
+        """
+        attempt = Attempt(deadline=request.deadline)
+        try:
+            async with asyncio.timeout(request.deadline - time.time()) as limit:
+                return await self._exchange(
+                    request, attempt=attempt, body=body, answer=answer, limit=limit
+                )
+        except (TimeoutError, DeadlinePassedError):
+            if not attempt.sent:
+                return NotRun(reason="deadline")
+            return Unknown(reason="deadline", late=True)
+        except (UpstreamBrokenError, aiohttp.ClientError, OSError) as error:
+            if not attempt.sent:
+                return NotRun(reason=f"upstream unreachable: {error}")
+            return Unknown(reason=f"upstream broke off: {type(error).__name__}")
+
+    async def _exchange(
+        self,
+        request: Request,
+        *,
+        attempt: Attempt,
+        body: Body,
+        answer: Answer,
+        limit: asyncio.Timeout,
+    ) -> Outcome:
+        async with self.session.request(
+            request.method,
+            URL(self.base + request.path, encoded=True),
+            headers=_request_headers(request),
+            data=_parts(body) if _has_body(request) else None,
+            allow_redirects=False,
+            trace_request_ctx=attempt,
+        ) as response:
+            if not _is_framed(request, response):
+                return Unknown(reason="upstream answer without a length")
+            if request.request_class.streaming:
+                limit.reschedule(None)
+            headers = drop_hop_by_hop(response.raw_headers)
+            await answer.send_head(status=response.status, headers=headers)
+            while part := await response.content.readany():
+                await answer.send_body(part)
+            await answer.send_end()
+            return Answered(status=response.status)
+
+
+def _request_headers(request: Request) -> CIMultiDict[str]:
+    headers: CIMultiDict[str] = CIMultiDict()
+    for name, value in request.headers:
+        if name != DEADLINE_HEADER:
+            headers.add(name.decode("latin-1"), value.decode("latin-1"))
+    left = max(request.deadline - time.time(), 0.0)
+    headers["X-Deadline-Ms"] = str(int(left * 1000))
+    return headers
