Run the whole path as a demo and compare every outcome with the ledgers

Callers of all services send a seeded mix while one balancer is killed, one is replaced and the host that carries a feed is drained. Outcomes are checked against ledgers that upstreams write to files, so that runs of killed or drained hosts count as well.

--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/__init__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/__init__.py
@@ -1,7 +1,7 @@
 """HTTP/3 callers for tests, the demo and experiments, on two libraries."""
 
 from ._caller import Caller, Client, Request, Target
-from ._feed import Feed
+from ._feed import Feed, FeedReport
 from ._outcome import Answered, Defect, NotRun, Outcome, Unknown
 
 __all__ = [
@@ -10,6 +10,7 @@
     "Client",
     "Defect",
     "Feed",
+    "FeedReport",
     "NotRun",
     "Outcome",
     "Request",
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_answer.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_answer.py
@@ -52,11 +52,13 @@
                     return Unknown(
                         reason=f"stream reset {code:#x}",
                         host=connection.exchanges.host,
+                        cut=True,
                     )
                 case Closed(reason=reason):
                     return Unknown(
                         reason=f"connection closed: {reason}",
                         host=connection.exchanges.host,
+                        cut=True,
                     )
 
     def classify(self, *, host: str | None) -> Outcome:
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_caller.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_caller.py
@@ -86,7 +86,11 @@
 
 
 class Caller:
-    """Sends requests to one service and repeats none by itself."""
+    """Sends requests to one service and repeats none by itself.
+
+    :ivar opened: connections opened so far.
+    :ivar lost: why connections ended that had not been announced by GOAWAY.
+    """
 
     def __init__(
         self,
@@ -103,6 +107,7 @@
         self.connections: list[Connection] = []
         self.opening = asyncio.Lock()
         self.opened = 0
+        self.lost: list[str] = []
 
     async def connect(self) -> Connection:
         """Return a connection for a new request, opened if there is none.
@@ -133,6 +138,8 @@
             exchanges = connection.exchanges
             if exchanges.usable or exchanges.open:
                 continue
+            if not exchanges.leaving.is_set():
+                self.lost.append(exchanges.closed_reason)
             self.connections.remove(connection)
             connection.close()
             connection.release()
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_outcome.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_outcome.py
@@ -25,7 +25,7 @@
 
     status: int
     headers: dict[str, str]
-    body: bytes = field(repr=False)
+    body: bytes = field(default=b"", repr=False)
     defects: frozenset[Defect] = frozenset()
 
 
@@ -43,10 +43,12 @@
 
     :param host: ``x-daisygauge-host`` of the connection, when it was seen;
         a repeat has to name it.
+    :param cut: True when the stream or connection ended before the answer.
     """
 
     reason: str
     host: str | None = None
+    cut: bool = False
 
 
 Outcome = Answered | NotRun | Unknown
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/__init__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/__init__.py
@@ -1,5 +1,6 @@
 """Fleets of real daemons and stand-ins on loopback addresses."""
 
+from . import _documents as documents
 from ._certificates import Certificates, create_certificates
 from ._deployment import (
     BRANNOCK,
@@ -30,4 +31,5 @@
     "ServicePlan",
     "StandIns",
     "create_certificates",
+    "documents",
 ]
