--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/__main__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/__main__.py
@@ -50,9 +50,14 @@
         }
         for id, address in fleet.services.items()
     ]
+    hosts = [
+        {"id": host.id, "service": host.plan.id, "slots": host.plan.slots}
+        for host in fleet.hosts.values()
+    ]
     return {
         "deployment": fleet.deployment.id,
         "services": services,
+        "hosts": hosts,
         "ca": str(fleet.factory.certificates.ca),
         "platform": fleet.stand_ins.platform,
         "fabric": fleet.stand_ins.fabric,
