--- /dev/null
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_deadlines.py
@@ -0,0 +1,51 @@
+"""How long a request may still take."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from daisygauge_records import RequestClass
+
+LONGEST_DEADLINE_SECONDS = 3_600.0
+
+
+@frozen(kw_only=True, order=True)
+class Deadline:
+    """The latest useful end of an answer.
+
+    :param at: Unix time in seconds.
+    """
+
+    at: float
+
+    def remaining_seconds(self, *, now: float) -> float:
+        """Return the time left, zero once the deadline has passed."""
+        return max(0.0, self.at - now)
+
+    def has_passed(self, *, now: float) -> bool:
+        """Tell whether the answer would come too late."""
+        return now >= self.at
+
+    def format_header(self, *, now: float) -> str:
+        """Return the ``x-deadline-ms`` value for the next process."""
+        return str(int(self.remaining_seconds(now=now) * 1_000))
+
+
+def read_deadline(
+    header: str | None, *, request_class: RequestClass, now: float
+) -> Deadline:
+    """Read a request's deadline, else take that of its class.
+
+    :param header: value of ``x-deadline-ms``: milliseconds left at the caller.
+    """
+    seconds = _read_milliseconds(header)
+    if seconds is None:
+        seconds = request_class.deadline_seconds
+    return Deadline(at=now + min(seconds, LONGEST_DEADLINE_SECONDS))
+
+
+def _read_milliseconds(header: str | None) -> float | None:
+    if header is None or not (header.isascii() and header.isdigit()):
+        return None
+    # Longer numbers are beyond the longest deadline anyway.
+    return int(header[:12]) / 1_000
--- /dev/null
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_fence.py
@@ -0,0 +1,325 @@
+"""At most one run for each idempotency key, wherever its copies arrive.
+
+Every agent keeps the keys that it has seen. The host that first received a key
+owns it; a host that receives a repeat asks the owner, and runs the request only
+when the owner grants the key and so gives up running it itself.
+
+============  ==========================================================
+state         meaning
+============  ==========================================================
+RUNNING       this agent owns the key and may have started the request
+ANSWERED      the request ran, its answer is known
+NOT_RUN       this agent owns the key, the request has not run
+LOST          the request may have run, its answer is unknown
+ASKING        the agent named as ``owner`` is being asked
+ELSEWHERE     tombstone: only ``owner`` may run the request
+============  ==========================================================
+
+An entry is forgotten ``RETENTION_SECONDS`` after it was last touched, never
+while it is RUNNING or ASKING. A forgotten key looks like a new one, so callers
+may repeat a key for ``REPEAT_WINDOW_SECONDS`` at most. When the table is full
+of younger entries, new keys are refused rather than old ones forgotten.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from attrs import define, frozen
+
+REPEAT_WINDOW_SECONDS = 600.0
+# Covers a caller's last repeat, its deadline and clocks that differ.
+RETENTION_SECONDS = 2.0 * REPEAT_WINDOW_SECONDS
+TABLE_ENTRIES = 50_000
+TABLE_ANSWER_BYTES = 16 * 1024 * 1024
+LARGEST_ANSWER_BYTES = 64 * 1024
+# A key rarely moves more than once; a longer chain ends as an unknown outcome.
+LONGEST_OWNER_CHAIN = 4
+
+
+@frozen(kw_only=True)
+class KeyOwner:
+    """One life of an agent.
+
+    :param incarnation: start of the agent's process.
+    """
+
+    agent: str
+    incarnation: int
+
+
+@frozen(kw_only=True)
+class StoredAnswer:
+    """A whole answer, kept for repeats."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    body: bytes = b""
+
+
+class KeyState(enum.Enum):
+    """What an agent knows about a key; see the table of the module."""
+
+    RUNNING = "running"
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    LOST = "lost"
+    ASKING = "asking"
+    ELSEWHERE = "elsewhere"
+
+
+@define(kw_only=True)
+class KeyEntry:
+    """One key of the table.
+
+    :param touched: Unix time in seconds.
+    :param asked: owners asked in a row.
+    """
+
+    fingerprint: bytes
+    state: KeyState
+    touched: float
+    owner: KeyOwner | None = None
+    answer: StoredAnswer | None = None
+    asked: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunFirst:
+    """The request runs here; its end must be recorded."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class AskOwner:
+    """The owner must be asked, and its reply resolved."""
+
+    owner: KeyOwner
+
+
+@dataclass(frozen=True, kw_only=True)
+class Replay:
+    """The request ran; None when its answer was too large to keep."""
+
+    answer: StoredAnswer | None
+
+
+@dataclass(frozen=True, kw_only=True)
+class InProgress:
+    """Another copy is at work; ask again later."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class OtherRequest:
+    """The key belongs to a different request."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class OutcomeLost:
+    """The request may have run; it will not run again."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class TableFull:
+    """No key can be remembered now, so the request does not run."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Granted:
+    """Reply: the key was not run here and never will be; the asker owns it."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Moved:
+    """Reply: another agent owns the key."""
+
+    owner: KeyOwner
+
+
+Decision = (
+    RunFirst | AskOwner | Replay | InProgress | OtherRequest | OutcomeLost | TableFull
+)
+OwnerReply = Granted | Moved | Replay | InProgress | OtherRequest | OutcomeLost
+
+
+class OutcomeTable:
+    """The keys that one agent has seen in its present incarnation.
+
+    :param own: this life of the agent.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: KeyOwner,
+        capacity: int = TABLE_ENTRIES,
+        retention_seconds: float = RETENTION_SECONDS,
+    ) -> None:
+        self.own = own
+        self.capacity = capacity
+        self.retention_seconds = retention_seconds
+        self.entries: OrderedDict[str, KeyEntry] = OrderedDict()
+        self.answer_bytes = 0
+
+    def begin(
+        self, key: str, *, fingerprint: bytes, first: KeyOwner | None, now: float
+    ) -> Decision:
+        """Decide on a request with a key.
+
+        :param fingerprint: digest of method, path and body.
+        :param first: where the caller says it sent the key first, if it does.
+        """
+        self._forget_old(now)
+        entry = self.entries.get(key)
+        if entry is None:
+            return self._begin_unseen(key, fingerprint, first=first, now=now)
+        if entry.fingerprint != fingerprint:
+            return OtherRequest()
+        self._touch(key, now)
+        match entry.state:
+            case KeyState.NOT_RUN:
+                entry.state = KeyState.RUNNING
+                return RunFirst()
+            case KeyState.ELSEWHERE:
+                entry.state, entry.asked = KeyState.ASKING, 1
+                return AskOwner(owner=entry.owner)
+        return _describe(entry)
+
+    def _begin_unseen(
+        self, key: str, fingerprint: bytes, *, first: KeyOwner | None, now: float
+    ) -> Decision:
+        is_own = first is None or first == self.own
+        if not is_own and first.agent == self.own.agent:
+            # An earlier life of this agent took the key with it.
+            return OutcomeLost()
+        state = KeyState.RUNNING if is_own else KeyState.ASKING
+        owner = None if is_own else first
+        if not self._add(key, fingerprint, state=state, owner=owner, now=now):
+            return TableFull()
+        return RunFirst() if is_own else AskOwner(owner=owner)
+
+    def resolve(self, key: str, *, reply: OwnerReply | None, now: float) -> Decision:
+        """Decide after the owner was asked.
+
+        :param reply: None when the owner is unreachable or has restarted.
+        """
+        entry = self.entries[key]
+        if entry.state is not KeyState.ASKING:
+            raise ValueError(f"key {key!r} is not being asked; call begin() first")
+        self._touch(key, now)
+        match reply:
+            case Granted():
+                entry.state, entry.owner = KeyState.RUNNING, None
+                return RunFirst()
+            case Moved(owner=owner) if entry.asked < LONGEST_OWNER_CHAIN:
+                entry.owner = owner
+                entry.asked += 1
+                return AskOwner(owner=owner)
+            case Replay(answer=answer):
+                entry.state, entry.owner = KeyState.ANSWERED, None
+                self._store_answer(entry, answer)
+                return reply
+        entry.state = KeyState.ELSEWHERE
+        if isinstance(reply, InProgress | OtherRequest):
+            return reply
+        return OutcomeLost()
+
+    def finish(self, key: str, *, answer: StoredAnswer | None, now: float) -> None:
+        """Record the end of a run.
+
+        :param answer: the whole answer, or None when it was lost.
+        """
+        entry = self.entries[key]
+        entry.state = KeyState.LOST if answer is None else KeyState.ANSWERED
+        self._store_answer(entry, answer)
+        self._touch(key, now)
+
+    def release(self, key: str, *, now: float) -> None:
+        """Record that a request which was to run has not run."""
+        self.entries[key].state = KeyState.NOT_RUN
+        self._touch(key, now)
+
+    def answer_owner_question(
+        self, key: str, *, fingerprint: bytes, asker: KeyOwner, now: float
+    ) -> OwnerReply:
+        """Reply to an agent that holds a repeat of a key.
+
+        A key that has not run here is granted to the asker, and a tombstone
+        keeps it from running here when a late copy arrives.
+        """
+        self._forget_old(now)
+        entry = self.entries.get(key)
+        if entry is None:
+            return self._grant_unseen(key, fingerprint, asker=asker, now=now)
+        if entry.fingerprint != fingerprint:
+            return OtherRequest()
+        self._touch(key, now)
+        match entry.state:
+            case KeyState.NOT_RUN:
+                entry.state, entry.owner = KeyState.ELSEWHERE, asker
+                return Granted()
+            case KeyState.ELSEWHERE if entry.owner == asker:
+                # The asker never received the grant, else it would not ask.
+                return Granted()
+            case KeyState.ELSEWHERE:
+                return Moved(owner=entry.owner)
+        return _describe(entry)
+
+    def _grant_unseen(
+        self, key: str, fingerprint: bytes, *, asker: KeyOwner, now: float
+    ) -> OwnerReply:
+        state = KeyState.ELSEWHERE
+        if not self._add(key, fingerprint, state=state, owner=asker, now=now):
+            return OutcomeLost()
+        return Granted()
+
+    def _add(
+        self,
+        key: str,
+        fingerprint: bytes,
+        *,
+        state: KeyState,
+        owner: KeyOwner | None,
+        now: float,
+    ) -> bool:
+        if len(self.entries) >= self.capacity:
+            return False
+        self.entries[key] = KeyEntry(
+            fingerprint=fingerprint, state=state, owner=owner, touched=now, asked=1
+        )
+        return True
+
+    def _touch(self, key: str, now: float) -> None:
+        self.entries[key].touched = now
+        self.entries.move_to_end(key)
+
+    def _store_answer(self, entry: KeyEntry, answer: StoredAnswer | None) -> None:
+        if answer is None or len(answer.body) > LARGEST_ANSWER_BYTES:
+            return
+        if self.answer_bytes + len(answer.body) > TABLE_ANSWER_BYTES:
+            return
+        entry.answer = answer
+        self.answer_bytes += len(answer.body)
+
+    def _forget_old(self, now: float) -> None:
+        """Drop entries past retention; the oldest come first."""
+        while self.entries:
+            key, entry = next(iter(self.entries.items()))
+            if now - entry.touched < self.retention_seconds:
+                return
+            if entry.state in (KeyState.RUNNING, KeyState.ASKING):
+                self._touch(key, now)
+                continue
+            del self.entries[key]
+            if entry.answer is not None:
+                self.answer_bytes -= len(entry.answer.body)
+
+
+def _describe(entry: KeyEntry) -> Replay | InProgress | OutcomeLost:
+    match entry.state:
+        case KeyState.ANSWERED:
+            return Replay(answer=entry.answer)
+        case KeyState.LOST:
+            return OutcomeLost()
+    return InProgress()
--- /dev/null
+++ b/testing/policy/test_hand_off.py
@@ -0,0 +1,141 @@
+import collections
+import random
+
+from attrs import evolve
+from hypothesis import given, strategies as st
+
+from daisygauge_policy import (
+    HandToPeer,
+    KeepRequest,
+    PeerGauge,
+    PeerLoad,
+    SentRequests,
+    choose_peer,
+)
+from daisygauge_records import LoadHandOff, NoHandOff
+from daisygauge_wire import Gauge
+
+GAUGE = Gauge(
+    slots=2,
+    running=2,
+    waiting=0,
+    connections=100,
+    max_connections=2_000,
+    service_seconds=0.1,
+    leaving=False,
+    ready=True,
+    sequence=1,
+)
+IDLE = evolve(GAUGE, running=0)
+
+
+def choose(own, *gauges, unseen=0, hand_off=None, seed=1):
+    peers = [
+        PeerLoad(peer=f"host-{number}", gauge=gauge, unseen=unseen)
+        for number, gauge in enumerate(gauges)
+    ]
+    return choose_peer(
+        hand_off=hand_off or LoadHandOff(margin=0.5),
+        own=own,
+        peers=peers,
+        rng=random.Random(seed),
+    )
+
+
+def test_a_request_that_would_wait_goes_to_an_idle_peer():
+    decision = choose(evolve(GAUGE, waiting=2), IDLE)
+
+    assert isinstance(decision, HandToPeer)
+    assert decision.peer == "host-0"
+
+
+def test_a_request_stays_at_an_idle_host():
+    assert choose(IDLE, IDLE, IDLE) == KeepRequest()
+
+
+def test_a_request_stays_when_the_peer_is_better_by_less_than_the_margin():
+    own = evolve(GAUGE, waiting=1)
+
+    assert choose(own, GAUGE, hand_off=LoadHandOff(margin=0.5)) == KeepRequest()
+
+
+def test_a_slow_host_hands_off_even_with_a_free_slot():
+    own = evolve(IDLE, service_seconds=0.5)
+
+    assert isinstance(choose(own, IDLE), HandToPeer)
+
+
+def test_requests_under_way_count_as_the_peers_load():
+    own = evolve(GAUGE, waiting=2)
+
+    assert choose(own, IDLE, unseen=8) == KeepRequest()
+
+
+def test_a_leaving_host_hands_off_to_a_busier_peer():
+    own = evolve(IDLE, leaving=True)
+
+    assert isinstance(choose(own, GAUGE), HandToPeer)
+
+
+def test_without_hand_off_requests_stay():
+    own = evolve(GAUGE, waiting=50)
+
+    assert choose(own, IDLE, hand_off=NoHandOff()) == KeepRequest()
+
+
+gauges_strategy = st.builds(
+    lambda running, waiting, seconds, leaving, ready: evolve(
+        GAUGE,
+        running=running,
+        waiting=waiting,
+        service_seconds=seconds,
+        leaving=leaving,
+        ready=ready,
+    ),
+    st.integers(0, 4),
+    st.integers(0, 64),
+    st.floats(0.001, 5.0),
+    st.booleans(),
+    st.booleans(),
+)
+
+
+@given(own=gauges_strategy, peers=st.lists(gauges_strategy, max_size=8))
+def test_requests_never_go_to_a_leaving_or_unready_peer(own, peers):
+    decision = choose(own, *peers)
+
+    if isinstance(decision, HandToPeer):
+        gauge = peers[int(decision.peer.removeprefix("host-"))]
+        assert gauge.ready and not gauge.leaving
+        assert decision.gain_seconds > 0.0
+
+
+@given(one=gauges_strategy, other=gauges_strategy)
+def test_two_serving_hosts_never_exchange_requests(one, other):
+    one = evolve(one, leaving=False, ready=True)
+    other = evolve(other, leaving=False, ready=True)
+
+    decisions = {type(choose(one, other)), type(choose(other, one))}
+
+    assert decisions != {HandToPeer}
+
+
+def test_agents_with_the_same_gauges_do_not_all_choose_one_peer():
+    own = evolve(GAUGE, waiting=10)
+    peers = [IDLE] * 6
+
+    chosen = collections.Counter(
+        choose(own, *peers, seed=seed).peer for seed in range(300)
+    )
+
+    assert len(chosen) == 6
+
+
+def test_sent_requests_count_until_a_later_gauge_arrives():
+    sent = SentRequests()
+    sent.add("a", now=10.00)
+    sent.add("a", now=10.10)
+    gauge = PeerGauge(peer="a", incarnation=1, gauge=IDLE, heard=10.05)
+
+    assert sent.loads([gauge])[0].unseen == 1
+    assert sent.loads([evolve(gauge, heard=10.2)])[0].unseen == 0
