Keep the time of an armed timer beside its handle

Every agent ended with exit code 1 within a second of its first connection: uvloop's call_at returns a handle without when() once the timer is due, and arm_timer asked for it. The unit tests run on asyncio's own loop and can't see it; the new test runs on uvloop and fails with the same AttributeError before this change.

--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_connection.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_connection.py
@@ -76,7 +76,8 @@
         self.goaway: int | None = None
         self.ended = False
         self.end_reason = "stopped"
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: asyncio.Handle | None = None
+        self.timer_at = 0.0
         self.quic_timer: float | None = None
         self.last_heard = 0.0
         self.last_ping = 0.0
@@ -161,11 +162,13 @@
         keepalive_at = max(self.last_heard, self.last_ping) + KEEPALIVE_SECONDS
         wanted = min(self.quic_timer, keepalive_at)
         # A timer that fires too early only costs one empty turn.
-        if self.timer is not None and loop.time() < self.timer.when() <= wanted:
+        if self.timer is not None and loop.time() < self.timer_at <= wanted:
             return
         if self.timer is not None:
             self.timer.cancel()
+        # uvloop returns a handle without a time when the timer is due already.
         self.timer = loop.call_at(wanted, self.wake.set)
+        self.timer_at = wanted
 
     def on_id_issued(self, event: ConnectionIdIssued) -> None:
         """Receive packets with a new connection ID."""
--- /dev/null
+++ b/testing/agent/test_timer.py
@@ -0,0 +1,23 @@
+import asyncio
+from types import SimpleNamespace
+
+import uvloop
+
+from daisygauge_daemon._agent._connection import CallerConnection
+from daisygauge_records import Endpoint
+
+CALLER = Endpoint(host="127.0.0.1", port=40_000)
+
+
+async def arm_due_timer_twice():
+    loop = asyncio.get_running_loop()
+    quic = SimpleNamespace(get_timer=loop.time)
+    connection = CallerConnection(quic=quic, owner=None, caller=CALLER, address=CALLER)
+    connection.last_heard = loop.time()
+    connection.arm_timer(loop)
+    connection.arm_timer(loop)
+    await connection.wake.wait()
+
+
+def test_a_timer_that_is_due_can_be_armed_again_on_the_daemons_loop():
+    uvloop.run(asyncio.wait_for(arm_due_timer_twice(), timeout=5))
