--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_server.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -13,6 +14,11 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
+def quiet_libraries() -> None:
+    """Keep the QUIC library's progress messages off the standard error."""
+    logging.getLogger("quic").setLevel(logging.WARNING)
+
+
 def stop_event() -> asyncio.Event:
     """Return an event that SIGTERM and SIGINT set."""
     loop = asyncio.get_running_loop()
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_aioquic.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_aioquic.py
@@ -111,6 +111,12 @@
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Give up a handshake that nobody waits for any more."""
+        self._connected_waiter = None
+        self.close()
+        self.release()
+
     def transmit(self) -> None:
         """Send what is due, unless the socket is closed already."""
         if self._transport is not None and not self._transport.is_closing():
@@ -131,7 +137,7 @@
         idle_timeout=idle_timeout_seconds,
     )
     configuration.load_verify_locations(cafile=ca_path)
-    transport, connection = await asyncio.get_running_loop().create_datagram_endpoint(
+    _, connection = await asyncio.get_running_loop().create_datagram_endpoint(
         lambda: AioquicConnection(QuicConnection(configuration=configuration)),
         local_addr=("0.0.0.0", 0),
     )
@@ -139,7 +145,6 @@
         connection.connect((host, port))
         await connection.wait_connected()
     except BaseException:
-        connection.close()
-        transport.close()
+        connection.abort()
         raise
     return connection
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_qh3.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_qh3.py
@@ -84,6 +84,12 @@
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Give up a handshake that nobody waits for any more."""
+        self._connected_waiter = None
+        self.close()
+        self.release()
+
     def transmit(self) -> None:
         """Send what is due, unless the socket is closed already."""
         if self._transport is not None and not self._transport.is_closing():
@@ -104,7 +110,7 @@
         idle_timeout=idle_timeout_seconds,
     )
     configuration.load_verify_locations(cafile=ca_path)
-    transport, connection = await asyncio.get_running_loop().create_datagram_endpoint(
+    _, connection = await asyncio.get_running_loop().create_datagram_endpoint(
         lambda: Qh3Connection(QuicConnection(configuration=configuration)),
         local_addr=("0.0.0.0", 0),
     )
@@ -112,7 +118,6 @@
         connection.connect((host, port))
         await connection.wait_connected()
     except BaseException:
-        connection.close()
-        transport.close()
+        connection.abort()
         raise
     return connection
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/demo.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/demo.py
@@ -20,6 +20,7 @@
 from attrs import frozen
 
 from daisygauge_emulator._accounting import Account, compare
+from daisygauge_emulator._server import quiet_libraries
 from daisygauge_emulator._workload import ServiceWorkload
 from daisygauge_emulator.caller import Client, FeedReport, Unknown
 from daisygauge_emulator.fleet import DEPLOYMENTS, AddressPlan, Fleet, FleetError, Host
@@ -240,6 +241,7 @@
     """Run the demo and exit with its verdict."""
     if len(argv) > 1:
         raise app.UsageError(f"unexpected argument {argv[1]!r}; use --name=value")
+    quiet_libraries()
     try:
         passed = uvloop.run(run_demo())
     except FleetError as error:
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/load/__main__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/load/__main__.py
@@ -16,6 +16,7 @@
 from absl import app, flags
 from attrs import asdict
 
+from daisygauge_emulator._server import quiet_libraries
 from daisygauge_emulator.caller import Client, Target
 from daisygauge_emulator.load import (
     ExponentialWork,
@@ -99,6 +100,7 @@
     """Send the load."""
     if len(argv) > 1:
         raise app.UsageError(f"unexpected argument {argv[1]!r}; use --name=value")
+    quiet_libraries()
     uvloop.run(load())
 
 
