Pass packets between the fabric and agents in a stateless balancer

One outer socket for each service, one inner socket, a packet table, and first flights placed over the eligible hosts. The only thing remembered of a flow is its first flight, for 0.3 s at a time and bounded in number.

QUIC protects the rest of its packets itself.

--- /dev/null
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_hosts.py
@@ -0,0 +1,124 @@
+"""What a balancer has heard from agents, and the hosts it offers new flows."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from daisygauge_control import ConfigurationView
+from daisygauge_policy import (
+    PeerGauges,
+    PlacementTable,
+    SlowStart,
+    SuspectList,
+    create_placement_table,
+    select_eligible,
+)
+from daisygauge_records import RendezvousPlacement, Service, Upstream
+from daisygauge_wire import Gauge
+
+GAUGE_AGE_SECONDS = 2.0
+
+
+@frozen(kw_only=True)
+class EligibleHosts:
+    """The hosts of a service that get new flows.
+
+    :param shares: slow start shares of hosts that still ramp, by host id.
+    """
+
+    hosts: tuple[Upstream, ...]
+    shares: dict[str, float]
+
+
+class HostBook:
+    """Knowledge about the hosts of every service.
+
+    :param loads: last reported backlog for each slot, by host id.
+    """
+
+    def __init__(self) -> None:
+        self.gauges = PeerGauges()
+        self.suspects = SuspectList()
+        self.slow_start = SlowStart()
+        self.loads: dict[str, float] = {}
+
+    def take_view(self, view: ConfigurationView, *, now: float) -> None:
+        """Take in a new configuration; hosts not published are forgotten."""
+        hosts = frozenset(
+            upstream.id for group in view.upstreams.values() for upstream in group
+        )
+        self.gauges.retain(hosts)
+        self.suspects.retain(hosts)
+        self.slow_start.observe_hosts(hosts, now=now)
+        self.loads = {host: load for host, load in self.loads.items() if host in hosts}
+
+    def take_gauge(
+        self, host: str, *, incarnation: int, gauge: Gauge, now: float
+    ) -> None:
+        """Take in what an agent says about itself."""
+        held = self.gauges.gauges.get(host)
+        if not self.gauges.update(host, incarnation=incarnation, gauge=gauge, now=now):
+            return
+        self.loads[host] = gauge.backlog
+        if held is not None and incarnation > held.incarnation:
+            self.slow_start.observe_restart(host, now=now)
+
+    def select(
+        self, service: Service, view: ConfigurationView, *, now: float
+    ) -> EligibleHosts:
+        """Return the hosts that get new flows of a service.
+
+        :param now: Unix time in seconds.
+        """
+        published = view.upstreams.get(service.id, ())
+        ids = tuple(upstream.id for upstream in published)
+        leaving, not_ready = self.hosts_unwilling(ids, now=now)
+        suspects = self.suspects.ejected(
+            (host for host in ids if host not in leaving), now=now
+        )
+        eligible = select_eligible(
+            published, instances=view.instances, suspects=suspects | leaving
+        )
+        # Agents refuse flows by themselves, so hosts that are not ready are only
+        # left out while others are.
+        ready = tuple(host for host in eligible if host.id not in not_ready)
+        hosts = ready or eligible
+        return EligibleHosts(hosts=hosts, shares=self.ramp(service, hosts, now=now))
+
+    def hosts_unwilling(
+        self, hosts: tuple[str, ...], *, now: float
+    ) -> tuple[frozenset[str], frozenset[str]]:
+        """Return which hosts said lately that they leave, or are not ready."""
+        said = {
+            host: self.gauges.gauges[host]
+            for host in hosts
+            if host in self.gauges.gauges
+        }
+        fresh = {
+            host: held.gauge
+            for host, held in said.items()
+            if held.age_seconds(now=now) <= GAUGE_AGE_SECONDS
+        }
+        return (
+            frozenset(host for host, held in said.items() if held.gauge.leaving),
+            frozenset(host for host, gauge in fresh.items() if not gauge.ready),
+        )
+
+    def ramp(
+        self, service: Service, hosts: tuple[Upstream, ...], *, now: float
+    ) -> dict[str, float]:
+        """Return the slow start shares of a service's hosts."""
+        if not isinstance(service.placement, RendezvousPlacement):
+            return {}
+        seconds = service.placement.ramp_seconds
+        shares = self.slow_start.shares(now=now, ramp_seconds=seconds)
+        return {host.id: shares[host.id] for host in hosts if host.id in shares}
+
+    def create_table(self, service: Service, eligible: EligibleHosts) -> PlacementTable:
+        """Build the placement table of a service."""
+        return create_placement_table(
+            service.placement,
+            upstreams=eligible.hosts,
+            shares=eligible.shares,
+            loads=self.loads,
+        )
--- /dev/null
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
@@ -0,0 +1,139 @@
+"""The socket between a balancer and the agents."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from daisygauge_records import Endpoint, Upstream
+from daisygauge_wire import (
+    Datagram,
+    KeyRing,
+    Kind,
+    MalformedDatagramError,
+    decode_datagram,
+    decode_gauge,
+    encode_datagram,
+    is_reply,
+    read_reply,
+    unpack_endpoint,
+)
+
+from .._events import EventLog
+from . import _events as events
+from ._metrics import BalancerCounts
+from ._outer import OuterSocket
+from ._placer import Placer
+
+
+class InnerSocket(asyncio.DatagramProtocol):
+    """Takes what agents send: replies, answers to first flights and probes.
+
+    :param local: inner address of this balancer.
+    :param incarnation: incarnation of this balancer.
+    """
+
+    def __init__(
+        self,
+        *,
+        local: Endpoint,
+        incarnation: int,
+        counts: BalancerCounts,
+        log: EventLog,
+    ) -> None:
+        self.local = local
+        self.incarnation = incarnation
+        self.drops = counts.drops
+        self.log = log
+        self.placer = Placer(send=self.send, sender=local, counts=counts, log=log)
+        self.keys = KeyRing(keys={})
+        self.outers: dict[bytes, OuterSocket] = {}
+        self.hosts: dict[tuple[int, Endpoint], Upstream] = {}
+        self.answers_probes = True
+        self.transport: asyncio.DatagramTransport | None = None
+        self.handlers: dict[Kind, Callable[[Datagram, Endpoint], None]] = {
+            Kind.PLACED: self.take_placed,
+            Kind.PROBE: self.take_probe,
+        }
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        """Keep the transport for sending."""
+        self.transport = transport
+
+    def send(self, datagram: Datagram, receiver: Endpoint) -> None:
+        """Sign a datagram with the newest key and send it."""
+        key = self.keys.newest(now=time.time())
+        if key is None:
+            self.drops["no-key"] += 1
+            return
+        data = encode_datagram(datagram, key=key)
+        self.transport.sendto(data, (receiver.host, receiver.port))
+
+    def datagram_received(self, data: bytes, sender: tuple[str, int]) -> None:
+        """Handle one inner datagram."""
+        try:
+            if is_reply(data):
+                self.pass_reply(data)
+            else:
+                self.take_datagram(data, sender)
+        except MalformedDatagramError as error:
+            self.drop(sender, error.reason)
+
+    def pass_reply(self, data: bytes) -> None:
+        """Send a packet on to its caller from the address of its service."""
+        reply = read_reply(data, keys=self.keys, now=time.time())
+        outer = self.outers.get(reply.service)
+        if outer is None:
+            raise MalformedDatagramError("unknown-service")
+        outer.send_reply(reply.packet, unpack_endpoint(reply.caller))
+
+    def take_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
+        """Handle what is not a reply."""
+        datagram = decode_datagram(data, keys=self.keys, now=time.time())
+        handler = self.handlers.get(datagram.kind)
+        if handler is None:
+            raise MalformedDatagramError("kind")
+        handler(datagram, Endpoint(host=sender[0], port=sender[1]))
+
+    def take_placed(self, datagram: Datagram, sender: Endpoint) -> None:
+        """Hand an agent's word on a first flight to the placer."""
+        self.placer.take_answer(
+            datagram, agent=sender, now=time.monotonic(), time_now=time.time()
+        )
+
+    def take_probe(self, datagram: Datagram, sender: Endpoint) -> None:
+        """Answer a probe and learn the agent's gauge."""
+        host = self.hosts.get((datagram.service, sender))
+        if host is not None and datagram.payload:
+            self.take_gauge(host.id, datagram)
+        if not self.answers_probes:
+            return
+        answer = Datagram(
+            kind=Kind.PROBE_ANSWER,
+            service=datagram.service,
+            incarnation=self.incarnation,
+            sender=self.local,
+        )
+        self.send(answer, sender)
+
+    def take_gauge(self, host: str, datagram: Datagram) -> None:
+        """Learn the load of an agent."""
+        try:
+            gauge = decode_gauge(datagram.payload)
+        except ValueError as error:
+            raise MalformedDatagramError("gauge") from error
+        self.placer.hosts.take_gauge(
+            host, incarnation=datagram.incarnation, gauge=gauge, now=time.time()
+        )
+
+    def drop(self, sender: tuple[str, int], reason: str) -> None:
+        """Count an inner datagram that is not used."""
+        self.drops[f"inner-{reason}"] += 1
+        self.log.write(
+            events.INNER_DROPPED, sender=f"{sender[0]}:{sender[1]}", reason=reason
+        )
+
+    def error_received(self, error: OSError) -> None:
+        """Count a datagram that the system refused to send."""
+        self.drops["inner-send-error"] += 1
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_runtime.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_runtime.py
@@ -26,15 +26,18 @@
 EXIT_STOPPED = 0
 EXIT_FAILED = 1
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-INCARNATION_LIMIT = 0xFFFFFFFF
+INCARNATIONS_PER_SECOND = 10
+FIRST_INCARNATION_AT = 1_767_225_600.0
+"""Unix time in seconds of 2026-01-01, from which incarnations are counted."""
 
 
 def new_incarnation(*, now: float) -> int:
-    """Number one start of a process, never ``ANY_INCARNATION``.
+    """Number one start of a process; a later start has the higher number.
 
-    :param now: Unix time in seconds; starts in different milliseconds differ.
+    :param now: Unix time in seconds.
     """
-    return round(now * 1_000) % INCARNATION_LIMIT + 1
+    elapsed = max(now - FIRST_INCARNATION_AT, 0.0)
+    return int(elapsed * INCARNATIONS_PER_SECOND) + 1
 
 
 class Role(Protocol):
--- a/packages/daisygauge-wire/src/daisygauge_wire/_connection_id.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_connection_id.py
@@ -33,6 +33,12 @@
 NONCE_BYTES = 4
 _TAG_OFFSET = CONNECTION_ID_BYTES - TAG_BYTES
 _ROUTE = struct.Struct(">4sHHI4s")
+AGENT_PART = slice(0, 6)
+"""Address and port of the issuing agent."""
+IDENTITY_PART = slice(6, 12)
+"""Service number and incarnation."""
+SERVICE_PART = slice(6, 8)
+"""Service number."""
 
 
 @frozen(kw_only=True)
@@ -68,10 +74,13 @@
     return body + _tag(key, body)
 
 
-def decode_connection_id(
+def open_connection_id(
     connection_id: bytes, *, keys: KeyRing, now: float
-) -> Route | None:
-    """Read the route out of a connection ID.
+) -> bytes | None:
+    """Check a connection ID and decrypt its routing part, building no model.
+
+    ``AGENT_PART`` and ``IDENTITY_PART`` are slices of the result, laid out as in
+    the inner datagram.
 
     :return: None for an ID that no key in force has issued.
     """
@@ -83,7 +92,20 @@
     body = connection_id[:_TAG_OFFSET]
     if not hmac.compare_digest(_tag(key, body), connection_id[_TAG_OFFSET:]):
         return None
-    host, port, service, incarnation, _ = _ROUTE.unpack(key.decrypt_block(body[1:]))
+    return key.decrypt_block(body[1:])
+
+
+def decode_connection_id(
+    connection_id: bytes, *, keys: KeyRing, now: float
+) -> Route | None:
+    """Read the route out of a connection ID.
+
+    :return: None for an ID that no key in force has issued.
+    """
+    block = open_connection_id(connection_id, keys=keys, now=now)
+    if block is None:
+        return None
+    host, port, service, incarnation, _ = _ROUTE.unpack(block)
     return Route(
         agent=Endpoint(host=socket.inet_ntoa(host), port=port),
         service=service,
--- a/packages/daisygauge-wire/src/daisygauge_wire/_datagram.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_datagram.py
@@ -1,7 +1,8 @@
 """The datagram that balancers and agents exchange.
 
 Every field is in network byte order; the last eight bytes are a keyed BLAKE2b
-tag of everything before them.
+tag of the first ``COVERED_BYTES`` of what is before them. That is the whole of
+every datagram but those that carry QUIC packets, which QUIC itself protects.
 """
 
 from __future__ import annotations
@@ -20,10 +21,12 @@
 
 VERSION = 1
 TAG_BYTES = 8
+COVERED_BYTES = 128
 MAX_CANDIDATES = 8
 MAX_HOPS = 2
 ANY_INCARNATION = 0
 _HEADER = struct.Struct(">BBBBBBHI4sH4sH4sH")
+HEADER_BYTES = _HEADER.size
 _ENDPOINT = struct.Struct(">4sH")
 NO_ENDPOINT = Endpoint(host="0.0.0.0", port=0)
 
@@ -98,8 +101,11 @@
         self.reason = reason
 
 
-def _tag(key: DerivedKeys, body: bytes) -> bytes:
-    return hashlib.blake2b(body, key=key.datagram_tag, digest_size=TAG_BYTES).digest()
+def datagram_tag(key: DerivedKeys, body: bytes) -> bytes:
+    """Compute the tag that follows ``body``."""
+    return hashlib.blake2b(
+        body[:COVERED_BYTES], key=key.datagram_tag, digest_size=TAG_BYTES
+    ).digest()
 
 
 def encode_datagram(datagram: Datagram, *, key: DerivedKeys) -> bytes:
@@ -131,7 +137,7 @@
         for candidate in datagram.candidates
     )
     body = header + candidates + datagram.payload
-    return body + _tag(key, body)
+    return body + datagram_tag(key, body)
 
 
 def _read_candidates(data: bytes, count: int) -> tuple[Endpoint, ...]:
@@ -160,7 +166,7 @@
     key = keys.find(data[2], now=now)
     if key is None:
         raise MalformedDatagramError("key")
-    if not hmac.compare_digest(_tag(key, data[:-TAG_BYTES]), data[-TAG_BYTES:]):
+    if not hmac.compare_digest(datagram_tag(key, data[:-TAG_BYTES]), data[-TAG_BYTES:]):
         raise MalformedDatagramError("tag")
     fields = _HEADER.unpack_from(data)
     _, kind, _, status, hops, count, service, incarnation = fields[:8]
--- /dev/null
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_fast_path.py
@@ -0,0 +1,107 @@
+"""The two directions of an established flow, without building models.
+
+A balancer handles each packet of each flow here. What these functions read and
+write is byte for byte what ``encode_datagram`` and ``decode_datagram`` do.
+"""
+
+from __future__ import annotations
+
+import hmac
+import socket
+import struct
+from typing import NamedTuple
+
+from daisygauge_records import Endpoint
+
+from ._datagram import (
+    HEADER_BYTES,
+    TAG_BYTES,
+    VERSION,
+    Kind,
+    MalformedDatagramError,
+    PlacedStatus,
+    datagram_tag,
+)
+from ._keyring import DerivedKeys, KeyRing
+
+_PORT = struct.Struct(">H")
+_REPLY_START = bytes([VERSION, Kind.REPLY])
+_CALLER_PART = slice(12, 18)
+_SERVICE_PART = slice(6, 8)
+_COUNT_OFFSET = 5
+_KEY_OFFSET = 2
+
+
+def pack_endpoint(host: str, port: int) -> bytes:
+    """Write an address as inner datagrams carry it."""
+    return socket.inet_aton(host) + _PORT.pack(port)
+
+
+def unpack_endpoint(packed: bytes) -> tuple[str, int]:
+    """Read an address as sockets take it."""
+    return socket.inet_ntoa(packed[:4]), packed[4] << 8 | packed[5]
+
+
+class ForwardEncoder:
+    """Writes the datagrams of one outer socket under one key.
+
+    :param address: service address that callers use.
+    :param sender: inner address of this balancer.
+    """
+
+    def __init__(
+        self, *, address: Endpoint, sender: Endpoint, key: DerivedKeys
+    ) -> None:
+        self.start = bytes([VERSION, Kind.FORWARD, key.number, PlacedStatus.NONE, 0, 0])
+        self.end = pack_endpoint(address.host, address.port) + pack_endpoint(
+            sender.host, sender.port
+        )
+        self.key = key
+
+    def encode(self, identity: bytes, caller: bytes, packet: bytes) -> bytes:
+        """Wrap a caller's packet for the agent that its connection ID names.
+
+        :param identity: ``IDENTITY_PART`` of the opened connection ID.
+        :param caller: packed address of the caller.
+        """
+        body = b"".join((self.start, identity, caller, self.end, packet))
+        return body + datagram_tag(self.key, body)
+
+
+class ReplyFrame(NamedTuple):
+    """A packet on its way to a caller.
+
+    :param service: packed service number.
+    :param caller: packed address of the caller.
+    """
+
+    service: bytes
+    caller: bytes
+    packet: bytes
+
+
+def is_reply(data: bytes) -> bool:
+    """Tell whether an inner datagram says it is a reply."""
+    return data[:2] == _REPLY_START
+
+
+def read_reply(data: bytes, *, keys: KeyRing, now: float) -> ReplyFrame:
+    """Check and read a reply.
+
+    :param data: a datagram for which ``is_reply`` holds.
+    :param now: Unix time in seconds, for the expiry of keys.
+    :raises MalformedDatagramError: short, unsigned or with candidates.
+    """
+    if len(data) < HEADER_BYTES + TAG_BYTES:
+        raise MalformedDatagramError("short")
+    key = keys.find(data[_KEY_OFFSET], now=now)
+    if key is None:
+        raise MalformedDatagramError("key")
+    tag = datagram_tag(key, data[:-TAG_BYTES])
+    if not hmac.compare_digest(tag, data[-TAG_BYTES:]):
+        raise MalformedDatagramError("tag")
+    if data[_COUNT_OFFSET]:
+        raise MalformedDatagramError("candidates")
+    return ReplyFrame(
+        data[_SERVICE_PART], data[_CALLER_PART], data[HEADER_BYTES:-TAG_BYTES]
+    )
--- a/packages/daisygauge-wire/src/daisygauge_wire/_packet.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_packet.py
@@ -36,6 +36,16 @@
     destination_id: bytes
 
 
+def read_destination_id(data: bytes) -> bytes:
+    """Read only the destination connection ID of a QUIC datagram.
+
+    :return: fewer bytes than the packet names when the datagram is cut short.
+    """
+    if data and data[0] & _LONG_HEADER:
+        return data[6 : 6 + data[5]] if len(data) > 5 else b""
+    return data[1 : 1 + CONNECTION_ID_BYTES]
+
+
 def read_packet_header(data: bytes) -> PacketHeader | None:
     """Read the first packet's header of a QUIC datagram.
 
--- a/testing/daemon/test_events.py
+++ b/testing/daemon/test_events.py
@@ -22,6 +22,9 @@
     output = StringIO()
     destination = eliot.FileDestination(file=output)
     eliot.add_destinations(destination)
+    # The first destination of a process is given what was logged before it.
+    output.seek(0)
+    output.truncate()
     yield lambda: [json.loads(line) for line in output.getvalue().splitlines()]
     eliot.remove_destination(destination)
 
--- /dev/null
+++ b/testing/daemon/test_placer.py
@@ -0,0 +1,227 @@
+import pytest
+from attrs import evolve
+
+from daisygauge_daemon._balancer._metrics import BalancerCounts
+from daisygauge_daemon._balancer._pending import ANSWER_SECONDS
+from daisygauge_daemon._balancer._placer import Placer
+from daisygauge_daemon._events import EventLog
+from daisygauge_records import Endpoint, Instance, Role
+from daisygauge_wire import Gauge, Kind, PlacedStatus
+
+from .datapath import NOW, first_flight, make_service, make_upstream, make_view
+
+SERVICE = make_service()
+HOSTS = tuple(make_upstream(number) for number in range(4))
+CALLER = ("127.40.4.1", 5555)
+LOCAL = Endpoint(host="127.40.1.1", port=7000)
+IDLE = Gauge(
+    slots=2,
+    running=0,
+    waiting=0,
+    connections=0,
+    max_connections=100,
+    service_seconds=0.1,
+    leaving=False,
+    ready=True,
+    sequence=1,
+)
+
+
+@pytest.fixture
+def sent():
+    return []
+
+
+@pytest.fixture
+def placer(sent):
+    placer = Placer(
+        send=lambda datagram, receiver: sent.append((datagram, receiver)),
+        sender=LOCAL,
+        counts=BalancerCounts(),
+        log=EventLog(),
+    )
+    placer.take_view(make_view(SERVICE, upstreams=HOSTS), now=NOW)
+    return placer
+
+
+def place(placer, destination_id=b"callerid", *, now=0.0):
+    placer.place(
+        first_flight(destination_id),
+        service=SERVICE,
+        destination_id=destination_id,
+        caller=CALLER,
+        now=now,
+    )
+
+
+def answer(placer, sent, status, *, now=0.0):
+    offer, agent = sent[-1]
+    reply = evolve(offer, kind=Kind.PLACED, status=status, payload=b"callerid")
+    placer.take_answer(reply, agent=agent, now=now, time_now=NOW + now)
+
+
+def test_every_packet_of_a_first_flight_meets_one_agent(placer, sent):
+    place(placer)
+    place(placer)
+
+    (first, agent), (second, other) = sent
+    assert agent == other
+    assert first.candidates == second.candidates
+    assert len(first.candidates) == SERVICE.placement.candidates - 1
+    assert (first.service, first.caller.host) == (SERVICE.number, CALLER[0])
+
+
+def test_a_flow_that_was_taken_is_forgotten(placer, sent):
+    place(placer)
+
+    answer(placer, sent, PlacedStatus.ACCEPTED)
+    placer.expire(now=ANSWER_SECONDS, time_now=NOW)
+
+    assert len(placer.pending) == 0
+    assert len(sent) == 1
+
+
+def test_a_silent_agent_loses_the_flow_to_the_next_candidate(placer, sent):
+    place(placer)
+    place(placer)
+
+    placer.expire(now=ANSWER_SECONDS, time_now=NOW)
+
+    offers = [(offer.payload, agent) for offer, agent in sent]
+    assert len(offers) == 4
+    assert offers[2][0] == offers[0][0]
+    assert offers[2][1] == sent[0][0].candidates[0]
+
+
+@pytest.mark.parametrize(
+    "status", [PlacedStatus.LEAVING, PlacedStatus.FULL, PlacedStatus.WRONG_INCARNATION]
+)
+def test_a_refused_flow_goes_to_the_next_candidate_at_once(placer, sent, status):
+    place(placer)
+
+    answer(placer, sent, status)
+
+    assert sent[1][1] == sent[0][0].candidates[0]
+
+
+def test_an_answer_of_an_earlier_candidate_does_not_move_the_flow_again(placer, sent):
+    place(placer)
+    first_offer, first_agent = sent[0]
+    placer.expire(now=ANSWER_SECONDS, time_now=NOW)
+
+    late = evolve(
+        first_offer, kind=Kind.PLACED, status=PlacedStatus.FULL, payload=b"callerid"
+    )
+    placer.take_answer(late, agent=first_agent, now=0.4, time_now=NOW)
+
+    assert len(sent) == 2
+
+
+def test_a_flow_that_no_candidate_takes_is_given_up(placer, sent):
+    place(placer)
+
+    for _ in range(SERVICE.placement.candidates):
+        answer(placer, sent, PlacedStatus.FULL)
+
+    assert len(sent) == SERVICE.placement.candidates
+    assert placer.counts.placements["unplaced"] == 1
+
+
+def test_a_host_that_stays_silent_gets_no_new_flows(placer, sent):
+    for number in range(200):
+        place(placer, b"caller%02x" % number)
+    silent = sent[0][1]
+    for offer, agent in tuple(sent):
+        if agent != silent:
+            reply = evolve(
+                offer,
+                kind=Kind.PLACED,
+                status=PlacedStatus.ACCEPTED,
+                payload=offer.payload[6:14],
+            )
+            placer.take_answer(reply, agent=agent, now=0.1, time_now=NOW)
+
+    placer.expire(now=ANSWER_SECONDS, time_now=NOW)
+    placer.refresh_tables(now=NOW)
+    sent.clear()
+    for number in range(200):
+        place(placer, b"second%02x" % number, now=1.0)
+
+    assert silent not in {agent for _, agent in sent}
+    assert placer.counts.suspects == 1
+
+
+def test_time_spent_stopped_blames_no_host(placer, sent):
+    place(placer)
+
+    placer.forget_held(late_seconds=5.0)
+    placer.expire(now=10.0, time_now=NOW)
+
+    assert len(sent) == 1
+    assert placer.hosts.suspects.suspicions == {}
+
+
+def test_the_number_of_kept_first_flights_is_bounded(placer, sent):
+    placer.pending.max_flights = 10
+
+    for number in range(20):
+        place(placer, b"caller%02x" % number)
+
+    assert len(placer.pending) == 10
+    assert len(sent) == 20
+
+
+def hosts_offered(placer, sent):
+    sent.clear()
+    for number in range(200):
+        place(placer, b"caller%02x" % number, now=1.0)
+    return {agent for _, agent in sent}
+
+
+def test_a_host_that_says_it_leaves_gets_no_new_flows(placer, sent):
+    host = HOSTS[2]
+    placer.hosts.take_gauge(
+        host.id, incarnation=1, gauge=evolve(IDLE, leaving=True), now=NOW
+    )
+
+    placer.refresh_tables(now=NOW + 60.0)
+
+    assert host.agent not in hosts_offered(placer, sent)
+
+
+def test_a_leaving_host_of_the_instance_list_gets_no_new_flows(placer, sent):
+    host = HOSTS[1]
+    leaving = Instance(
+        id=host.id,
+        role=Role.AGENT,
+        inner=host.agent,
+        peer_port=1,
+        region="erongo",
+        failure_domain="erongo-1",
+        leaving=True,
+    )
+    view = make_view(SERVICE, upstreams=HOSTS, version=2, instances={host.id: leaving})
+
+    placer.take_view(view, now=NOW)
+
+    assert host.agent not in hosts_offered(placer, sent)
+
+
+def test_hosts_that_are_not_ready_serve_when_none_is(placer, sent):
+    for host in HOSTS:
+        placer.hosts.take_gauge(
+            host.id, incarnation=1, gauge=evolve(IDLE, ready=False), now=NOW
+        )
+
+    placer.refresh_tables(now=NOW)
+
+    assert hosts_offered(placer, sent) == {host.agent for host in HOSTS}
+
+
+def test_a_service_without_hosts_drops_and_counts(placer, sent):
+    placer.take_view(make_view(SERVICE, version=2), now=NOW)
+
+    place(placer)
+
+    assert sent == []
+    assert placer.counts.drops["no-candidates"] == 1
