Hand requests to peers, run keyed requests once, drain without cutting any

Requests wait in the admission queue under the adaptive limit; one that has not run moves to a better peer, once, and its answer returns through the first agent. A request with an idempotency key runs at most once: repeats get the stored answer from the host that owns the key, and a run goes on when its caller is gone, so that a repeat finds its outcome. A leaving agent sends GOAWAY, rejects later requests, and waits for what runs.

--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
@@ -4,23 +4,36 @@
 
 import asyncio
 
+from attrs import evolve
+
+from daisygauge_policy import (
+    FlightDecision,
+    FlightReason,
+    HandToPeer,
+    RefuseFlight,
+    UpstreamState,
+    decide_first_flight,
+)
 from daisygauge_records import Endpoint
-from daisygauge_wire import Datagram, Gauge, Kind, PlacedStatus
+from daisygauge_wire import Datagram, Gauge, Kind
 
 from .._runtime import Runtime
 from ._acceptor import Acceptor
 from ._dispatch import Dispatcher
 from ._drain import Drain
-from ._execution import Executor
+from ._fence import Fence
 from ._flights import Flights
 from ._gauges import GaugeExchange
 from ._health import HealthCheck
 from ._incarnation import TICK_SECONDS, incarnation_at
 from ._metrics import AgentMetrics
 from ._node import AgentNode
-from ._placing import FlightDecision, choose_flight
+from ._peer_calls import PeerCalls
+from ._peer_server import PeerHandler, start_peer_server, stop_peer_server
+from ._peers import Peers
 from ._request import RequestServer
 from ._returns import Returns
+from ._routing import Router
 from ._slots import Slots
 from ._socket import open_inner_socket
 from ._table import ConnectionTable
@@ -38,9 +51,21 @@
         self.node = AgentNode(runtime=runtime, settings=runtime.settings)
         self.metrics = AgentMetrics(runtime.registry)
         self.table = ConnectionTable()
-        self.slots = Slots(node=self.node)
+        self.slots = Slots(node=self.node, choose_peer=self.choose_peer)
         self.gauges = GaugeExchange(node=self.node, load=self)
         self.returns = Returns(node=self.node, gauges=self.gauges)
+        self.peers = Peers(node=self.node, gauges=self.gauges)
+        self.calls = PeerCalls(node=self.node)
+        self.drain_process = Drain(
+            node=self.node,
+            table=self.table,
+            metrics=self.metrics,
+            on_leaving=self.gauges.changed.set,
+            count_unseen=self.count_unseen,
+        )
+        self.metrics.running.set_function(lambda: self.slots.running)
+        self.metrics.waiting.set_function(lambda: self.slots.waiting)
+        self.metrics.streaming.set_function(lambda: self.slots.streaming)
         runtime.readiness.set("upstream", False)
 
     async def start(self) -> None:
@@ -50,14 +75,25 @@
             endpoint=Endpoint(host=settings.upstream.host, port=settings.upstream.port)
         )
         self.health = HealthCheck(node=self.node, upstream=self.upstream)
-        self.executor = Executor(
+        self.router = Router(
             node=self.node,
             slots=self.slots,
+            peers=self.peers,
+            calls=self.calls,
             upstream=self.upstream,
             metrics=self.metrics,
+            load=self,
+            may_run=self.drain_process.may_run,
+        )
+        await self.open_socket()
+        self.fence = Fence(
+            node=self.node, run=self.router.run, ask=self.calls.ask_outcome
         )
         self.requests = RequestServer(
-            node=self.node, executor=self.executor, metrics=self.metrics
+            node=self.node,
+            router=self.router,
+            fence=self.fence,
+            metrics=self.metrics,
         )
         self.acceptor = Acceptor(
             node=self.node,
@@ -66,17 +102,23 @@
             serve=self.requests.serve,
             send_reply=self.returns.send_reply,
         )
-        self.drain_process = Drain(
-            node=self.node, table=self.table, metrics=self.metrics
-        )
-        await self.open_socket()
+        self.receive_datagrams()
+        handler = PeerHandler(node=self.node, router=self.router, fence=self.fence)
+        self.peer_server = await start_peer_server(node=self.node, handler=handler)
         self.runtime.spawn(self.health.run(), name="health")
+        self.runtime.spawn(self.slots.run(), name="slots")
         self.runtime.spawn(self.gauges.run(), name="gauges")
         self.runtime.spawn(self.returns.run(), name="returns")
         self.runtime.spawn(self.drain_process.watch_list(), name="leaving")
 
     async def open_socket(self) -> None:
         """Bind the inner socket; the incarnation begins after that."""
+        self.node.socket = await open_inner_socket(local=self.node.inner)
+        await asyncio.sleep(TICK_SECONDS)
+        self.runtime.incarnation = incarnation_at(self.runtime.now())
+
+    def receive_datagrams(self) -> None:
+        """Begin to handle inner datagrams."""
         flights = Flights(
             node=self.node,
             table=self.table,
@@ -94,27 +136,26 @@
                 Kind.GAUGE: self.gauges.take,
             },
         )
-        self.node.socket = await open_inner_socket(
-            local=self.node.inner, on_datagram=dispatcher.on_datagram
-        )
-        await asyncio.sleep(TICK_SECONDS)
-        self.runtime.incarnation = incarnation_at(self.runtime.now())
+        self.node.socket.on_datagram = dispatcher.on_datagram
 
     def choose_flight(self, datagram: Datagram) -> FlightDecision:
         """Decide about a new connection."""
-        return choose_flight(
-            datagram, own=self.node.inner, obstacle=self.find_obstacle()
+        if self.node.newest_key() is None:
+            return RefuseFlight(reason=FlightReason.FULL)
+        agents = {peer.id: peer.agent for peer in self.node.peers}
+        own = self.node.inner
+        return decide_first_flight(
+            placement=self.node.service.placement,
+            own=self.read_gauge(sequence=0),
+            candidates=[agent for agent in datagram.candidates if agent != own],
+            gauges={agents[held.peer]: held.gauge for held in self.peers.fresh()},
+            hops=datagram.hops,
         )
 
-    def find_obstacle(self) -> PlacedStatus | None:
-        """Say why no new connection is taken, if so."""
-        if self.node.leaving:
-            return PlacedStatus.LEAVING
-        if self.node.newest_key() is None or not self.health.ready:
-            return PlacedStatus.FULL
-        if len(self.table) >= self.node.upstream.max_connections:
-            return PlacedStatus.FULL
-        return None
+    def choose_peer(self) -> HandToPeer | None:
+        """Return a better peer for a request that waits here, if any."""
+        gauge = self.read_gauge(sequence=0)
+        return self.peers.choose(evolve(gauge, waiting=max(gauge.waiting - 1, 0)))
 
     def read_gauge(self, *, sequence: int) -> Gauge:
         """Return the load now."""
@@ -125,12 +166,21 @@
             waiting=self.slots.waiting,
             connections=len(self.table),
             max_connections=upstream.max_connections,
-            service_seconds=0.0,
+            service_seconds=self.slots.times.overall_seconds,
             leaving=self.node.leaving,
-            ready=self.health.ready,
+            ready=self.is_ready(),
             sequence=sequence,
         )
 
+    def is_ready(self) -> bool:
+        """Tell whether the upstream is believed to take requests."""
+        silent = self.slots.limit.state is UpstreamState.SILENT
+        return self.health.ready and not silent
+
+    def count_unseen(self) -> int:
+        """Count requests that may run without a caller's connection."""
+        return self.slots.running + self.slots.waiting + len(self.fence.detached)
+
     async def drain(self) -> None:
         """Finish requests and connections; returns when the process may end."""
         await self.drain_process.run(reason="signal")
@@ -140,6 +190,8 @@
         for connection in self.table.connections():
             connection.close(reason="host stopped")
         await asyncio.sleep(0)
+        await stop_peer_server(self.peer_server)
+        self.calls.close()
         await self.upstream.close()
         if self.node.socket is not None:
             self.node.socket.close()
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_drain.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_drain.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+from daisygauge_policy import DrainStage, decide_drain_stage
+
 from . import _events as events
 from ._connection import CallerConnection
 from ._metrics import AgentMetrics
@@ -20,6 +22,9 @@
 class Drain:
     """Makes an agent leave, and tells when it has left.
 
+    :param on_leaving: called once, so that peers hear of it at once.
+    :param count_unseen: requests that no connection shows: those of peers, and
+        keyed ones whose caller is gone.
     :param longest_seconds: time after which open connections are cut.
     """
 
@@ -29,20 +34,31 @@
         node: AgentNode,
         table: ConnectionTable,
         metrics: AgentMetrics,
-        on_leaving: Callable[[], None] = lambda: None,
+        on_leaving: Callable[[], None],
+        count_unseen: Callable[[], int],
         longest_seconds: float = LONGEST_DRAIN_SECONDS,
     ) -> None:
         self.node = node
         self.table = table
         self.metrics = metrics
         self.on_leaving = on_leaving
+        self.count_unseen = count_unseen
         self.longest_seconds = longest_seconds
+        self.leaving_since: float | None = None
+
+    def may_run(self) -> bool:
+        """Tell whether requests may still begin here."""
+        stage = decide_drain_stage(
+            leaving_since=self.leaving_since, open_requests=1, now=self.node.now()
+        )
+        return stage in (DrainStage.SERVING, DrainStage.LEAVING)
 
     def leave(self, *, reason: str) -> None:
         """Take no new flow and no new request from now on."""
         if self.node.leaving:
             return
         self.node.leaving = True
+        self.leaving_since = self.node.now()
         self.node.runtime.readiness.leaving = True
         self.metrics.leaving.set(1)
         self.on_leaving()
@@ -83,9 +99,9 @@
         """Wait for the end of every request; close connections that have none."""
         idle_since: dict[CallerConnection, float] = {}
         loop = asyncio.get_running_loop()
-        while connections := self.table.connections():
+        while len(self.table) or self.count_unseen():
             now = loop.time()
-            for connection in connections:
+            for connection in self.table.connections():
                 connection.go_away()
                 if connection.tasks or connection.has_unsent():
                     idle_since.pop(connection, None)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_flights.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_flights.py
@@ -11,8 +11,17 @@
     encode_quic_version_negotiation,
     pull_quic_header,
 )
-from attrs import evolve, frozen
-
+from attrs import evolve
+
+from daisygauge_policy import (
+    AcceptFlight,
+    FlightDecision,
+    FlightMemory,
+    FlightReason,
+    PassFlight,
+    RefuseFlight,
+    make_flow_key,
+)
 from daisygauge_records import Endpoint
 from daisygauge_wire import (
     ANY_INCARNATION,
@@ -28,27 +37,17 @@
 from ._connection import CallerConnection
 from ._metrics import AgentMetrics
 from ._node import AgentNode
-from ._placing import AcceptFlight, FlightDecision, PassFlight, RefuseFlight
 from ._table import ConnectionTable
 
-PASSED_MEMORY_SECONDS = 10.0
-MAX_PASSED_FLIGHTS = 10_000
+REFUSAL_STATUSES = {
+    FlightReason.LEAVING: PlacedStatus.LEAVING,
+    FlightReason.FULL: PlacedStatus.FULL,
+}
 VERSION_NEGOTIATION = QuicPacketType.VERSION_NEGOTIATION
 
 FlightKey = tuple[Endpoint, bytes]
 
 
-@frozen(kw_only=True)
-class PassedFlight:
-    """A first flight that a peer was offered.
-
-    :param expires: Unix time in seconds after which the flight is forgotten.
-    """
-
-    peer: Endpoint
-    expires: float
-
-
 class Flights:
     """Accepts, passes on and refuses new connections.
 
@@ -70,7 +69,7 @@
         self.metrics = metrics
         self.accept = accept
         self.choose = choose
-        self.passed: dict[FlightKey, PassedFlight] = {}
+        self.passed = FlightMemory()
 
     def receive(self, datagram: Datagram, header: PacketHeader) -> None:
         """Handle an Initial or 0-RTT packet with an ID that the caller chose."""
@@ -84,9 +83,9 @@
         if self.table.has_ended(flight, now=now):
             self.report(datagram, flight[1], status=PlacedStatus.ACCEPTED)
             return
-        passed = self.passed.get(flight)
-        if passed is not None and passed.expires > now and datagram.hops < MAX_HOPS:
-            self.pass_on(datagram, flight, peer=passed.peer)
+        passed = self.passed.recall(make_key(flight), now=now)
+        if passed is not None and datagram.hops < MAX_HOPS:
+            self.pass_on(datagram, flight, decision=passed)
             return
         if self.opens_connection(datagram):
             self.place(datagram, flight)
@@ -143,46 +142,44 @@
                     hops=datagram.hops,
                     connections=len(self.table),
                 )
-            case PassFlight(peer=peer, reason=reason):
-                self.remember(flight, peer=peer)
+            case PassFlight() as decision:
+                self.passed.remember(
+                    make_key(flight), decision=decision, now=self.node.now()
+                )
                 self.count("passed-on")
                 self.node.log.write(
                     events.FLIGHT_PASSED_ON,
                     caller=str(datagram.caller),
-                    peer=str(peer),
-                    reason=reason,
+                    peer=str(decision.target),
+                    reason=decision.reason.value,
                     hops=datagram.hops + 1,
                 )
-                self.pass_on(datagram, flight, peer=peer)
-            case RefuseFlight(status=status):
-                reason = status.name.lower()
-                self.count(f"refused-{reason}")
+                self.pass_on(datagram, flight, decision=decision)
+            case RefuseFlight(reason=reason):
+                self.count(f"refused-{reason.value}")
                 self.node.log.write(
-                    events.FLIGHT_REFUSED, caller=str(datagram.caller), reason=reason
+                    events.FLIGHT_REFUSED,
+                    caller=str(datagram.caller),
+                    reason=reason.value,
                 )
+                status = REFUSAL_STATUSES[reason]
                 self.report(datagram, flight[1], status=status)
 
     def count(self, outcome: str) -> None:
         """Count a decision."""
         self.metrics.flights.labels(outcome).inc()
 
-    def remember(self, flight: FlightKey, *, peer: Endpoint) -> None:
-        """Let later pieces of a first flight follow its first."""
-        while len(self.passed) >= MAX_PASSED_FLIGHTS:
-            del self.passed[next(iter(self.passed))]
-        expires = self.node.now() + PASSED_MEMORY_SECONDS
-        self.passed[flight] = PassedFlight(peer=peer, expires=expires)
-
-    def pass_on(self, datagram: Datagram, flight: FlightKey, *, peer: Endpoint) -> None:
+    def pass_on(
+        self, datagram: Datagram, flight: FlightKey, *, decision: PassFlight
+    ) -> None:
         """Send a first flight to a peer; the balancer's address stays in it."""
-        rest = tuple(other for other in datagram.candidates if other != peer)
         forwarded = evolve(
             datagram,
             hops=datagram.hops + 1,
-            candidates=rest,
+            candidates=decision.candidates,
             incarnation=ANY_INCARNATION,
         )
-        self.node.send(forwarded, receiver=peer)
+        self.node.send(forwarded, receiver=decision.target)
         self.report(datagram, flight[1], status=PlacedStatus.PASSED_ON)
 
     def report(
@@ -201,3 +198,8 @@
             payload=caller_id,
         )
         self.node.send(answer, receiver=datagram.sender)
+
+
+def make_key(flight: FlightKey) -> bytes:
+    """Identify a flow for the memory of flights that were passed on."""
+    return make_flow_key(caller=flight[0], destination_id=flight[1])
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_model.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_model.py
@@ -82,6 +82,15 @@
     late: bool = False
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Shed:
+    """The upstream refused the request; the answer was kept back."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
 Outcome = Answered | NotRun | Unknown
 
 
--- /dev/null
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_server.py
@@ -0,0 +1,165 @@
+"""What the agent does for its peers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from grpclib import GRPCError, Status
+from grpclib.events import RecvRequest, listen
+from grpclib.server import Server, Stream
+
+from daisygauge_policy import KeyOwner
+from daisygauge_wire import peer_pb2
+from daisygauge_wire.peer_grpc import PeerBase
+
+from ._bodies import ReplayBody
+from ._fence import Fence
+from ._messages import make_headers, make_outcome_answer, read_head
+from ._model import Answered, Headers, NotRun, Outcome, Unknown
+from ._node import AgentNode
+from ._peer_auth import is_authentic
+from ._routing import Router
+
+MAX_PART_BYTES = 64 * 1024
+State = peer_pb2.OutcomeAnswer
+
+
+class PeerAnswer:
+    """Sends an answer to the peer that ends the caller's connection."""
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+        self.started = False
+
+    async def send_head(self, *, status: int, headers: Headers) -> None:
+        """Send the status and the header fields."""
+        self.started = True
+        head = peer_pb2.AnswerHead(status=status, headers=make_headers(headers))
+        await self.stream.send_message(peer_pb2.HandOffAnswer(head=head))
+
+    async def send_body(self, part: bytes) -> None:
+        """Send a part of the body, in messages of bounded size."""
+        for start in range(0, len(part), MAX_PART_BYTES):
+            piece = part[start : start + MAX_PART_BYTES]
+            await self.stream.send_message(peer_pb2.HandOffAnswer(body=piece))
+
+    async def send_end(self) -> None:
+        """Mark the answer as whole."""
+        end = peer_pb2.AnswerEnd()
+        await self.stream.send_message(peer_pb2.HandOffAnswer(end=end))
+
+    async def finish(self, outcome: Outcome) -> None:
+        """Send an outcome that is not a whole answer."""
+        match outcome:
+            case Answered():
+                return
+            case NotRun(reason=reason, retry_after=retry_after):
+                refusal = peer_pb2.NotRun(reason=reason, retry_after=retry_after)
+                await self.stream.send_message(peer_pb2.HandOffAnswer(not_run=refusal))
+            case Unknown(reason=reason):
+                unknown = peer_pb2.Unknown(reason=reason)
+                await self.stream.send_message(peer_pb2.HandOffAnswer(unknown=unknown))
+
+
+class PeerBody:
+    """Reads the body of a request that a peer hands over."""
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+
+    async def read(self) -> bytes:
+        """Return the next part, or nothing at the end."""
+        message = await self.stream.recv_message()
+        return b"" if message is None else message.body
+
+
+class PeerHandler(PeerBase):
+    """Runs what peers hand over and answers for the keys owned here."""
+
+    def __init__(self, *, node: AgentNode, router: Router, fence: Fence) -> None:
+        self.node = node
+        self.router = router
+        self.fence = fence
+
+    async def HandOff(self, stream: Stream) -> None:
+        """Run a request of a peer, unless it is late or for another agent."""
+        first = await stream.recv_message()
+        if first is None or first.WhichOneof("part") != "head":
+            raise GRPCError(Status.INVALID_ARGUMENT, "the head comes first")
+        answer = PeerAnswer(stream)
+        refusal = self.find_refusal(first.head)
+        if refusal is not None:
+            await answer.finish(NotRun(reason=refusal))
+            return
+        request = read_head(first.head, service=self.node.service, now=self.node.now())
+        body = ReplayBody(PeerBody(stream))
+        outcome = await self.router.run(request, body, answer)
+        await answer.finish(outcome)
+
+    def find_refusal(self, head: peer_pb2.HandOffHead) -> str | None:
+        """Say why a request is refused before it is read, if so."""
+        if head.service != self.node.service_number:
+            return "wrong-service"
+        if head.incarnation != self.node.incarnation:
+            return "wrong-incarnation"
+        if self.node.leaving:
+            return "leaving"
+        if self.node.now() >= head.deadline:
+            return "deadline"
+        return None
+
+    async def AskOutcome(self, stream: Stream) -> None:
+        """Tell what became of a key, and give it away if it has not run."""
+        question = await stream.recv_message()
+        is_meant = (
+            question.service == self.node.service_number
+            and question.incarnation == self.node.incarnation
+        )
+        if not is_meant:
+            await stream.send_message(
+                peer_pb2.OutcomeAnswer(state=State.OTHER_INCARNATION)
+            )
+            return
+        asker = KeyOwner(
+            agent=question.asker.agent, incarnation=question.asker.incarnation
+        )
+        reply = self.fence.table.answer_owner_question(
+            question.key,
+            fingerprint=question.fingerprint,
+            asker=asker,
+            now=self.node.now(),
+        )
+        await stream.send_message(make_outcome_answer(reply))
+
+
+async def start_peer_server(*, node: AgentNode, handler: PeerHandler) -> Server:
+    """Listen for calls of peers that hold a published key.
+
+    :raises OSError: the address is taken.
+    """
+    server = Server([handler])
+
+    async def check(event: RecvRequest) -> None:
+        authentic = is_authentic(
+            event.metadata,
+            method=event.method_name,
+            receiver=node.settings.id,
+            keys=node.keys,
+            now=node.now(),
+        )
+        if not authentic:
+            raise GRPCError(
+                Status.UNAUTHENTICATED,
+                "no key in force has signed this call; check keys and clocks",
+            )
+
+    listen(server, RecvRequest, check)
+    await server.start(node.settings.host, node.settings.peer_port)
+    return server
+
+
+async def stop_peer_server(server: Server) -> None:
+    """Close the server and wait for its calls to end."""
+    server.close()
+    async with asyncio.timeout(1.0):
+        await server.wait_closed()
--- /dev/null
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peers.py
@@ -0,0 +1,60 @@
+"""Which peer could run a request instead, by the gauges heard lately."""
+
+from __future__ import annotations
+
+import random
+
+from attrs import evolve
+
+from daisygauge_policy import HandToPeer, PeerGauge, SentRequests, choose_peer
+from daisygauge_records import LoadHandOff
+from daisygauge_wire import Gauge
+
+from ._gauges import GaugeExchange
+from ._node import AgentNode
+
+
+class Peers:
+    """Chooses peers for requests that have not run."""
+
+    def __init__(self, *, node: AgentNode, gauges: GaugeExchange) -> None:
+        self.node = node
+        self.gauges = gauges
+        self.sent = SentRequests()
+        # The seed is free to differ: agents must not all draw the same peer.
+        self.random = random.Random()
+
+    def fresh(self) -> tuple[PeerGauge, ...]:
+        """Return the gauges young enough to decide by."""
+        published = {peer.id for peer in self.node.peers}
+        heard = self.gauges.peers.fresh(now=self.node.now())
+        return tuple(held for held in heard if held.peer in published)
+
+    def choose(self, own: Gauge) -> HandToPeer | None:
+        """Return the peer that one more request should go to, if any."""
+        decision = choose_peer(
+            hand_off=self.node.service.hand_off,
+            own=own,
+            peers=self.sent.loads(self.fresh()),
+            rng=self.random,
+        )
+        return decision if isinstance(decision, HandToPeer) else None
+
+    def choose_other(self, own: Gauge) -> HandToPeer | None:
+        """Return a peer for a request that this host can't run."""
+        decision = choose_peer(
+            hand_off=LoadHandOff(),
+            own=evolve(own, ready=False),
+            peers=self.sent.loads(self.fresh()),
+            rng=self.random,
+        )
+        return decision if isinstance(decision, HandToPeer) else None
+
+    def incarnation(self, peer: str) -> int | None:
+        """Return the life of a peer that its gauge named."""
+        held = self.gauges.peers.gauges.get(peer)
+        return None if held is None else held.incarnation
+
+    def record_sent(self, peer: str) -> None:
+        """Count a request that the peer's gauge does not show yet."""
+        self.sent.add(peer, now=self.node.now())
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_request.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_request.py
@@ -9,11 +9,13 @@
 
 from . import _events as events
 from ._answers import STATUS_MALFORMED, CallerAnswer
-from ._execution import Executor
+from ._bodies import ReplayBody
+from ._fence import Fence
 from ._headers import MalformedRequestError, read_request
 from ._metrics import AgentMetrics
 from ._model import Answered, NotRun, Outcome, Request, Unknown
 from ._node import AgentNode, NotConfiguredError
+from ._routing import Router
 from ._streams import RequestStream
 
 OUTCOME_NAMES = {Answered: "answered", NotRun: "not-run", Unknown: "unknown"}
@@ -23,10 +25,11 @@
     """Reads a request, has it run and tells the caller the outcome."""
 
     def __init__(
-        self, *, node: AgentNode, executor: Executor, metrics: AgentMetrics
+        self, *, node: AgentNode, router: Router, fence: Fence, metrics: AgentMetrics
     ) -> None:
         self.node = node
-        self.executor = executor
+        self.router = router
+        self.fence = fence
         self.metrics = metrics
 
     async def serve(
@@ -82,10 +85,11 @@
     async def run(
         self, request: Request, *, stream: RequestStream, answer: CallerAnswer
     ) -> Outcome:
-        """Decide where the request runs and run it."""
-        if self.node.leaving:
-            return NotRun(reason="leaving")
-        return await self.executor.run(request, body=stream, answer=answer)
+        """Run the request, fenced when it carries an idempotency key."""
+        body = ReplayBody(stream)
+        if request.idempotency_key is not None:
+            return await self.fence.run(request, body, answer)
+        return await self.router.run(request, body, answer)
 
     def report(self, request: Request, *, name: str, status: int, reason: str) -> None:
         """Count and log the end of a request."""
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_socket.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_socket.py
@@ -14,13 +14,13 @@
 
 
 class InnerSocket(asyncio.DatagramProtocol):
-    """Hands every datagram to ``on_datagram``.
+    """Hands every datagram to ``on_datagram``, drops it while there is none.
 
-    :param on_datagram: called with the datagram and its sender.
+    :ivar on_datagram: called with the datagram and its sender.
     """
 
-    def __init__(self, *, on_datagram: Callable[[bytes, Endpoint], None]) -> None:
-        self.on_datagram = on_datagram
+    def __init__(self) -> None:
+        self.on_datagram: Callable[[bytes, Endpoint], None] | None = None
         self.transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: Any) -> None:
@@ -29,7 +29,8 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Pass a datagram on."""
-        self.on_datagram(data, Endpoint(host=addr[0], port=addr[1]))
+        if self.on_datagram is not None:
+            self.on_datagram(data, Endpoint(host=addr[0], port=addr[1]))
 
     def send(self, data: bytes, receiver: Endpoint) -> None:
         """Send a datagram; a full socket buffer drops it, as a network does."""
@@ -42,9 +43,7 @@
             self.transport.close()
 
 
-async def open_inner_socket(
-    *, local: Endpoint, on_datagram: Callable[[bytes, Endpoint], None]
-) -> InnerSocket:
+async def open_inner_socket(*, local: Endpoint) -> InnerSocket:
     """Bind the inner socket.
 
     :raises OSError: the address is taken or is not one of this machine.
@@ -59,6 +58,6 @@
         inner.close()
         raise
     _, protocol = await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: InnerSocket(on_datagram=on_datagram), sock=inner
+        InnerSocket, sock=inner
     )
     return protocol
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_upstream.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_upstream.py
@@ -16,11 +16,22 @@
 from daisygauge_records import Endpoint
 
 from ._headers import DEADLINE_HEADER, drop_hop_by_hop
-from ._model import Answer, Answered, Body, NotRun, Outcome, Request, Unknown
+from ._model import (
+    Answer,
+    Answered,
+    Body,
+    NotRun,
+    Outcome,
+    Request,
+    Shed,
+    Unknown,
+)
 
 CONNECT_SECONDS = 2.0
 READ_BYTES = 64 * 1024
 LINE_BYTES = 64 * 1024
+LARGEST_SHED_BYTES = 64 * 1024
+STATUS_SHED = 503
 BODYLESS_STATUSES = frozenset({204, 304})
 
 
@@ -37,10 +48,12 @@
     """How far the sending of one request came.
 
     :param deadline: Unix time in seconds.
+    :param keep_back_shed: True when an overload refusal is not passed on.
     :ivar sent: True once a byte may have reached the upstream.
     """
 
     deadline: float
+    keep_back_shed: bool = False
     sent: bool = False
 
 
@@ -129,12 +142,22 @@
             response.raise_for_status()
             return await response.json(content_type=None)
 
-    async def run(self, request: Request, *, body: Body, answer: Answer) -> Outcome:
+    async def run(
+        self,
+        request: Request,
+        *,
+        body: Body,
+        answer: Answer,
+        keep_back_shed: bool = False,
+    ) -> Outcome | Shed:
         """Run a request and pass its answer on as it comes.
 
         Cancelling this call closes the connection to the upstream.
+
+        :param keep_back_shed: True when a refusal for overload is not passed on,
+            because the request may be tried elsewhere.
         """
-        attempt = Attempt(deadline=request.deadline)
+        attempt = Attempt(deadline=request.deadline, keep_back_shed=keep_back_shed)
         try:
             async with asyncio.timeout(request.deadline - time.time()) as limit:
                 return await self._exchange(
@@ -157,7 +180,7 @@
         body: Body,
         answer: Answer,
         limit: asyncio.Timeout,
-    ) -> Outcome:
+    ) -> Outcome | Shed:
         async with self.session.request(
             request.method,
             URL(self.base + request.path, encoded=True),
@@ -171,6 +194,9 @@
             if request.request_class.streaming:
                 limit.reschedule(None)
             headers = drop_hop_by_hop(response.raw_headers)
+            if attempt.keep_back_shed and response.status == STATUS_SHED:
+                content = await response.content.read(LARGEST_SHED_BYTES)
+                return Shed(status=STATUS_SHED, headers=headers, body=content)
             await answer.send_head(status=response.status, headers=headers)
             while part := await response.content.readany():
                 await answer.send_body(part)
--- a/testing/agent/fakes.py
+++ b/testing/agent/fakes.py
@@ -193,7 +193,7 @@
         application.router.add_get("/feed", self.feed)
         application.router.add_get("/download", self.download)
         application.router.add_get("/truncated", self.truncated)
-        application.router.add_get("/hold", self.hold)
+        application.router.add_route("*", "/hold", self.hold)
         application.router.add_post("/echo", self.echo)
         self.runner = web.AppRunner(
             application, handler_cancellation=True, access_log=None
