Spread record changes through a few seats of each failure domain

With every daemon watching the platform, reads and copied bytes grow with the fleet. Now the first three balancers of each failure domain by rendezvous hash watch it; the others follow two of them over one authenticated grpc stream each and are sent just the changes, agents only those of their service. Seats follow the next of their domain and of the next domain, so that a change which one seat could read reaches all. A follower that loses its peers suspects them and takes the next in rank; when nobody answers it reads the platform within a spread time. A newborn is ready once the platform and its peers have both given what they hold.

Found by the property test of the links: seats that prefer any other seat of their domain can form pairs that leave a third one out; the ring mends it. Found while testing: a peer told its readiness only with the next heartbeat, so that a new agent waited up to 5 s for it; it is told at once.

Records hold secrets, so messages are sealed with AES-GCM; calls carry an HMAC with the time, sender and receiver. Bytes and reads are bounded by token buckets.

--- a/packages/daisygauge-control/src/daisygauge_control/__init__.py
+++ b/packages/daisygauge-control/src/daisygauge_control/__init__.py
@@ -3,13 +3,17 @@
 from ._consul import ConsulReader
 from ._events import (
     ConfigurationChanged,
+    FellBack,
     Observe,
+    PeerLost,
     PlatformLost,
     PlatformRegained,
     RecordRefused,
     RevisionConflict,
+    SeatChanged,
     SourceEvent,
 )
+from ._member import EVERYTHING, Member
 from ._platform import (
     InstancesSnapshot,
     PlatformReader,
@@ -27,8 +31,12 @@
     "ConfigurationState",
     "ConfigurationView",
     "ConsulReader",
+    "EVERYTHING",
+    "FellBack",
     "InstancesSnapshot",
+    "Member",
     "Observe",
+    "PeerLost",
     "PlatformLost",
     "PlatformReader",
     "PlatformRegained",
@@ -37,6 +45,7 @@
     "RecordRefused",
     "RecordsSnapshot",
     "RevisionConflict",
+    "SeatChanged",
     "SourceEvent",
     "create_configuration_source",
 ]
--- a/packages/daisygauge-control/src/daisygauge_control/_consul.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_consul.py
@@ -20,6 +20,7 @@
 )
 
 RECORDS_PATH = "/v1/kv/records"
+KEYS_PATH = "/v1/kv/records/key"
 INSTANCES_PATH = "/v1/health/service/daisygauge"
 INDEX_HEADER = "X-Consul-Index"
 WAIT_SECONDS = 30
@@ -53,7 +54,14 @@
 
     async def read_records(self, *, after: int) -> RecordsSnapshot:
         """Read all records, waiting for an index other than ``after``."""
-        index, entries = await self._get(RECORDS_PATH, {"recurse": "true"}, after)
+        return await self._read_prefix(RECORDS_PATH, after)
+
+    async def read_keys(self) -> RecordsSnapshot:
+        """Read the key records alone, at once."""
+        return await self._read_prefix(KEYS_PATH, NO_INDEX)
+
+    async def _read_prefix(self, path: str, after: int) -> RecordsSnapshot:
+        index, entries = await self._get(path, {"recurse": "true"}, after)
         records = tuple(_read_entry(entry) for entry in entries)
         return RecordsSnapshot(index=index, records=records)
 
--- a/packages/daisygauge-control/src/daisygauge_control/_events.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_events.py
@@ -65,12 +65,40 @@
     failures: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class PeerLost:
+    """A daemon that was followed does not answer; another one takes its place."""
+
+    peer: str
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class SeatChanged:
+    """This daemon begins or ends to watch the platform for its failure domain."""
+
+    seat: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class FellBack:
+    """No peer gave anything for a while, so the platform is read once.
+
+    :param silent_seconds: time since a peer was last followed.
+    """
+
+    silent_seconds: float
+
+
 SourceEvent = (
     ConfigurationChanged
     | RecordRefused
     | RevisionConflict
     | PlatformLost
     | PlatformRegained
+    | PeerLost
+    | SeatChanged
+    | FellBack
 )
 Observe = Callable[[SourceEvent], None]
 
--- /dev/null
+++ b/packages/daisygauge-control/src/daisygauge_control/_journal.py
@@ -0,0 +1,132 @@
+"""The order in which records changed here, and digests of what is in force."""
+
+from __future__ import annotations
+
+import hashlib
+from collections import defaultdict, deque
+from collections.abc import Iterable
+
+from attrs import define, frozen
+
+from daisygauge_records import Record
+
+from ._member import EVERYTHING, KEYS_GROUP, group_of
+
+BUCKETS = 256
+MAX_CHANGES = 4_096
+HASH_BYTES = 8
+
+RecordId = tuple[str, str]
+
+
+@define(kw_only=True)
+class Summary:
+    """What a set of records amounts to.
+
+    :param digest: exclusive or of the records' hashes.
+    :param revision: sum of the records' revisions.
+    """
+
+    digest: int = 0
+    revision: int = 0
+
+
+@frozen(kw_only=True)
+class Change:
+    """One record that changed.
+
+    :param groups: the groups of the record before and after.
+    """
+
+    sequence: int
+    id: RecordId
+    groups: frozenset[str]
+
+
+@frozen(kw_only=True)
+class _Entry:
+    hash: int
+    revision: int
+    group: str
+
+
+class Journal:
+    """Follows a store's changes, so that peers are sent just those.
+
+    :ivar sequence: number of the latest change.
+    """
+
+    def __init__(self) -> None:
+        self.sequence = 0
+        self.changes: deque[Change] = deque(maxlen=MAX_CHANGES)
+        self.entries: dict[RecordId, _Entry] = {}
+        self.summaries: defaultdict[str, Summary] = defaultdict(Summary)
+
+    def note(self, record: Record) -> None:
+        """Take in a record that has come into force."""
+        id = (record.kind, record.id)
+        entry = _Entry(
+            hash=hash_record(record), revision=record.revision, group=group_of(record)
+        )
+        before = self.entries.get(id)
+        groups = {entry.group}
+        if before is not None:
+            self._count(before, sign=-1)
+            groups.add(before.group)
+        self._count(entry, sign=1)
+        self.entries[id] = entry
+        self.sequence += 1
+        self.changes.append(
+            Change(sequence=self.sequence, id=id, groups=frozenset(groups))
+        )
+
+    def _count(self, entry: _Entry, *, sign: int) -> None:
+        for group in {entry.group, "*"}:
+            summary = self.summaries[group]
+            summary.digest ^= entry.hash
+            summary.revision += sign * entry.revision
+
+    def summarize(self, *, service: str) -> Summary:
+        """Summarize the records that a daemon with a scope needs."""
+        if service == EVERYTHING:
+            return self.summaries["*"]
+        keys = self.summaries[KEYS_GROUP]
+        own = self.summaries[service]
+        return Summary(
+            digest=keys.digest ^ own.digest, revision=keys.revision + own.revision
+        )
+
+    def changes_after(self, sequence: int) -> list[Change] | None:
+        """Return the changes after a number, or None when they are forgotten."""
+        if sequence < self.sequence - len(self.changes):
+            return None
+        missing = self.sequence - sequence
+        return list(self.changes)[len(self.changes) - missing :]
+
+    def bucket_digests(self) -> list[int]:
+        """Return the exclusive or of the hashes in each bucket of ids."""
+        digests = [0] * BUCKETS
+        for id, entry in self.entries.items():
+            digests[bucket_of(id)] ^= entry.hash
+        return digests
+
+    def ids_in(self, buckets: Iterable[int]) -> list[RecordId]:
+        """Return the ids of the records in some buckets."""
+        wanted = frozenset(buckets)
+        return [id for id in self.entries if bucket_of(id) in wanted]
+
+
+def hash_record(record: Record) -> int:
+    """Hash what identifies a record's content, alike in every process."""
+    text = f"{record.kind}/{record.id}/{record.revision}/{record.digest}"
+    return _hash(text)
+
+
+def bucket_of(id: RecordId) -> int:
+    """Return the bucket of an id, alike in every process."""
+    return _hash("/".join(id)) % BUCKETS
+
+
+def _hash(text: str) -> int:
+    digest = hashlib.blake2b(text.encode(), digest_size=HASH_BYTES).digest()
+    return int.from_bytes(digest, "big")
--- /dev/null
+++ b/packages/daisygauge-control/src/daisygauge_control/_link.py
@@ -0,0 +1,160 @@
+"""The client side of control: following one peer."""
+
+from __future__ import annotations
+
+import asyncio
+
+from grpclib import GRPCError
+from grpclib.client import Channel, Stream
+from grpclib.exceptions import ProtocolError, StreamTerminatedError
+
+from daisygauge_records import Instance
+from daisygauge_wire.control_grpc import ControlStub
+from daisygauge_wire.control_pb2 import Delta, FollowRequest, Report, Sealed
+
+from ._credentials import NoKeyError, authenticate_channel
+from ._messages import decode_instances, make_hello
+from ._node import Node
+from ._sealing import UnreadableMessageError, open_sealed, seal, size_of
+
+FIRST_ANSWER_SECONDS = 3.0
+SILENT_PEER_SECONDS = 12.0
+"""More than two heartbeats; a change reaches followers of a frozen peer after it."""
+REPORT_SECONDS = 15.0
+RESYNC_SECONDS = 60.0
+
+LINK_ERRORS = (
+    OSError,
+    TimeoutError,
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    UnreadableMessageError,
+    NoKeyError,
+)
+
+LinkStream = Stream[Sealed, Sealed]
+
+
+class Link:
+    """Follows one peer until it fails.
+
+    :ivar answered: True once the peer has sent all that it holds.
+    :ivar peer_ready: whether the peer says that its configuration is complete.
+    :ivar instances: the instance list as the peer knows it.
+    """
+
+    def __init__(self, *, peer: Instance, node: Node) -> None:
+        self.peer = peer
+        self.node = node
+        self.answered = False
+        self.peer_ready = False
+        self.instances: dict[str, Instance] | None = None
+        self._differs_since: float | None = None
+        self._reported = Report()
+
+    async def run(self) -> None:
+        """Follow the peer.
+
+        :raises LINK_ERRORS: when the peer cannot be followed any longer.
+        """
+        channel = open_channel(self.peer, node=self.node)
+        try:
+            async with ControlStub(channel).Follow.open() as stream:
+                await self._follow(stream)
+        finally:
+            channel.close()
+
+    async def _follow(self, stream: LinkStream) -> None:
+        hello = make_hello(self.node.member, self.node.state)
+        async with asyncio.timeout(FIRST_ANSWER_SECONDS):
+            await self._send(stream, FollowRequest(hello=hello))
+            await self._receive(stream)
+        reporting = asyncio.create_task(self._report(stream))
+        try:
+            while not self._needs_resync():
+                async with asyncio.timeout(SILENT_PEER_SECONDS):
+                    await self._receive(stream)
+        finally:
+            reporting.cancel()
+            await asyncio.gather(reporting, return_exceptions=True)
+
+    async def _send(self, stream: LinkStream, request: FollowRequest) -> None:
+        node = self.node
+        sealed = seal(request, keys=node.keys, now=node.clock())
+        await node.budget.wait_to_send(size_of(sealed), is_sync=False)
+        await stream.send_message(sealed)
+
+    async def _receive(self, stream: LinkStream) -> None:
+        sealed = await stream.recv_message()
+        if sealed is None:
+            raise StreamTerminatedError("the peer has ended the stream")
+        node = self.node
+        node.budget.note_received(size_of(sealed))
+        self._take(open_sealed(sealed, Delta, keys=node.keys, now=node.clock()))
+
+    def _take(self, delta: Delta) -> None:
+        state = self.node.state
+        state.apply_documents(delta.documents)
+        if delta.instances or delta.gone or self.instances is None:
+            self._take_instances(delta)
+        if delta.partial:
+            return
+        self.answered = True
+        self.peer_ready = delta.report.ready
+        own = state.journal.summarize(service=self.node.member.service)
+        self._note_difference(own.digest != delta.report.digest)
+        self.node.changed.notify()
+
+    def _take_instances(self, delta: Delta) -> None:
+        """Keep entries that are known already, which saves memory."""
+        known = self.node.state.view.instances
+        changed = {
+            id: known[id] if known.get(id) == entry else entry
+            for id, entry in decode_instances(delta.instances).items()
+        }
+        gone = frozenset(delta.gone)
+        kept = {
+            id: entry for id, entry in (self.instances or {}).items() if id not in gone
+        }
+        self.instances = kept | changed
+
+    def _note_difference(self, differs: bool) -> None:
+        if not differs:
+            self._differs_since = None
+        elif self._differs_since is None:
+            self._differs_since = asyncio.get_running_loop().time()
+
+    def _needs_resync(self) -> bool:
+        """Tell whether changes must have been lost: start again from digests."""
+        if self._differs_since is None:
+            return False
+        now = asyncio.get_running_loop().time()
+        return now - self._differs_since > RESYNC_SECONDS
+
+    async def _report(self, stream: LinkStream) -> None:
+        while True:
+            report = self.node.report(service=self.node.member.service)
+            await self._send(stream, FollowRequest(report=report))
+            await self._wait_for_news(report)
+
+    async def _wait_for_news(self, sent: Report) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + REPORT_SECONDS
+        while loop.time() < end:
+            if self.node.report(service=self.node.member.service) != sent:
+                return
+            await self.node.changed.wait(seconds=end - loop.time())
+
+
+def open_channel(peer: Instance, *, node: Node) -> Channel:
+    """Open a channel whose calls are authenticated for a peer."""
+    channel = Channel(host=peer.inner.host, port=peer.peer_port)
+    authenticate_channel(
+        channel,
+        sender=node.member.id,
+        receiver=peer.id,
+        keys=lambda: node.keys,
+        clock=node.clock,
+    )
+    return channel
--- /dev/null
+++ b/packages/daisygauge-control/src/daisygauge_control/_messages.py
@@ -0,0 +1,159 @@
+"""Messages between daemons, from and into the models."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from daisygauge_records import Endpoint, Instance, Record, Role
+from daisygauge_wire.control_pb2 import (
+    Delta,
+    FollowHello,
+    HeldRecord,
+    InstanceEntry,
+    Refusal,
+    Report,
+)
+
+from ._member import EVERYTHING, Member, is_wanted
+from ._sealing import UnreadableMessageError
+from ._state import ConfigurationState
+
+MAX_HELD = 256
+MAX_REFUSALS = 8
+MAX_REASONS = 4
+DOCUMENTS_PER_DELTA = 500
+
+
+def make_hello(member: Member, state: ConfigurationState) -> FollowHello:
+    """Tell a peer who follows and what it holds already."""
+    hello = FollowHello(
+        member=member.id,
+        role=member.role.value,
+        region=member.region,
+        failure_domain=member.failure_domain,
+        service=member.service,
+    )
+    records = state.store.records
+    if len(records) > MAX_HELD:
+        hello.buckets.extend(state.journal.bucket_digests())
+    else:
+        hello.held.extend(_held(record) for record in records.values())
+    return hello
+
+
+def _held(record: Record) -> HeldRecord:
+    return HeldRecord(
+        kind=record.kind, id=record.id, revision=record.revision, digest=record.digest
+    )
+
+
+def read_member(hello: FollowHello) -> Member:
+    """Read who follows.
+
+    :raises UnreadableMessageError: for a role that is unknown.
+    """
+    return Member(
+        id=hello.member,
+        role=_read_role(hello.role),
+        region=hello.region,
+        failure_domain=hello.failure_domain,
+        service=hello.service,
+    )
+
+
+def select_missing(hello: FollowHello, state: ConfigurationState) -> list[bytes]:
+    """Return the documents that a follower lacks or holds in another form."""
+    if hello.buckets:
+        return _select_by_bucket(hello, state)
+    held = {
+        (entry.kind, entry.id): (entry.revision, entry.digest) for entry in hello.held
+    }
+    entries = state.journal.entries
+    found = []
+    for id, record in state.store.records.items():
+        # A held record may have left the follower's scope, which it must learn.
+        wanted = id in held or is_wanted(entries[id].group, service=hello.service)
+        if wanted and held.get(id, (0, "")) < (record.revision, record.digest):
+            found.append(record.document)
+    return found
+
+
+def _select_by_bucket(hello: FollowHello, state: ConfigurationState) -> list[bytes]:
+    own = state.journal.bucket_digests()
+    theirs = list(hello.buckets)
+    if len(theirs) != len(own):
+        theirs = [0] * len(own)
+    differing = [index for index, digest in enumerate(own) if digest != theirs[index]]
+    ids = state.journal.ids_in(differing)
+    return [
+        state.store.records[id].document
+        for id in ids
+        if is_wanted(state.journal.entries[id].group, service=hello.service)
+    ]
+
+
+def make_report(
+    state: ConfigurationState, *, service: str = EVERYTHING, ready: bool
+) -> Report:
+    """Tell how far this daemon has come with the records of a scope."""
+    summary = state.journal.summarize(service=service)
+    refused = list(state.refused.values())[:MAX_REFUSALS]
+    return Report(
+        digest=summary.digest,
+        revision=summary.revision,
+        ready=ready,
+        refused=[
+            Refusal(
+                name=entry.name,
+                reasons=[str(problem) for problem in entry.problems[:MAX_REASONS]],
+            )
+            for entry in refused
+        ],
+    )
+
+
+def split_documents(documents: list[bytes]) -> Iterator[Delta]:
+    """Spread documents over messages of a bounded size, all but the last partial."""
+    for start in range(0, max(len(documents), 1), DOCUMENTS_PER_DELTA):
+        end = start + DOCUMENTS_PER_DELTA
+        yield Delta(documents=documents[start:end], partial=end < len(documents))
+
+
+def encode_instance(instance: Instance) -> InstanceEntry:
+    """Turn an entry of the instance list into its message."""
+    return InstanceEntry(
+        id=instance.id,
+        role=instance.role.value,
+        host=instance.inner.host,
+        port=instance.inner.port,
+        peer_port=instance.peer_port,
+        region=instance.region,
+        failure_domain=instance.failure_domain,
+        leaving=instance.leaving,
+    )
+
+
+def decode_instances(entries: Iterable[InstanceEntry]) -> dict[str, Instance]:
+    """Read entries of the instance list.
+
+    :raises UnreadableMessageError: for a role that is unknown.
+    """
+    return {
+        entry.id: Instance(
+            id=entry.id,
+            role=_read_role(entry.role),
+            inner=Endpoint(host=entry.host, port=entry.port),
+            peer_port=entry.peer_port,
+            region=entry.region,
+            failure_domain=entry.failure_domain,
+            leaving=entry.leaving,
+        )
+        for entry in entries
+    }
+
+
+def _read_role(text: str) -> Role:
+    try:
+        return Role(text)
+    except ValueError:
+        raise UnreadableMessageError(f"role {text!r} is unknown") from None
--- a/packages/daisygauge-control/src/daisygauge_control/_platform.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_platform.py
@@ -72,6 +72,13 @@
         """
         ...
 
+    async def read_keys(self) -> RecordsSnapshot:
+        """Read the key records alone, at once.
+
+        :raises PlatformUnavailableError: when no server answers.
+        """
+        ...
+
     async def read_instances(self, *, after: int) -> InstancesSnapshot:
         """Read the instance list.
 
--- a/packages/daisygauge-control/src/daisygauge_control/_source.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_source.py
@@ -2,141 +2,146 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
-from collections.abc import Awaitable, Callable, Sequence
-from typing import TypeVar
+import time
+from collections.abc import Callable, Sequence
 
-from ._backoff import backoff_seconds
+from grpclib.server import Server
+
+from daisygauge_records import Role
+from daisygauge_wire.control_pb2 import StatusAnswer, StatusRequest
+
+from ._budget import ControlBudget
 from ._consul import ConsulReader
-from ._events import Observe, PlatformLost, PlatformRegained, ignore_event
-from ._platform import (
-    NO_INDEX,
-    InstancesSnapshot,
-    PlatformReader,
-    PlatformUnavailableError,
-    RecordsSnapshot,
-    next_index,
-)
+from ._credentials import authenticate_server
+from ._events import Observe, RecordRefused, ignore_event
+from ._member import EVERYTHING, Member
+from ._node import Node
+from ._platform import PlatformReader
+from ._service import ControlService
+from ._signal import Signal
 from ._state import ConfigurationState
+from ._status import answer_status
+from ._steering import Steering
 from ._view import ConfigurationView
-
-READ_AGAIN_SECONDS = 0.5
-"""Pause before a read that does not wait, against reading without end."""
-
-Snapshot = TypeVar("Snapshot", RecordsSnapshot, InstancesSnapshot)
+from ._watch import PlatformWatch
 
 
 class ConfigurationSource:
-    """Watches the platform and offers the configuration in force.
+    """Offers the configuration in force, from the platform and from peers.
+
+    Without a member it watches the platform by itself and follows nobody.
 
-    :ivar ready: True once records and instances have both been read.
+    :param member: who this daemon is.
+    :param clock: Unix time in seconds, for calls between daemons.
     """
 
     def __init__(
         self,
         *,
         reader: PlatformReader,
+        member: Member | None = None,
         observe: Observe = ignore_event,
         rng: random.Random | None = None,
+        clock: Callable[[], float] = time.time,
     ) -> None:
+        service = EVERYTHING if member is None else member.service
+        rng = rng or random.Random()
         self.reader = reader
+        self.member = member
         self.observe = observe
-        self.state = ConfigurationState(observe=observe)
-        self.records_read = False
-        self.instances_read = False
-        self._rng = rng or random.Random()
-        self._changed = asyncio.Event()
+        self.changed = Signal()
+        self.budget = ControlBudget()
+        self.state = ConfigurationState(
+            service=service, observe=observe, changed=self.changed
+        )
+        self.watch = PlatformWatch(
+            reader=reader,
+            state=self.state,
+            budget=self.budget,
+            observe=observe,
+            rng=rng,
+        )
+        self.node = Node(
+            member=member or _LONE_MEMBER,
+            state=self.state,
+            budget=self.budget,
+            changed=self.changed,
+            is_ready=lambda: self.ready,
+            clock=clock,
+        )
+        self.steering = Steering(
+            node=self.node, watch=self.watch, observe=observe, rng=rng
+        )
 
     @property
     def view(self) -> ConfigurationView:
         """The configuration in force."""
         return self.state.view
 
+    @property
+    def refused(self) -> dict[str, RecordRefused]:
+        """Records that are refused now, with the reasons, by name."""
+        return self.state.refused
+
     @property
     def ready(self) -> bool:
         """Whether the configuration may be acted on."""
-        return self.records_read and self.instances_read
+        if self.member is None:
+            return self.watch.records_read and self.watch.instances_read
+        return self.steering.settled
+
+    def services(self) -> list[ControlService]:
+        """Return what the daemon's grpc server has to serve."""
+        return [ControlService(node=self.node, answer_status=self.answer_status)]
+
+    def authenticate(self, server: Server) -> None:
+        """Refuse every call to a server that no key in force has signed."""
+        authenticate_server(
+            server,
+            receiver=self.node.member.id,
+            keys=lambda: self.node.keys,
+            clock=self.node.clock,
+        )
+
+    async def answer_status(self, request: StatusRequest) -> StatusAnswer:
+        """Tell how far the fleet has come, or this failure domain alone."""
+        return await answer_status(
+            request, node=self.node, links=self.steering.links.links
+        )
 
     async def run(self) -> None:
         """Keep the configuration up to date until cancelled."""
         try:
-            async with asyncio.TaskGroup() as tasks:
-                tasks.create_task(self._watch_records())
-                tasks.create_task(self._watch_instances())
+            if self.member is None:
+                await self.watch.run()
+            else:
+                await self.steering.run()
         finally:
             await self.reader.close()
 
     async def wait_for_change(self, *, after: int) -> ConfigurationView:
         """Wait until a view later than a version is in force and return it."""
         while self.view.version <= after:
-            await self._changed.wait()
+            await self.changed.wait()
         return self.view
 
-    async def _watch_records(self) -> None:
-        await self._watch(self.reader.read_records, self._take_records)
-
-    async def _watch_instances(self) -> None:
-        await self._watch(self.reader.read_instances, self._take_instances)
-
-    async def _watch(
-        self,
-        read: Callable[..., Awaitable[Snapshot]],
-        take: Callable[[Snapshot], None],
-    ) -> None:
-        after = NO_INDEX
-        failures = 0
-        while True:
-            try:
-                snapshot = await read(after=after)
-            except PlatformUnavailableError as error:
-                failures += 1
-                # Another server, or a restarted one, has indexes of its own.
-                after = NO_INDEX
-                await self._wait_after_failure(error, failures)
-                continue
-            if failures:
-                self.observe(PlatformRegained(failures=failures))
-            failures = 0
-            after = next_index(after=after, seen=snapshot.index)
-            take(snapshot)
-            if after == NO_INDEX:
-                await asyncio.sleep(READ_AGAIN_SECONDS)
-
-    async def _wait_after_failure(
-        self, error: PlatformUnavailableError, failures: int
-    ) -> None:
-        seconds = backoff_seconds(failures, rng=self._rng)
-        self.observe(
-            PlatformLost(
-                address=error.address, reason=error.reason, retry_seconds=seconds
-            )
-        )
-        await asyncio.sleep(seconds)
-
-    def _take_records(self, snapshot: RecordsSnapshot) -> None:
-        changed = self.state.apply_records(snapshot.records)
-        self.records_read = True
-        self._notify(changed)
-
-    def _take_instances(self, snapshot: InstancesSnapshot) -> None:
-        changed = self.state.apply_instances(snapshot.instances)
-        self.instances_read = True
-        self._notify(changed)
 
-    def _notify(self, changed: bool) -> None:
-        if not changed:
-            return
-        self._changed.set()
-        self._changed = asyncio.Event()
+_LONE_MEMBER = Member(id="", role=Role.BALANCER, region="", failure_domain="")
 
 
 def create_configuration_source(
-    *, platform: Sequence[str], observe: Observe = ignore_event
+    *,
+    platform: Sequence[str],
+    member: Member | None = None,
+    observe: Observe = ignore_event,
 ) -> ConfigurationSource:
-    """Build a source that watches a platform through Consul's HTTP interface.
+    """Build a source that reads a platform through Consul's HTTP interface.
 
     :param platform: base addresses of the platform's servers.
+    :param member: who this daemon is; None to watch the platform alone.
     :param observe: is told what happens, to log and count it.
     """
-    return ConfigurationSource(reader=ConsulReader(addresses=platform), observe=observe)
+    return ConfigurationSource(
+        reader=ConsulReader(addresses=platform), member=member, observe=observe
+    )
--- a/packages/daisygauge-control/src/daisygauge_control/_state.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_state.py
@@ -9,10 +9,10 @@
 import attrs
 
 from daisygauge_records import (
-    Applied,
     Conflict,
     Instance,
     Key,
+    MergeOutcome,
     Record,
     RecordError,
     RecordStore,
@@ -30,7 +30,10 @@
     RevisionConflict,
     ignore_event,
 )
+from ._journal import Journal
+from ._member import EVERYTHING, group_of, is_wanted
 from ._platform import PublishedRecord
+from ._signal import Signal
 from ._uniqueness import refuse_duplicates
 from ._view import ConfigurationView
 
@@ -40,13 +43,24 @@
 class ConfigurationState:
     """Merges what is read into one store and builds views of it.
 
+    :param service: the service whose records are wanted, or ``EVERYTHING``.
+    :param changed: is notified of every change of records or instances.
     :ivar view: the configuration in force.
     :ivar refused: records that are refused now, by name.
     """
 
-    def __init__(self, *, observe: Observe = ignore_event) -> None:
+    def __init__(
+        self,
+        *,
+        service: str = EVERYTHING,
+        observe: Observe = ignore_event,
+        changed: Signal | None = None,
+    ) -> None:
+        self.service = service
+        self.changed = changed or Signal()
         self.view = ConfigurationView()
         self.store = RecordStore()
+        self.journal = Journal()
         self.observe = observe
         self.unreadable: dict[str, RecordRefused] = {}
         self.duplicates: dict[str, RecordRefused] = {}
@@ -60,45 +74,77 @@
         return {entry.name: entry for entry in refused}
 
     def apply_records(self, published: Iterable[PublishedRecord]) -> bool:
-        """Merge published records; an invalid one leaves the last good in force.
+        """Merge what the platform holds; an invalid record changes nothing.
 
         :return: True when a new view is in force.
         """
         changed = False
         for entry in published:
             content = hash(entry.document)
-            if self._seen.get(entry.name) != content:
-                self._seen[entry.name] = content
-                changed |= self._apply_document(entry)
+            if self._seen.get(entry.name) == content:
+                continue
+            self._seen[entry.name] = content
+            record = self._parse(entry.document, name=entry.name)
+            if record is not None:
+                self.unreadable.pop(f"{record.kind}/{record.id}", None)
+                changed |= self._apply_record(record)
         return changed and self._rebuild()
 
+    def apply_documents(self, documents: Iterable[bytes]) -> bool:
+        """Merge records that a peer holds.
+
+        :return: True when a new view is in force.
+        """
+        records = [self._parse(document, name="peer") for document in documents]
+        # A list, since every record has to be merged.
+        changed = [
+            self._apply_record(record) for record in records if record is not None
+        ]
+        return any(changed) and self._rebuild()
+
     def apply_instances(self, instances: Iterable[Instance]) -> bool:
         """Replace the instance list.
 
         :return: True when a new view is in force.
         """
-        by_id = {instance.id: instance for instance in instances}
-        if by_id == self.view.instances:
+        known = self.view.instances
+        # Equal entries are kept, so that peers compare them by identity.
+        by_id = {
+            entry.id: known[entry.id] if known.get(entry.id) == entry else entry
+            for entry in instances
+        }
+        if by_id == known:
             return False
         self._set_view(attrs.evolve(self.view, instances=by_id))
         return True
 
-    def _apply_document(self, entry: PublishedRecord) -> bool:
+    def _parse(self, document: bytes, *, name: str) -> Record | None:
         try:
-            record = parse_record(entry.document, name=entry.name)
+            return parse_record(document, name=name)
         except RecordError as error:
             refused = RecordRefused(name=error.name, problems=error.problems)
-            self.unreadable[entry.name] = refused
-            self.observe(refused)
-            return False
-        self.unreadable.pop(entry.name, None)
-        return self._apply_record(record)
+            if self.unreadable.get(error.name) != refused:
+                self.unreadable[error.name] = refused
+                self.observe(refused)
+            return None
 
     def _apply_record(self, record: Record) -> bool:
+        id = (record.kind, record.id)
+        wanted = is_wanted(group_of(record), service=self.service)
+        if not wanted and id not in self.store.records:
+            return False
         outcome = self.store.apply(record)
+        if self.store.records[id] is not record:
+            self._report_conflict(outcome)
+            return False
+        self.unreadable.pop(f"{record.kind}/{record.id}", None)
+        self._report_conflict(outcome)
+        self.journal.note(record)
+        self.changed.notify()
+        return True
+
+    def _report_conflict(self, outcome: MergeOutcome) -> None:
         match outcome:
-            case Applied():
-                return True
             case Conflict(kept=kept, dropped=dropped):
                 self.observe(
                     RevisionConflict(
@@ -108,9 +154,6 @@
                         dropped=dropped.digest,
                     )
                 )
-                return kept is record
-            case _:
-                return False
 
     def _rebuild(self) -> bool:
         specs = [record.spec for record in self.store.records.values()]
@@ -149,6 +192,7 @@
 
     def _set_view(self, view: ConfigurationView) -> None:
         self.view = attrs.evolve(view, version=self.view.version + 1)
+        self.changed.notify()
         self.observe(
             ConfigurationChanged(
                 version=self.view.version,
--- a/packages/daisygauge-wire/src/daisygauge_wire/_keyring.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_keyring.py
@@ -45,6 +45,9 @@
         self.peer_call = derive_key(
             secret=secret, purpose=b"peer-call", size=DERIVED_KEY_BYTES
         )
+        self.peer_call_seal = derive_key(
+            secret=secret, purpose=b"peer-call-seal", size=DERIVED_KEY_BYTES
+        )
         block_key = derive_key(secret=secret, purpose=b"cid-aes", size=CIPHER_KEY_BYTES)
         cipher = Cipher(algorithms.AES(block_key), modes.ECB())
         # One block a call: an ECB context keeps no state between whole blocks.
--- a/testing/control/fakes.py
+++ b/testing/control/fakes.py
@@ -89,6 +89,13 @@
         self.down = down
         self._wake()
 
+    def freeze(self):
+        self.stale = (self.index, dict(self.records), dict(self.instances))
+
+    def thaw(self):
+        self.stale = None
+        self._wake()
+
     def restart(self):
         self.index = 0
         self._advance()
@@ -97,6 +104,11 @@
         await self._wait(after)
         return RecordsSnapshot(index=self.index, records=tuple(self.records.values()))
 
+    async def read_keys(self):
+        await self._wait(0)
+        keys = (e for e in self.records.values() if e.name.startswith("records/key/"))
+        return RecordsSnapshot(index=self.index, records=tuple(keys))
+
     async def read_instances(self, *, after):
         await self._wait(after)
         instances = tuple(self.instances.values())
--- a/testing/control/test_source.py
+++ b/testing/control/test_source.py
@@ -22,9 +22,7 @@
 
 @pytest.fixture(autouse=True)
 def no_back_off(monkeypatch):
-    monkeypatch.setattr(
-        "daisygauge_control._source.backoff_seconds", lambda *_, **__: 0
-    )
+    monkeypatch.setattr("daisygauge_control._watch.backoff_seconds", lambda *_, **__: 0)
 
 
 @contextlib.asynccontextmanager
