Add daisygaugectl check and events, and log configuration changes

A configuration that became ready without a change of its version was never noticed: the daemon waited for the next change. Readiness is now asked for until it holds, and balancers apply every view, whether or not it is complete; the readiness endpoint keeps traffic away until it is.

--- /dev/null
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_commands.py
@@ -0,0 +1,23 @@
+"""The commands by name."""
+
+from __future__ import annotations
+
+from ._check import CHECK
+from ._command import PROGRAM, Command
+from ._events import EVENTS
+
+COMMANDS: dict[str, Command] = {command.name: command for command in (CHECK, EVENTS)}
+
+
+def describe_commands() -> str:
+    """Return the help of the program."""
+    lines = [f"usage: {PROGRAM} COMMAND [FLAGS] [ARGUMENTS]", "", "Commands:"]
+    lines += [f"  {name}: {command.summary}" for name, command in COMMANDS.items()]
+    lines += [
+        "",
+        f"{PROGRAM} COMMAND --help describes a command. No command acts on a daemon:",
+        "publish records and watch the fleet converge.",
+        "",
+        "Exit codes: 0 done, 1 a problem was found, 2 misuse.",
+    ]
+    return "\n".join(lines)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_balancer.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_balancer.py
@@ -81,8 +81,7 @@
         source = self.runtime.source
         view = source.view
         while True:
-            if source.ready:
-                await self.apply(view)
+            await self.apply(view)
             view = await source.wait_for_change(after=view.version)
 
     async def apply(self, view: ConfigurationView) -> None:
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_runtime.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_runtime.py
@@ -7,11 +7,11 @@
 import time
 import traceback
 from collections.abc import Coroutine
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import Any, Protocol
 
 from prometheus_client import CollectorRegistry
 
-from daisygauge_control import ConfigurationView
+from daisygauge_control import ConfigurationSource, ConfigurationView
 
 from . import _events as events
 from ._events import EventLog, Level
@@ -20,12 +20,10 @@
 from ._readiness import Readiness
 from ._settings import Settings
 
-if TYPE_CHECKING:
-    from daisygauge_control import ConfigurationSource
-
 EXIT_STOPPED = 0
 EXIT_FAILED = 1
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+READY_CHECK_SECONDS = 0.05
 INCARNATIONS_PER_SECOND = 10
 FIRST_INCARNATION_AT = 1_767_225_600.0
 """Unix time in seconds of 2026-01-01, from which incarnations are counted."""
@@ -40,6 +38,11 @@
     return int(elapsed * INCARNATIONS_PER_SECOND) + 1
 
 
+def create_log(settings: Settings) -> EventLog:
+    """Build the log that the settings ask for."""
+    return EventLog(level=Level[settings.log.level.upper()])
+
+
 class Role(Protocol):
     """What a daemon does once it runs."""
 
@@ -58,17 +61,25 @@
 
     :param settings: settings of this process.
     :param source: configuration in force; ``run`` is one of the daemon's tasks.
+    :param log: where events go, made from the settings when absent.
+    :param registry: metrics of this daemon, made new when absent.
     :param incarnation: number of this start of the process.
     """
 
     def __init__(
-        self, *, settings: Settings, source: ConfigurationSource, incarnation: int
+        self,
+        *,
+        settings: Settings,
+        source: ConfigurationSource,
+        incarnation: int,
+        log: EventLog | None = None,
+        registry: CollectorRegistry | None = None,
     ) -> None:
         self.settings = settings
         self.source = source
         self.incarnation = incarnation
-        self.log = EventLog(level=Level[settings.log.level.upper()])
-        self.registry = CollectorRegistry()
+        self.log = log or create_log(settings)
+        self.registry = registry or CollectorRegistry()
         self.readiness = Readiness(unmet={"configuration"})
         self.metrics = RuntimeMetrics(registry=self.registry, readiness=self.readiness)
         self.metrics.daemon.info(
@@ -128,9 +139,9 @@
 
     async def follow_readiness(self) -> None:
         """Report the configuration as ready once there is one."""
-        view = self.view
         while not self.source.ready:
-            view = await self.source.wait_for_change(after=view.version)
+            await asyncio.sleep(READY_CHECK_SECONDS)
+        view = self.view
         self.log.write(
             events.CONFIGURATION_READY,
             version=view.version,
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_settings.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_settings.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from ipaddress import IPv4Address
-from typing import Any, Literal
+from typing import Any
 
 from attrs import Attribute, field, frozen, validators
 
 DEFAULT_HEALTH_PATH = "/health"
 DEFAULT_LOAD_PATH = "/load"
+LOG_LEVELS = ("debug", "info", "warning", "error")
 MAX_PORT = 65_535
 
 
@@ -16,12 +17,12 @@
     try:
         IPv4Address(value)
     except ValueError as error:
-        raise ValueError(f"{attribute.name}: give a dotted IPv4 address") from error
+        raise ValueError(f"{attribute.name}: no dotted IPv4 address") from error
 
 
 def _check_port(instance: Any, attribute: Attribute, value: int) -> None:
     if not 0 < value <= MAX_PORT:
-        raise ValueError(f"{attribute.name}: give a port from 1 to {MAX_PORT}")
+        raise ValueError(f"{attribute.name}: no port from 1 to {MAX_PORT}")
 
 
 @frozen(kw_only=True)
@@ -31,7 +32,7 @@
     :param level: events below this level are left out.
     """
 
-    level: Literal["debug", "info", "warning", "error"] = "info"
+    level: str = field(default="info", validator=validators.in_(LOG_LEVELS))
 
 
 @frozen(kw_only=True)
@@ -87,7 +88,7 @@
         each service's own address.
     """
 
-    role: Literal["balancer"]
+    role: str = field(validator=validators.in_(("balancer",)))
     outer_host: str | None = field(
         default=None, validator=validators.optional(_check_host)
     )
@@ -100,7 +101,7 @@
     :param service: id of the one service that the agent serves.
     """
 
-    role: Literal["agent"]
+    role: str = field(validator=validators.in_(("agent",)))
     service: str
     upstream: UpstreamSettings
     tls: TlsSettings
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/main.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/main.py
@@ -9,12 +9,17 @@
 import aiomisc
 import uvloop
 from absl import flags
+from prometheus_client import CollectorRegistry
+
+from daisygauge_control import create_configuration_source
+from daisygauge_records import SettingsError
 
 from ._command_line import MisuseError, new_flags, parse_flags, report_misuse
+from ._configuration import ConfigurationObserver
 from ._events import write_events_to
-from ._runtime import EXIT_FAILED, Role, Runtime, new_incarnation, run_role
+from ._runtime import EXIT_FAILED, Role, Runtime, create_log, new_incarnation, run_role
 from ._settings import AgentSettings, BalancerSettings, Settings
-from ._settings_file import SettingsError, load_settings
+from ._settings_file import load_settings
 
 USAGE = """usage: daisygauged --settings=FILE
 
@@ -75,12 +80,17 @@
     :return: the exit code.
     :raises OSError: an address can't be bound.
     """
-    from daisygauge_control import create_configuration_source
-
+    log = create_log(settings)
+    registry = CollectorRegistry()
+    observer = ConfigurationObserver(log=log, registry=registry)
     runtime = Runtime(
         settings=settings,
-        source=create_configuration_source(platform=settings.platform),
+        source=create_configuration_source(
+            platform=settings.platform, observe=observer
+        ),
         incarnation=new_incarnation(now=time.time()),
+        log=log,
+        registry=registry,
     )
     with aiomisc.entrypoint(
         runtime.operations_service(),
--- /dev/null
+++ b/testing/ctl/test_check.py
@@ -0,0 +1,82 @@
+import json
+
+import pytest
+
+from daisygauge_ctl.main import run_command
+
+SERVICE = {
+    "kind": "service",
+    "id": "order-desk",
+    "schema_version": 2,
+    "revision": 3,
+    "spec": {"number": 1, "address": {"host": "127.40.2.1", "port": 4433}},
+}
+
+
+@pytest.fixture
+def write(tmp_path):
+    def write_file(name, value):
+        path = tmp_path / name
+        path.write_text(json.dumps(value))
+        return str(path)
+
+    return write_file
+
+
+def changed(record, **changes):
+    return record | changes
+
+
+def check(*arguments):
+    return run_command(["daisygaugectl", "check", *arguments])
+
+
+def test_a_valid_record_is_shown_with_its_defaults(write, capsys):
+    code = check(write("a.json", SERVICE))
+
+    output = capsys.readouterr().out
+    assert code == 0
+    assert "service/order-desk revision 3" in output
+    assert '"retry_share": 0.1' in output
+
+
+def test_a_fault_is_named_with_its_field(write, capsys):
+    spec = SERVICE["spec"] | {"nmber": 4}
+
+    code = check(write("a.json", [changed(SERVICE, spec=spec)]))
+
+    assert code == 1
+    assert "nmber" in capsys.readouterr().out
+
+
+def test_a_change_is_shown_against_what_is_in_force(write, capsys):
+    spec = SERVICE["spec"] | {"retry_share": 0.2}
+    new = changed(SERVICE, revision=4, spec=spec)
+
+    code = check(f"--against={write('old.json', SERVICE)}", write("new.json", new))
+
+    output = capsys.readouterr().out
+    assert code == 0
+    assert '-  "retry_share": 0.1' in output
+    assert '+  "retry_share": 0.2' in output
+
+
+def test_a_revision_that_would_not_take_effect_is_a_problem(write, capsys):
+    spec = SERVICE["spec"] | {"retry_share": 0.2}
+    new = changed(SERVICE, spec=spec)
+
+    code = check(f"--against={write('old.json', SERVICE)}", write("new.json", new))
+
+    assert code == 1
+    assert "publish revision 4" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize("field", ["number", "address"])
+def test_services_that_share_what_must_be_unique_are_a_problem(write, capsys, field):
+    other = {"number": 2, "address": {"host": "127.40.2.1", "port": 4434}}
+    other[field] = SERVICE["spec"][field]
+
+    code = check(write("a.json", [SERVICE, changed(SERVICE, id="b", spec=other)]))
+
+    assert code == 1
+    assert field in capsys.readouterr().out
