--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,7 @@
 # Keeps a fleet up until Ctrl-C; FLEET_FILE names a file for its description.
 fleet: setup
 	$(BIN)/python -m daisygauge_emulator.fleet
+
+# Runs every scenario of docs/PROMISES.md against real processes.
+proof: setup
+	$(BIN)/behave --no-capture --format=progress3 testing/proof/features
--- /dev/null
+++ b/testing/proof/steps/fleet.py
@@ -0,0 +1,91 @@
+"""Steps that start fleets and stop, freeze or replace their processes."""
+
+import asyncio
+
+from behave import given, when
+
+
+@given("a fleet with {balancers:d} balancers and {hosts:d} hosts a service")
+def start_fleet(context, balancers, hosts):
+    sizes = {"order-desk": hosts, "pattern-library": hosts}
+    context.run(context.scene.start_fleet(hosts=sizes, balancers=balancers))
+
+
+def find_balancer(context, number):
+    return list(context.scene.fleet.balancers.values())[number - 1]
+
+
+def find_host(context, number, service):
+    return context.scene.fleet.hosts_of(service)[number - 1]
+
+
+@when("balancer {number:d} is killed")
+def kill_balancer(context, number):
+    context.run(find_balancer(context, number).process.kill())
+
+
+@when("balancer {number:d} starts again")
+def restart_balancer(context, number):
+    balancer = find_balancer(context, number)
+    context.run(context.scene.fleet.restart_balancer(balancer))
+
+
+@when("balancer {number:d} is frozen")
+def freeze_balancer(context, number):
+    process = find_balancer(context, number).process
+    context.scene.frozen.append(process)
+    process.freeze()
+
+
+@when("balancer {number:d} wakes")
+def wake_balancer(context, number):
+    find_balancer(context, number).process.wake()
+
+
+@when("every balancer is replaced in turn")
+def replace_balancers(context):
+    fleet = context.scene.fleet
+    for balancer in list(fleet.balancers.values()):
+        code = context.run(fleet.replace_balancer(balancer))
+        context.scene.exit_codes.append(code)
+        context.run(fleet.stand_ins.wait_live(set(fleet.balancers)))
+
+
+@when("host {number:d} of {service} drains")
+def drain_host(context, number, service):
+    host = find_host(context, number, service)
+    codes = context.run(context.scene.fleet.drain_host(host))
+    context.scene.exit_codes.extend(codes)
+
+
+@when("the agent of host {number:d} of {service} is killed")
+def kill_agent(context, number, service):
+    context.run(find_host(context, number, service).agent.kill())
+
+
+@when("the agent of host {number:d} of {service} starts again")
+def restart_agent(context, number, service):
+    host = find_host(context, number, service)
+    context.run(context.scene.fleet.restart_agent(host))
+
+
+@when("the agent of host {number:d} of {service} is frozen")
+def freeze_agent(context, number, service):
+    process = find_host(context, number, service).agent
+    context.scene.frozen.append(process)
+    process.freeze()
+
+
+@when("the agent of host {number:d} of {service} wakes")
+def wake_agent(context, number, service):
+    find_host(context, number, service).agent.wake()
+
+
+@when("the upstream of host {number:d} of {service} is killed")
+def kill_upstream(context, number, service):
+    context.run(find_host(context, number, service).upstream.kill())
+
+
+@when("{seconds:g} seconds pass")
+def wait(context, seconds):
+    context.run(asyncio.sleep(seconds))
--- /dev/null
+++ b/testing/proof/steps/network.py
@@ -0,0 +1,87 @@
+"""Steps that disturb the fabric and the platform."""
+
+from behave import when
+
+from daisygauge_emulator.fleet import StandIns
+
+
+def stand_ins(context) -> StandIns:
+    return context.scene.fleet.stand_ins
+
+
+def set_faults(context, **faults):
+    context.run(stand_ins(context).set_fabric_faults(**faults))
+
+
+@when("the fabric loses {percent:d}% of all packets")
+def lose(context, percent):
+    set_faults(context, loss=percent / 100)
+
+
+@when("the fabric doubles {percent:d}% of all packets")
+def double(context, percent):
+    set_faults(context, duplicate=percent / 100)
+
+
+@when("the fabric delays packets by {milliseconds:d} ms and reorders {percent:d}%")
+def reorder(context, milliseconds, percent):
+    set_faults(
+        context,
+        delay_ms=milliseconds,
+        jitter_ms=milliseconds,
+        reorder=percent / 100,
+    )
+
+
+@when("the fabric loses, doubles and reorders {percent:d}% of all packets")
+def disturb(context, percent):
+    share = percent / 100
+    set_faults(context, loss=share, duplicate=share, reorder=share)
+
+
+@when("the fabric is sound again")
+def heal(context):
+    set_faults(context)
+
+
+@when("callers are split between balancer {first:d} and the others")
+def partition(context, first):
+    ids = list(context.scene.fleet.balancers)
+    chosen = ids.pop(first - 1)
+    set_faults(context, groups=[[chosen], ids])
+
+
+@when("nothing from balancer {number:d} reaches callers")
+def cut_out(context, number):
+    id = list(context.scene.fleet.balancers)[number - 1]
+    set_faults(context, cuts={id: "out"})
+
+
+@when("the fabric forgets all present callers of {service}")
+def forget(context, service):
+    context.run(stand_ins(context).forget_callers(service=service))
+
+
+@when("the fabric forgets how to reach the present callers of {service}")
+def forget_out(context, service):
+    context.run(stand_ins(context).forget_callers(service=service, direction="out"))
+
+
+@when("the platform goes down")
+def platform_down(context):
+    context.run(stand_ins(context).set_platform_faults(down=True))
+
+
+@when("the platform serves old records")
+def platform_stale(context):
+    context.run(stand_ins(context).set_platform_faults(stale=True))
+
+
+@when("the platform is sound again")
+def platform_sound(context):
+    context.run(stand_ins(context).set_platform_faults(down=False, stale=False))
+
+
+@when("the instance list lags by {seconds:d} seconds")
+def list_lags(context, seconds):
+    context.run(stand_ins(context).set_platform_faults(list_lag_seconds=seconds))
--- /dev/null
+++ b/testing/proof/steps/promises.py
@@ -0,0 +1,101 @@
+"""Steps that check what must always hold."""
+
+import asyncio
+
+from behave import then
+
+from daisygauge_emulator.caller import Answered, NotRun, Unknown
+
+OUTCOMES = {"answered": Answered, "not run": NotRun, "unknown": Unknown}
+
+
+@then("no feed is broken")
+def no_feed_broken(context):
+    breaks = [reason for report in context.scene.reports for reason in report.breaks]
+    assert not breaks, breaks
+
+
+@then("every feed goes on within {seconds:d} seconds")
+def feeds_go_on(context, seconds):
+    scene = context.scene
+    before = [report.events for report in scene.reports]
+
+    def all_grew():
+        return all(
+            report.events > count
+            for report, count in zip(scene.reports, before, strict=True)
+        )
+
+    assert context.run(scene.until(all_grew, seconds=seconds)), (
+        f"events before {before}, after {[r.events for r in scene.reports]}"
+    )
+
+
+@then("no feed was silent for more than {seconds:g} seconds")
+def feeds_not_silent(context, seconds):
+    silences = [report.longest_silence_seconds for report in context.scene.reports]
+    assert max(silences) <= seconds, silences
+
+
+@then("every request has a true outcome")
+def outcomes_true(context):
+    account = context.scene.account()
+    assert account.requests > 0
+    assert account.complete, account.notes
+    assert account.truthful, account.notes
+
+
+@then("every request is answered whole")
+def all_answered(context):
+    account = context.scene.account()
+    assert account.requests > 0
+    assert account.answered_whole == account.requests, account
+    assert account.truthful, account.notes
+
+
+@then("no request has an unknown outcome")
+def none_unknown(context):
+    account = context.scene.account()
+    assert account.unknown == 0, account.notes
+
+
+@then("nothing reached another service")
+def nothing_misdelivered(context):
+    account = context.scene.account()
+    assert account.misdelivered == 0, account.notes
+
+
+@then("no order runs twice")
+def no_duplicates(context):
+    account = context.scene.account()
+    assert account.duplicate_runs == 0, account.notes
+
+
+@then("key {key} ran {times:d} time")
+@then("key {key} ran {times:d} times")
+def key_ran(context, key, times):
+    runs = [run for run in context.scene.runs() if run.idempotency_key == key]
+    assert len(runs) == times, runs
+
+
+@then("the outcome of {name} is {outcome}")
+def has_outcome(context, name, outcome):
+    seen = context.run(context.scene.outcome(name))
+    assert isinstance(seen, OUTCOMES[outcome]), seen
+
+
+@then("every planned stop ended with exit code 0")
+def stops_graceful(context):
+    assert context.scene.exit_codes
+    assert not any(context.scene.exit_codes), context.scene.exit_codes
+
+
+@then("no new run starts on host {number:d} of {service} {seconds:g} seconds later")
+def no_new_work(context, number, service, seconds):
+    scene = context.scene
+    host = scene.fleet.hosts_of(service)[number - 1]
+    context.run(asyncio.sleep(seconds))
+    before = len(scene.fleet.ledger(host))
+    context.run(asyncio.sleep(seconds))
+    after = len(scene.fleet.ledger(host))
+    assert after == before, f"{after - before} runs started late on {host.id}"
