Keep two fleets on one machine from sharing addresses

Cause: the block of a fleet was derived from its process id plus a number, so the second fleet of one process had the block of the first fleet of the next process id. Seen as 'certificate signature failure' and an upstream that ended early. Ruled out: the drain itself, which ends with exit code 0 on a block of its own. The block is now claimed with a bound port for the life of the process; the test was red before (five equal blocks).

--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_deployment.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import socket
 
 from attrs import evolve, frozen
 
@@ -15,12 +16,15 @@
 UPSTREAM_PORT = 8080
 PLATFORM_PORT = 8500
 FABRIC_PORT = 8501
+CLAIM_HOST = 1
+CLAIM_PORT = 8499
 FIRST_SERVICE = 10
 FIRST_BALANCER = 20
 FIRST_HOST = 100
 _FIRST_FREE_NETWORK = 128
 _FREE_NETWORKS = 100
 _NETWORKS_PER_BLOCK = 250
+_FLEETS_PER_PROCESS = 16
 
 
 @frozen(kw_only=True)
@@ -117,6 +121,21 @@
 DEPLOYMENTS = {deployment.id: deployment for deployment in (KUISEB, BRANNOCK)}
 
 
+_claims: list[socket.socket] = []
+
+
+def _claim(block: str) -> bool:
+    """Bind a port of a block, which excludes other processes until this one ends."""
+    claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        claim.bind((f"{block}.{CLAIM_HOST}", CLAIM_PORT))
+    except OSError:
+        claim.close()
+        return False
+    _claims.append(claim)
+    return True
+
+
 @frozen(kw_only=True)
 class AddressPlan:
     """Loopback addresses of one fleet.
@@ -128,13 +147,20 @@
 
     @classmethod
     def for_this_process(cls, *, number: int = 0) -> AddressPlan:
-        """Return a block that other processes are unlikely to use.
+        """Return a block that no other fleet uses while this process lives.
 
-        :param number: tells the fleets of one process apart.
+        :param number: where the search starts, for the fleets of one process.
+        :raises RuntimeError: every block is taken.
         """
-        place = os.getpid() + number
-        network = _FIRST_FREE_NETWORK + place // _NETWORKS_PER_BLOCK % _FREE_NETWORKS
-        return cls(block=f"127.{network}.{place % _NETWORKS_PER_BLOCK}")
+        blocks = _FREE_NETWORKS * _NETWORKS_PER_BLOCK
+        start = os.getpid() * _FLEETS_PER_PROCESS + number
+        for step in range(blocks):
+            place = (start + step) % blocks
+            network = _FIRST_FREE_NETWORK + place // _NETWORKS_PER_BLOCK
+            block = f"127.{network}.{place % _NETWORKS_PER_BLOCK}"
+            if _claim(block):
+                return cls(block=block)
+        raise RuntimeError("every address block is taken; end fleets not needed")
 
     def host(self, number: int) -> str:
         """Return an address of the block."""
