Arm a connection's timer again when it fired a little early

The return path and the keepalive were ruled out: balancers answered probes throughout, and the keepalive hung on the same lost timer.

The handle is now dropped when it fires.

--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_connection.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_connection.py
@@ -162,14 +162,19 @@
         keepalive_at = max(self.last_heard, self.last_ping) + KEEPALIVE_SECONDS
         wanted = min(self.quic_timer, keepalive_at)
         # A timer that fires too early only costs one empty turn.
-        if self.timer is not None and loop.time() < self.timer_at <= wanted:
+        if self.timer is not None and self.timer_at <= wanted:
             return
         if self.timer is not None:
             self.timer.cancel()
         # uvloop returns a handle without a time when the timer is due already.
-        self.timer = loop.call_at(wanted, self.wake.set)
+        self.timer = loop.call_at(wanted, self.on_timer)
         self.timer_at = wanted
 
+    def on_timer(self) -> None:
+        """Wake the task; uvloop calls this up to a millisecond early."""
+        self.timer = None
+        self.wake.set()
+
     def on_id_issued(self, event: ConnectionIdIssued) -> None:
         """Receive packets with a new connection ID."""
         self.owner.add_connection_id(event.connection_id, self)
--- a/testing/agent/test_timer.py
+++ b/testing/agent/test_timer.py
@@ -21,3 +21,32 @@
 
 def test_a_timer_that_is_due_can_be_armed_again_on_the_daemons_loop():
     uvloop.run(asyncio.wait_for(arm_due_timer_twice(), timeout=5))
+
+
+class EarlyLoop:
+    """A loop whose timers fire a little early, as rounded milliseconds do."""
+
+    def __init__(self):
+        self.armed = []
+
+    def time(self):
+        return 100.0
+
+    def call_at(self, when, callback, *arguments):
+        self.armed.append((callback, arguments))
+        return SimpleNamespace(cancel=lambda: None, when=lambda: when)
+
+
+async def test_a_timer_that_fired_early_is_armed_again():
+    loop = EarlyLoop()
+    quic = SimpleNamespace(get_timer=lambda: 100.0005)
+    connection = CallerConnection(quic=quic, owner=None, caller=CALLER, address=CALLER)
+    connection.last_heard = loop.time()
+    connection.arm_timer(loop)
+    callback, arguments = loop.armed.pop()
+
+    callback(*arguments)
+    connection.arm_timer(loop)
+
+    assert connection.wake.is_set()
+    assert len(loop.armed) == 1
