--- /dev/null
+++ b/testing/wire/test_decoders.py
@@ -0,0 +1,210 @@
+import pytest
+from attrs import evolve
+from hypothesis import given, settings, strategies as st
+
+from daisygauge_wire import (
+    AGENT_PART,
+    CONNECTION_ID_BYTES,
+    IDENTITY_PART,
+    ForwardEncoder,
+    Kind,
+    MalformedDatagramError,
+    PacketKind,
+    decode_connection_id,
+    decode_datagram,
+    decode_gauge,
+    encode_connection_id,
+    encode_datagram,
+    encode_gauge,
+    is_reply,
+    open_connection_id,
+    pack_endpoint,
+    read_destination_id,
+    read_packet_header,
+    read_reply,
+    reset_token,
+    unpack_endpoint,
+)
+
+from .strategies import (
+    KEY,
+    KEYS,
+    NOW,
+    OTHER_KEYS,
+    datagrams,
+    endpoints,
+    gauges,
+    routes,
+)
+
+exact = settings(derandomize=True, deadline=None)
+
+
+@exact
+@given(routes)
+def test_an_issued_id_names_its_route_and_no_two_are_equal(route):
+    issued = {encode_connection_id(route=route, key=KEY) for _ in range(3)}
+
+    assert len(issued) == 3
+    assert {decode_connection_id(id, keys=KEYS, now=NOW) for id in issued} == {route}
+
+
+@exact
+@given(routes, st.integers(0, CONNECTION_ID_BYTES * 8 - 1))
+def test_an_id_with_one_bit_changed_is_refused(route, bit):
+    issued = int.from_bytes(encode_connection_id(route=route, key=KEY))
+    changed = (issued ^ 1 << bit).to_bytes(CONNECTION_ID_BYTES)
+
+    assert decode_connection_id(changed, keys=KEYS, now=NOW) is None
+
+
+@exact
+@given(routes)
+def test_an_id_under_another_key_is_refused(route):
+    issued = encode_connection_id(route=route, key=OTHER_KEYS.newest(now=NOW))
+
+    assert decode_connection_id(issued, keys=KEYS, now=NOW) is None
+    assert reset_token(issued, key=KEY) != reset_token(
+        issued, key=OTHER_KEYS.newest(now=NOW)
+    )
+
+
+@exact
+@given(st.binary(max_size=40))
+def test_any_bytes_are_a_route_or_none(data):
+    assert decode_connection_id(data, keys=KEYS, now=NOW) is None
+
+
+@exact
+@given(datagrams)
+def test_a_datagram_is_read_as_it_was_written(datagram):
+    data = encode_datagram(datagram, key=KEY)
+
+    assert decode_datagram(data, keys=KEYS, now=NOW) == datagram
+
+
+@exact
+@given(datagrams.filter(lambda datagram: len(datagram.payload) <= 40), st.data())
+def test_a_datagram_with_one_bit_changed_is_refused(datagram, data):
+    sent = encode_datagram(datagram, key=KEY)
+    bit = data.draw(st.integers(0, len(sent) * 8 - 1))
+    changed = (int.from_bytes(sent) ^ 1 << bit).to_bytes(len(sent))
+
+    with pytest.raises(MalformedDatagramError):
+        decode_datagram(changed, keys=KEYS, now=NOW)
+
+
+@exact
+@given(datagrams, st.integers(1, 60))
+def test_a_datagram_cut_short_is_refused_or_still_signed(datagram, cut):
+    sent = encode_datagram(datagram, key=KEY)
+
+    with pytest.raises(MalformedDatagramError):
+        decode_datagram(sent[:-cut], keys=KEYS, now=NOW)
+
+
+@exact
+@given(st.binary(max_size=200))
+def test_any_bytes_are_a_datagram_or_refused(data):
+    with pytest.raises(MalformedDatagramError):
+        decode_datagram(data, keys=KEYS, now=NOW)
+
+
+@exact
+@given(st.binary(min_size=30, max_size=80))
+def test_signed_nonsense_is_read_or_refused(data):
+    body = bytes([1, data[1], KEY.number]) + data[3:]
+    signed = body + KEY.datagram_tag(body)
+
+    try:
+        decode_datagram(signed, keys=KEYS, now=NOW)
+    except MalformedDatagramError as error:
+        assert error.reason in {"field", "candidates", "short"}
+
+
+@exact
+@given(gauges)
+def test_a_gauge_is_read_as_it_was_written(gauge):
+    assert decode_gauge(encode_gauge(gauge)) == gauge
+
+
+@exact
+@given(st.binary(max_size=64))
+def test_any_bytes_are_a_gauge_or_refused(payload):
+    try:
+        decode_gauge(payload)
+    except ValueError as error:
+        assert "bytes" in str(error)
+
+
+@exact
+@given(st.binary(max_size=64))
+def test_any_bytes_have_a_packet_header_or_none(data):
+    header = read_packet_header(data)
+
+    if header is not None:
+        assert len(header.destination_id) <= CONNECTION_ID_BYTES
+        assert header.destination_id == read_destination_id(data)
+
+
+@exact
+@given(st.binary(min_size=0, max_size=20), st.integers(2, 0xFFFFFFFF))
+def test_a_packet_of_an_unknown_version_counts_as_a_first_flight(id, version):
+    packet = b"\xff" + version.to_bytes(4) + bytes([len(id)]) + id + b"\0"
+
+    header = read_packet_header(packet)
+
+    known_second_version = 0x6B3343CF
+    if version != known_second_version:
+        assert header.kind is PacketKind.FIRST_FLIGHT
+    assert header.destination_id == id
+
+
+@exact
+@given(routes, endpoints, endpoints, endpoints, st.binary(max_size=1_400))
+def test_the_fast_path_writes_what_the_encoder_writes(
+    route, caller, address, sender, packet
+):
+    id = encode_connection_id(route=route, key=KEY)
+    opened = open_connection_id(id, keys=KEYS, now=NOW)
+    encoder = ForwardEncoder(address=address, sender=sender, key=KEY)
+
+    frame = encoder.encode(
+        opened[IDENTITY_PART], pack_endpoint(caller.host, caller.port), packet
+    )
+
+    datagram = decode_datagram(frame, keys=KEYS, now=NOW)
+    assert unpack_endpoint(opened[AGENT_PART]) == (route.agent.host, route.agent.port)
+    assert (datagram.kind, datagram.payload) == (Kind.FORWARD, packet)
+    assert (datagram.service, datagram.incarnation) == (
+        route.service,
+        route.incarnation,
+    )
+    assert (datagram.caller, datagram.address, datagram.sender) == (
+        caller,
+        address,
+        sender,
+    )
+    assert encode_datagram(datagram, key=KEY) == frame
+
+
+@exact
+@given(datagrams)
+def test_the_fast_path_reads_what_the_decoder_reads(datagram):
+    reply = evolve(datagram, kind=Kind.REPLY, candidates=())
+
+    frame = read_reply(encode_datagram(reply, key=KEY), keys=KEYS, now=NOW)
+
+    assert frame.packet == reply.payload
+    assert int.from_bytes(frame.service) == reply.service
+    assert unpack_endpoint(frame.caller) == (reply.caller.host, reply.caller.port)
+
+
+@exact
+@given(st.binary(max_size=100))
+def test_any_bytes_that_claim_to_be_a_reply_are_refused(data):
+    claimed = bytes([1, Kind.REPLY]) + data
+
+    assert is_reply(claimed)
+    with pytest.raises(MalformedDatagramError):
+        read_reply(claimed, keys=KEYS, now=NOW)
