--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_commands.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_commands.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from ._bench import BENCH
 from ._check import CHECK
 from ._command import PROGRAM, Command
 from ._events import EVENTS
 
-COMMANDS: dict[str, Command] = {command.name: command for command in (CHECK, EVENTS)}
+COMMANDS: dict[str, Command] = {
+    command.name: command for command in (BENCH, CHECK, EVENTS)
+}
 
 
 def describe_commands() -> str:
