Never call a request not run after a first try that may have run

A lookup whose upstream broke off was tried at a peer; when the peer refused, the caller was told the peer's "not run" although the ledger showed the first run. Outcomes of two tries are now combined: a refused second try leaves the first outcome in force. And a process paused while it connected to its upstream checked the deadline against the wall clock of the host instead of the agent's own, which hid the late run from the test; there is one clock now.

An idempotent request that a dead peer lost is tried here within the budget.

--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
@@ -72,7 +72,8 @@
         """Bind every socket and begin."""
         settings = self.node.settings
         self.upstream = UpstreamClient(
-            endpoint=Endpoint(host=settings.upstream.host, port=settings.upstream.port)
+            endpoint=Endpoint(host=settings.upstream.host, port=settings.upstream.port),
+            now=self.node.now,
         )
         self.health = HealthCheck(node=self.node, upstream=self.upstream)
         self.router = Router(
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_routing.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_routing.py
@@ -74,10 +74,7 @@
         decision = self.peers.choose(self.own_gauge())
         if decision is None:
             return await self.run_here(request, body, answer)
-        outcome = await self.hand_off(decision, request, body, answer, reason="load")
-        if isinstance(outcome, NotRun) and self.can_repeat(request, body):
-            return await self.run_here(request, body, answer, fixed=True)
-        return outcome
+        return await self.move(decision, request, body, answer, reason="load")
 
     async def run_streaming(
         self, request: Request, body: ReplayBody, answer: Answer
@@ -114,22 +111,35 @@
                 self.log_route(request, target="none", reason=reason.value)
                 return NotRun(reason=reason.value, retry_after=seconds)
             case HandToPeer():
-                return await self.move(turn, request, body, answer)
+                return await self.move(turn, request, body, answer, reason="waited")
             case Start():
-                return await self.run_in_slot(request, body, answer, slot_id=slot_id)
+                outcome = await self.run_in_slot(request, body, answer, slot_id=slot_id)
+        if fixed or isinstance(outcome, Answered):
+            return await self.conclude(outcome, answer)
+        return await self.try_elsewhere(outcome, request, body, answer)
 
     async def move(
-        self, turn: HandToPeer, request: Request, body: ReplayBody, answer: Answer
+        self,
+        decision: HandToPeer,
+        request: Request,
+        body: ReplayBody,
+        answer: Answer,
+        *,
+        reason: str,
     ) -> Outcome:
-        """Hand a request over that waited here, or wait on when that fails."""
-        outcome = await self.hand_off(turn, request, body, answer, reason="waited")
-        if isinstance(outcome, NotRun) and self.can_repeat(request, body):
-            return await self.run_here(request, body, answer, fixed=True)
-        return outcome
+        """Hand a request over, and run it here when that fails and may be done."""
+        outcome = await self.hand_off(decision, request, body, answer, reason=reason)
+        if not self.is_repeatable(outcome, request, body, answer):
+            return outcome
+        if isinstance(outcome, Unknown):
+            if not self.budget.try_retry(now=self.node.now()):
+                return outcome
+        second = await self.run_here(request, body, answer, fixed=True)
+        return combine(outcome, second)
 
     async def run_in_slot(
         self, request: Request, body: ReplayBody, answer: Answer, *, slot_id: str
-    ) -> Outcome:
+    ) -> Outcome | Shed:
         """Run a request that has a slot, and learn from how it ended."""
         how = RunEnd.CANCELLED
         started = self.node.now()
@@ -150,8 +160,7 @@
             self.slots.end(slot_id, how=how)
         if how is RunEnd.COMPLETED:
             self.slots.observe(request, seconds=self.node.now() - started)
-            return outcome
-        return await self.try_elsewhere(outcome, request, body, answer)
+        return outcome
 
     async def try_elsewhere(
         self,
@@ -165,10 +174,11 @@
         if self.is_repeatable(outcome, request, body, answer):
             decision = self.peers.choose_other(self.own_gauge())
         if decision is not None and self.budget.try_retry(now=self.node.now()):
-            return await self.hand_off(decision, request, body, answer, reason="retry")
-        if isinstance(outcome, Shed):
-            return await self.pass_on(outcome, answer)
-        return outcome
+            second = await self.hand_off(
+                decision, request, body, answer, reason="retry"
+            )
+            outcome = combine(outcome, second)
+        return await self.conclude(outcome, answer)
 
     def is_repeatable(
         self,
@@ -192,8 +202,11 @@
         """Tell whether there is time, and the body is at hand."""
         return body.replayable and self.node.now() < request.deadline
 
-    async def pass_on(self, shed: Shed, answer: Answer) -> Outcome:
+    async def conclude(self, outcome: Outcome | Shed, answer: Answer) -> Outcome:
         """Give the caller a refusal of the upstream that was kept back."""
+        if not isinstance(outcome, Shed):
+            return outcome
+        shed = outcome
         await answer.send_head(status=shed.status, headers=shed.headers)
         if shed.body:
             await answer.send_body(shed.body)
@@ -236,3 +249,10 @@
             target=target,
             reason=reason,
         )
+
+
+def combine(first: Outcome | Shed, second: Outcome) -> Outcome | Shed:
+    """Return the outcome of two tries; a refused second try undoes no first."""
+    if isinstance(second, NotRun) and not isinstance(first, NotRun):
+        return first
+    return second
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_upstream.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_upstream.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -48,11 +47,13 @@
     """How far the sending of one request came.
 
     :param deadline: Unix time in seconds.
+    :param now: the clock, Unix time in seconds.
     :param keep_back_shed: True when an overload refusal is not passed on.
     :ivar sent: True once a byte may have reached the upstream.
     """
 
     deadline: float
+    now: Callable[[], float]
     keep_back_shed: bool = False
     sent: bool = False
 
@@ -62,7 +63,7 @@
 ) -> None:
     # A process that was paused while it connected must not run a late request.
     attempt: Attempt = context.trace_request_ctx
-    if time.time() >= attempt.deadline:
+    if attempt.now() >= attempt.deadline:
         raise DeadlinePassedError
     attempt.sent = True
 
@@ -109,9 +110,11 @@
     """Runs requests at the upstream.
 
     :param endpoint: address of the upstream's HTTP server.
+    :param now: the clock, Unix time in seconds.
     """
 
-    def __init__(self, *, endpoint: Endpoint) -> None:
+    def __init__(self, *, endpoint: Endpoint, now: Callable[[], float]) -> None:
+        self.now = now
         self.base = f"http://{endpoint.host}:{endpoint.port}"
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, ttl_dns_cache=None),
@@ -134,7 +137,7 @@
 
         :raises aiohttp.ClientError: there is no usable answer.
         """
-        attempt = Attempt(deadline=time.time() + timeout_seconds)
+        attempt = Attempt(deadline=self.now() + timeout_seconds, now=self.now)
         timeout = aiohttp.ClientTimeout(total=timeout_seconds)
         async with self.session.get(
             self.base + path, timeout=timeout, trace_request_ctx=attempt
@@ -157,9 +160,11 @@
         :param keep_back_shed: True when a refusal for overload is not passed on,
             because the request may be tried elsewhere.
         """
-        attempt = Attempt(deadline=request.deadline, keep_back_shed=keep_back_shed)
+        attempt = Attempt(
+            deadline=request.deadline, now=self.now, keep_back_shed=keep_back_shed
+        )
         try:
-            async with asyncio.timeout(request.deadline - time.time()) as limit:
+            async with asyncio.timeout(request.deadline - self.now()) as limit:
                 return await self._exchange(
                     request, attempt=attempt, body=body, answer=answer, limit=limit
                 )
@@ -184,7 +189,7 @@
         async with self.session.request(
             request.method,
             URL(self.base + request.path, encoded=True),
-            headers=_request_headers(request),
+            headers=_request_headers(request, now=self.now()),
             data=_parts(body) if _has_body(request) else None,
             allow_redirects=False,
             trace_request_ctx=attempt,
@@ -204,11 +209,11 @@
             return Answered(status=response.status)
 
 
-def _request_headers(request: Request) -> CIMultiDict[str]:
+def _request_headers(request: Request, *, now: float) -> CIMultiDict[str]:
     headers: CIMultiDict[str] = CIMultiDict()
     for name, value in request.headers:
         if name != DEADLINE_HEADER:
             headers.add(name.decode("latin-1"), value.decode("latin-1"))
-    left = max(request.deadline - time.time(), 0.0)
+    left = max(request.deadline - now, 0.0)
     headers["X-Deadline-Ms"] = str(int(left * 1000))
     return headers
--- a/testing/agent/fakes.py
+++ b/testing/agent/fakes.py
@@ -195,6 +195,8 @@
         application.router.add_get("/truncated", self.truncated)
         application.router.add_route("*", "/hold", self.hold)
         application.router.add_post("/echo", self.echo)
+        application.router.add_route("*", "/break-off", self.break_off)
+        application.router.add_route("*", "/drip", self.drip)
         self.runner = web.AppRunner(
             application, handler_cancellation=True, access_log=None
         )
@@ -247,6 +249,21 @@
         request.transport.close()
         return response
 
+    async def break_off(self, request):
+        self.started.append(request.headers.get("X-Request-Id", ""))
+        request.transport.close()
+        return web.Response()
+
+    async def drip(self, request):
+        """Send half an answer and hold the rest back."""
+        self.started.append(request.headers.get("X-Request-Id", ""))
+        response = web.StreamResponse(headers={"Content-Length": "1000"})
+        await response.prepare(request)
+        await response.write(b"x" * 500)
+        await self.release.wait()
+        await response.write(b"x" * 500)
+        return response
+
     async def echo(self, request):
         body = await request.read()
         return web.Response(body=body)
