Split the interleavings of the fence by what may fail

An owner that granted a key without leaving a tombstone was not found by 1,500 interleavings: hosts were replaced so often that hardly a run got that far.

--- a/testing/policy/test_fence_interleavings.py
+++ b/testing/policy/test_fence_interleavings.py
@@ -138,7 +138,9 @@
                     self.finish(attempt, "whole")
 
 
-class Interleavings(RuleBasedStateMachine):
+class Reorderings(RuleBasedStateMachine):
+    """Copies, repeats and doubled messages in any order; nothing fails."""
+
     @initialize()
     def first_attempt(self):
         self.world = World()
@@ -169,35 +171,14 @@
             self.world.messages.append(Message(message.attempt, message.owner))
         self.world.process(message)
 
-    @precondition(lambda self: self.world.messages)
-    @rule(data=st.data())
-    def a_message_is_lost(self, data):
-        self.world.messages.remove(data.draw(st.sampled_from(self.world.messages)))
-
-    @precondition(lambda self: any(entry.asks for entry in self.world.attempts))
-    @rule(data=st.data())
-    def a_question_times_out(self, data):
-        asking = [entry for entry in self.world.attempts if entry.asks]
-        attempt = data.draw(st.sampled_from(asking))
-        if self.world.is_awake(attempt.host):
-            self.world.resolve(attempt, None)
-
     @precondition(lambda self: any(entry.may_run for entry in self.world.attempts))
-    @rule(data=st.data(), outcome=st.sampled_from(["whole", "lost", "refused"]))
+    @rule(data=st.data(), outcome=st.sampled_from(["whole", "refused"]))
     def an_attempt_ends(self, data, outcome):
         runnable = [entry for entry in self.world.attempts if entry.may_run]
         attempt = data.draw(st.sampled_from(runnable))
         if self.world.is_awake(attempt.host):
             self.world.finish(attempt, outcome)
 
-    @rule(agent=st.sampled_from(AGENTS))
-    def a_host_freezes_or_wakes(self, agent):
-        self.world.frozen ^= {agent}
-
-    @rule(agent=st.sampled_from(AGENTS))
-    def a_host_is_replaced(self, agent):
-        self.world.restart(agent)
-
     @rule(seconds=st.floats(0.0, 10.0))
     def time_passes(self, seconds):
         self.world.now += seconds
@@ -228,7 +209,42 @@
             assert isinstance(world.arrive(agent, self.first), Replay)
 
 
-TestInterleavings = Interleavings.TestCase
-TestInterleavings.settings = settings(
-    max_examples=1_500, stateful_step_count=25, deadline=None, derandomize=True
+class Failures(Reorderings):
+    """Also messages lost, answers lost, hosts frozen and replaced."""
+
+    @precondition(lambda self: self.world.messages)
+    @rule(data=st.data())
+    def a_message_is_lost(self, data):
+        self.world.messages.remove(data.draw(st.sampled_from(self.world.messages)))
+
+    @precondition(lambda self: any(entry.asks for entry in self.world.attempts))
+    @rule(data=st.data())
+    def a_question_times_out(self, data):
+        asking = [entry for entry in self.world.attempts if entry.asks]
+        attempt = data.draw(st.sampled_from(asking))
+        if self.world.is_awake(attempt.host):
+            self.world.resolve(attempt, None)
+
+    @rule(agent=st.sampled_from(AGENTS))
+    def a_host_freezes_or_wakes(self, agent):
+        self.world.frozen ^= {agent}
+
+    @rule(agent=st.sampled_from(AGENTS))
+    def a_host_is_replaced(self, agent):
+        self.world.restart(agent)
+
+    @precondition(lambda self: any(entry.may_run for entry in self.world.attempts))
+    @rule()
+    def an_answer_is_lost(self):
+        runnable = [entry for entry in self.world.attempts if entry.may_run]
+        if self.world.is_awake(runnable[0].host):
+            self.world.finish(runnable[0], "lost")
+
+
+SETTINGS = settings(
+    max_examples=1_000, stateful_step_count=25, deadline=None, derandomize=True
 )
+TestReorderings = Reorderings.TestCase
+TestReorderings.settings = SETTINGS
+TestFailures = Failures.TestCase
+TestFailures.settings = SETTINGS
