--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,7 @@
 # Runs every scenario of docs/PROMISES.md against real processes.
 proof: setup
 	$(BIN)/behave --no-capture --format=progress3 testing/proof/features
+
+# Compares the policies with baselines; results and plots go to bench/.
+bench: setup
+	$(BIN)/python -m daisygauge_emulator.bench
