Count the work done lately when requests are handed to peers

Cause: hand-off looked at waiting alone. Change: gauges carry a decaying count of completed requests, and a host's excess over the mean adds to the expected end of one more request there, within bounds so that a slow host gains nothing by having done little. Requests that end at a peer are taken off its last gauge. A host that sheds or is silent now says not ready, and is_probe_due lets single requests try it again; before, a recovered host would have stayed unused as long as peers took its requests.

--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
@@ -171,12 +171,13 @@
             leaving=self.node.leaving,
             ready=self.is_ready(),
             sequence=sequence,
+            recent=self.slots.recent.count(now=self.node.now()),
         )
 
     def is_ready(self) -> bool:
         """Tell whether the upstream is believed to take requests."""
-        silent = self.slots.limit.state is UpstreamState.SILENT
-        return self.health.ready and not silent
+        is_open = self.slots.limit.state is UpstreamState.OPEN
+        return self.health.ready and is_open
 
     def count_unseen(self) -> int:
         """Count requests that may run without a caller's connection."""
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peers.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 from attrs import evolve
 
@@ -55,6 +57,11 @@
         held = self.gauges.peers.gauges.get(peer)
         return None if held is None else held.incarnation
 
-    def record_sent(self, peer: str) -> None:
-        """Count a request that the peer's gauge does not show yet."""
-        self.sent.add(peer, now=self.node.now())
+    @contextmanager
+    def count_sent(self, peer: str) -> Iterator[None]:
+        """Count a request at a peer while its gauges can't show it."""
+        request = self.sent.add(peer, now=self.node.now())
+        try:
+            yield
+        finally:
+            self.sent.end(request, now=self.node.now())
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_routing.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_routing.py
@@ -71,11 +71,22 @@
             return await self.run_here(request, body, answer)
         self.budget.share = self.node.service.retry_share
         self.budget.record_first_try()
+        if self.is_probe(request):
+            return await self.run_here(request, body, answer, fixed=True)
         decision = self.peers.choose(self.own_gauge())
         if decision is None:
             return await self.run_here(request, body, answer)
         return await self.move(decision, request, body, answer, reason="load")
 
+    def is_probe(self, request: Request) -> bool:
+        """Tell whether a request tries an upstream that stopped answering.
+
+        Without it all would go to peers, and a recovered upstream stay unused.
+        """
+        return self.slots.limit.is_probe_due(
+            repeatable=request.request_class.idempotent, now=self.node.now()
+        )
+
     async def run_streaming(
         self, request: Request, body: ReplayBody, answer: Answer
     ) -> Outcome:
@@ -227,15 +238,15 @@
         if incarnation is None:
             return NotRun(reason="peer-unknown")
         self.log_route(request, target=decision.peer, reason=reason)
-        self.peers.record_sent(decision.peer)
         body.rewind()
-        outcome = await self.calls.hand_off(
-            decision.peer,
-            incarnation=incarnation,
-            request=request,
-            body=body,
-            answer=answer,
-        )
+        with self.peers.count_sent(decision.peer):
+            outcome = await self.calls.hand_off(
+                decision.peer,
+                incarnation=incarnation,
+                request=request,
+                body=body,
+                answer=answer,
+            )
         body.rewind()
         self.metrics.handed_off.labels(OUTCOME_LABELS[type(outcome)]).inc()
         return outcome
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_slots.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_slots.py
@@ -11,6 +11,7 @@
     AdmissionQueue,
     ConcurrencyLimit,
     HandToPeer,
+    RecentRuns,
     Refuse,
     RunEnd,
     ServiceTimes,
@@ -49,6 +50,7 @@
         self.node = node
         self.choose_peer = choose_peer
         self.times = ServiceTimes()
+        self.recent = RecentRuns()
         self.streaming = 0
         self.turns: dict[str, asyncio.Future[Turn]] = {}
         self.fixed: set[str] = set()
@@ -177,6 +179,7 @@
     def observe(self, request: Request, *, seconds: float) -> None:
         """Learn from a completed run how long its class takes."""
         self.times.observe(request.request_class.name, seconds=seconds)
+        self.recent.add(now=self.node.now())
 
     async def run(self) -> None:
         """Advance the queue when time alone changes it."""
--- a/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
@@ -57,6 +57,7 @@
     select_eligible,
 )
 from ._ramp import SlowStart, slow_start_share
+from ._recent import RecentRuns
 from ._return_paths import ReturnPaths
 from ._service_times import ServiceTimes
 from ._suspects import SuspectList
@@ -91,6 +92,7 @@
     "PeerLoad",
     "PlacementTable",
     "PublishedLoadTable",
+    "RecentRuns",
     "RefusalReason",
     "Refuse",
     "RefuseFlight",
--- a/packages/daisygauge-policy/src/daisygauge_policy/_concurrency.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_concurrency.py
@@ -31,6 +31,8 @@
 SILENT_BACK_OFF_SECONDS = 0.5
 LONGEST_SILENT_BACK_OFF_SECONDS = 8.0
 COMPLETIONS_TO_GROW = 8
+# Requests that can't be repeated probe only when no other came for this long.
+UNREPEATABLE_PROBE_SECONDS = 5.0
 
 
 class UpstreamState(enum.Enum):
@@ -100,6 +102,16 @@
             return len(self._probes()) < allowed
         return len(self.running) < allowed
 
+    def is_probe_due(self, *, repeatable: bool, now: float) -> bool:
+        """Tell whether a request should try the upstream again.
+
+        :param repeatable: True when a peer may run the request after a failure.
+        """
+        if self.state is UpstreamState.OPEN or self._probes():
+            return False
+        grace = 0.0 if repeatable else UNREPEATABLE_PROBE_SECONDS
+        return now >= self.paused_until + grace
+
     def start(self, request_id: str, *, expected_seconds: float, now: float) -> None:
         """Note that a run begins."""
         if not self.running:
--- a/packages/daisygauge-policy/src/daisygauge_policy/_hand_off.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_hand_off.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from attrs import frozen
+from attrs import define, frozen
 
 from daisygauge_records import HandOff, LoadHandOff
 from daisygauge_wire import Gauge
@@ -18,18 +17,26 @@
 TRANSIT_SECONDS = 0.01
 # Cost of the detour, so that equal hosts never exchange requests.
 DETOUR_SECONDS = 0.005
+# A host that did a tenth more than the mean costs as much as one request ahead.
+BALANCE_FACTOR = 10.0
+LARGEST_CREDIT = 0.1
+LARGEST_CHARGE = 0.2
+# Below this number of requests for each slot, differences say nothing.
+FEWEST_REQUESTS = 5.0
 
 
 @frozen(kw_only=True)
 class PeerLoad:
     """A peer's gauge with the requests handed to it since.
 
-    :param unseen: requests sent to the peer that its gauge does not count.
+    :param unseen: change of its requests since then that is known here.
+    :param sent: requests sent to the peer that its gauge does not count.
     """
 
     peer: str
     gauge: Gauge
     unseen: int = 0
+    sent: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -41,7 +48,7 @@
 class HandToPeer:
     """The request goes to a peer.
 
-    :param gain_seconds: how much earlier it is expected to finish there.
+    :param gain_seconds: how much cheaper it is there, in expected seconds.
     """
 
     peer: str
@@ -51,29 +58,55 @@
 HandOffDecision = KeepRequest | HandToPeer
 
 
+@define(kw_only=True)
+class SentRequest:
+    """One request handed to a peer.
+
+    :param sent: Unix time in seconds.
+    :param ended: Unix time in seconds, or None while it is under way.
+    """
+
+    sent: float
+    ended: float | None = None
+
+
 class SentRequests:
-    """Requests handed to each peer, until its gauges count them."""
+    """Requests handed to each peer, until its gauges tell their state."""
 
     def __init__(self) -> None:
-        self._sent: dict[str, deque[float]] = {}
+        self._sent: dict[str, list[SentRequest]] = {}
+
+    def add(self, peer: str, *, now: float) -> SentRequest:
+        """Note that a request goes to a peer; its end must be noted too."""
+        request = SentRequest(sent=now)
+        self._sent.setdefault(peer, []).append(request)
+        return request
 
-    def add(self, peer: str, *, now: float) -> None:
-        """Note that a request goes to a peer."""
-        self._sent.setdefault(peer, deque()).append(now)
+    def end(self, request: SentRequest, *, now: float) -> None:
+        """Note that a peer is done with a request."""
+        request.ended = now
 
     def loads(self, gauges: Sequence[PeerGauge]) -> tuple[PeerLoad, ...]:
-        """Return the peers' loads including what was sent after their gauges."""
-        return tuple(
-            PeerLoad(peer=held.peer, gauge=held.gauge, unseen=self._count(held))
-            for held in gauges
+        """Return the peers' loads corrected by what happened since their gauges."""
+        return tuple(self._correct(held) for held in gauges)
+
+    def _correct(self, held: PeerGauge) -> PeerLoad:
+        counted_until = held.heard - TRANSIT_SECONDS
+        kept = [
+            request
+            for request in self._sent.get(held.peer, [])
+            if request.ended is None or request.ended >= counted_until
+        ]
+        self._sent[held.peer] = kept
+        later = [request for request in kept if request.sent >= counted_until]
+        ended = sum(request.ended is not None for request in kept)
+        return PeerLoad(
+            peer=held.peer,
+            gauge=held.gauge,
+            unseen=len(later) - ended,
+            sent=len(later),
         )
 
-    def _count(self, held: PeerGauge) -> int:
-        sent = self._sent.get(held.peer, deque())
-        while sent and sent[0] < held.heard - TRANSIT_SECONDS:
-            sent.popleft()
-        return len(sent)
-
 
 def expected_seconds(gauge: Gauge, *, unseen: int = 0) -> float:
     """Return when one more request would finish at a host.
@@ -81,7 +114,7 @@
     :param unseen: requests under way to the host.
     """
     slots = max(gauge.slots, 1)
-    ahead = gauge.running + gauge.waiting + unseen
+    ahead = max(0, gauge.running + gauge.waiting + unseen)
     waiting = max(0.0, ahead + 1 - slots) / slots
     return (1.0 + waiting) * gauge.service_seconds
 
@@ -95,9 +128,10 @@
 ) -> HandOffDecision:
     """Choose where one more request runs.
 
-    A request moves only when a peer is better by the margin. Of the better
-    peers two are drawn at random and the better one is taken: agents that hold
-    the same gauges must not all choose the same peer.
+    A request moves when a peer is cheaper by the margin: by its expected end,
+    and by the work it did lately compared with the mean. Of the cheaper peers
+    two are drawn at random and the better one is taken: agents that hold the
+    same gauges must not all choose the same peer.
 
     :param own: the agent's present gauge without the request itself.
     :param peers: fresh loads of peers of the same service.
@@ -108,11 +142,27 @@
     return KeepRequest()
 
 
+@frozen(kw_only=True)
+class Fleet:
+    """What the hosts of a service have in common.
+
+    :param mean_share: requests done lately or under way for each slot.
+    :param unit_seconds: service time of the fastest host.
+    """
+
+    mean_share: float
+    unit_seconds: float
+
+
 def _choose_better(
     margin: float, *, own: Gauge, peers: Sequence[PeerLoad], rng: random.Random
 ) -> HandOffDecision:
     usable = [load for load in peers if load.gauge.ready and not load.gauge.leaving]
-    gains = {load.peer: _gain_seconds(load, own=own, margin=margin) for load in usable}
+    fleet = _describe_fleet(own, usable)
+    gains = {
+        load.peer: _gain_seconds(load, own=own, margin=margin, fleet=fleet)
+        for load in usable
+    }
     better = sorted(peer for peer, gain in gains.items() if gain > 0.0)
     if not better:
         return KeepRequest()
@@ -121,10 +171,40 @@
     return HandToPeer(peer=best, gain_seconds=gains[best])
 
 
-def _gain_seconds(load: PeerLoad, *, own: Gauge, margin: float) -> float:
-    """Return how much earlier than here a peer would finish, less the margin."""
-    there = expected_seconds(load.gauge, unseen=load.unseen)
+def _share(gauge: Gauge, *, sent: int = 0) -> float:
+    return (gauge.recent + gauge.running + sent) / max(gauge.slots, 1)
+
+
+def _describe_fleet(own: Gauge, peers: Sequence[PeerLoad]) -> Fleet:
+    shares = [_share(load.gauge, sent=load.sent) for load in peers]
+    times = [load.gauge.service_seconds for load in peers]
+    return Fleet(
+        mean_share=(_share(own) + sum(shares)) / (len(shares) + 1),
+        unit_seconds=min([own.service_seconds, *times]),
+    )
+
+
+def _cost_seconds(
+    gauge: Gauge, *, fleet: Fleet, unseen: int = 0, sent: int = 0
+) -> float:
+    """Return the expected end of one more request, dearer at a host that has
+    done more than its share lately.
+
+    Both sides are bounded: a host that did little may be slow, and one that did
+    much must not wait for it.
+    """
+    excess = 0.0
+    if fleet.mean_share >= FEWEST_REQUESTS:
+        excess = _share(gauge, sent=sent) / fleet.mean_share - 1.0
+    bounded = min(max(excess, -LARGEST_CREDIT), LARGEST_CHARGE)
+    balance = BALANCE_FACTOR * bounded * fleet.unit_seconds
+    return expected_seconds(gauge, unseen=unseen) + balance
+
+
+def _gain_seconds(load: PeerLoad, *, own: Gauge, margin: float, fleet: Fleet) -> float:
+    """Return how much cheaper than here a peer is, less the margin."""
+    there = _cost_seconds(load.gauge, fleet=fleet, unseen=load.unseen, sent=load.sent)
     if own.leaving or not own.ready:
-        return max(own.service_seconds, there) + DETOUR_SECONDS
+        return 1.0 / (1.0 + max(there, 0.0))
     hysteresis = margin * min(own.service_seconds, load.gauge.service_seconds)
-    return expected_seconds(own) - there - hysteresis - DETOUR_SECONDS
+    return _cost_seconds(own, fleet=fleet) - there - hysteresis - DETOUR_SECONDS
--- a/packages/daisygauge-wire/src/daisygauge_wire/_gauge.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_gauge.py
@@ -6,7 +6,7 @@
 
 from attrs import frozen
 
-_GAUGE = struct.Struct(">HHHIIfBI")
+_GAUGE = struct.Struct(">HHHIIfBIf")
 _LEAVING = 1
 _READY = 2
 
@@ -23,6 +23,7 @@
     :param service_seconds: smoothed time of a short request in its slot.
     :param ready: False until the upstream answers its health check.
     :param sequence: grows with every gauge of one incarnation.
+    :param recent: short requests completed lately, older ones counting less.
     """
 
     slots: int
@@ -34,6 +35,7 @@
     leaving: bool
     ready: bool
     sequence: int
+    recent: float = 0.0
 
     @property
     def backlog(self) -> float:
@@ -58,6 +60,7 @@
         gauge.service_seconds,
         flags,
         gauge.sequence & 0xFFFFFFFF,
+        gauge.recent,
     )
 
 
@@ -70,7 +73,8 @@
         fields = _GAUGE.unpack(payload)
     except struct.error as error:
         raise ValueError(f"a gauge has {_GAUGE.size} bytes") from error
-    slots, running, waiting, connections, maximum, seconds, flags, sequence = fields
+    slots, running, waiting, connections, maximum = fields[:5]
+    seconds, flags, sequence, recent = fields[5:]
     return Gauge(
         slots=slots,
         running=running,
@@ -81,4 +85,5 @@
         leaving=bool(flags & _LEAVING),
         ready=bool(flags & _READY),
         sequence=sequence,
+        recent=recent,
     )
--- a/testing/policy/test_concurrency.py
+++ b/testing/policy/test_concurrency.py
@@ -161,3 +161,18 @@
     for name in names:
         limit.end(name, how=RunEnd.FAILED, now=now)
     assert limit.may_start(now=now + 10.0)
+
+
+def test_a_probe_is_due_once_after_the_back_off():
+    limit = ConcurrencyLimit(slots=2)
+    limit.start("a", expected_seconds=0.05, now=0.0)
+    limit.allowed(now=1.0)
+
+    assert not limit.is_probe_due(repeatable=True, now=1.4)
+    assert limit.is_probe_due(repeatable=True, now=1.5)
+    assert not limit.is_probe_due(repeatable=False, now=1.5)
+    assert limit.is_probe_due(repeatable=False, now=6.5)
+    limit.start("probe", expected_seconds=0.05, now=6.5)
+    assert not limit.is_probe_due(repeatable=True, now=6.5)
+    limit.end("probe", how=RunEnd.COMPLETED, now=6.6)
+    assert not limit.is_probe_due(repeatable=True, now=6.6)
--- a/testing/policy/test_requests.py
+++ b/testing/policy/test_requests.py
@@ -1,3 +1,5 @@
+import math
+
 import pytest
 from hypothesis import given, strategies as st
 
@@ -5,6 +7,7 @@
     DEFAULT_CLASS,
     Deadline,
     DrainStage,
+    RecentRuns,
     ServiceTimes,
     decide_drain_stage,
     match_class,
@@ -66,6 +69,15 @@
     assert deadline.at == 20.0
 
 
+def test_recent_runs_fade():
+    recent = RecentRuns()
+    recent.add(now=10.0)
+    recent.add(now=10.0)
+
+    assert recent.count(now=10.0) == 2.0
+    assert recent.count(now=15.0) == pytest.approx(2.0 / math.e)
+
+
 def test_service_times_follow_their_class():
     times = ServiceTimes()
     for _ in range(50):
