--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/__init__.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/__init__.py
@@ -11,12 +11,13 @@
 from daisygauge_daemon import MisuseError
 
 from .._command import EXIT_OK, EXIT_PROBLEM, Command
+from ._agent import AGENT
 from ._datapath import DATAPATH
 from ._experiment import Experiment, Options
 from ._report import print_report, write_report
 
 EXPERIMENTS: dict[str, Experiment] = {
-    experiment.name: experiment for experiment in (DATAPATH,)
+    experiment.name: experiment for experiment in (DATAPATH, AGENT)
 }
 
 TEXT = (
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_connection.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_connection.py
@@ -26,6 +26,8 @@
 
 MAX_INBOX_DATAGRAMS = 1_024
 KEEPALIVE_SECONDS = 5.0
+IDLE_KEEPALIVE_SECONDS = 10.0
+"""Without requests nothing is lost meanwhile, and pings are the cost of idleness."""
 TIMER_SLACK_SECONDS = 0.001
 
 
@@ -145,10 +147,15 @@
                 for http_event in self.http.handle_event(event):
                     self.on_http_event(http_event)
 
+    @property
+    def keepalive_at(self) -> float:
+        """Monotonic time in seconds at which a silent caller is asked."""
+        interval = KEEPALIVE_SECONDS if self.tasks else IDLE_KEEPALIVE_SECONDS
+        return max(self.last_heard, self.last_ping) + interval
+
     def keep_alive(self, *, now: float) -> None:
         """Ask a silent caller for a sign of life."""
-        quiet_since = max(self.last_heard, self.last_ping)
-        if now - quiet_since < KEEPALIVE_SECONDS:
+        if now < self.keepalive_at:
             return
         self.last_ping = now
         if self.http is not None:
@@ -159,8 +166,7 @@
         self.quic_timer = self.quic.get_timer()
         if self.quic_timer is None:
             return
-        keepalive_at = max(self.last_heard, self.last_ping) + KEEPALIVE_SECONDS
-        wanted = min(self.quic_timer, keepalive_at)
+        wanted = min(self.quic_timer, self.keepalive_at)
         # A timer that fires too early only costs one empty turn.
         if self.timer is not None and self.timer_at <= wanted:
             return
