--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_accounting.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_accounting.py
@@ -19,11 +19,13 @@
 class Record:
     """One request of a caller and its outcome.
 
+    :param caller: name of the caller, for messages.
     :param started: Unix time in seconds.
     :param ended: Unix time in seconds.
     """
 
     service: str
+    caller: str = ""
     request: Request
     outcome: Outcome
     started: float
@@ -82,8 +84,9 @@
         """Remember what is wrong with one request."""
         request = record.request
         self.notes.append(
-            f"{problem}: {record.service} {request.method} {request.path} "
-            f"{request.request_id} {record.outcome}"
+            f"{problem}: {record.service} {record.caller} {request.method} {request.path} "
+            f"{request.request_id} {record.outcome} "
+            f"after {record.ended - record.started:.1f} s"
         )
 
 
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_workload.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_workload.py
@@ -87,6 +87,7 @@
             self.records.append(
                 Record(
                     service=self.target.service,
+                    caller=f"{caller.client.value}-{number}",
                     request=request,
                     outcome=outcome,
                     started=started,
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/demo.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/demo.py
@@ -23,7 +23,14 @@
 from daisygauge_emulator._server import quiet_libraries
 from daisygauge_emulator._workload import ServiceWorkload
 from daisygauge_emulator.caller import Client, FeedReport, Unknown
-from daisygauge_emulator.fleet import DEPLOYMENTS, AddressPlan, Fleet, FleetError, Host
+from daisygauge_emulator.fleet import (
+    DEPLOYMENTS,
+    AddressPlan,
+    Balancer,
+    Fleet,
+    FleetError,
+    Host,
+)
 
 DEMO_HOSTS = {"order-desk": 3, "pattern-library": 2, "orderdesk": 3, "proofshop": 2}
 CLIENTS = [Client.AIOQUIC, Client.AIOQUIC, Client.QH3]
@@ -79,8 +86,10 @@
 async def disturb(
     fleet: Fleet, workloads: list[ServiceWorkload], progress: Progress
 ) -> list[str]:
-    """Kill and replace balancers and drain a host; what went wrong by itself."""
-    problems = []
+    """Kill and replace balancers and drain a host.
+
+    :return: planned stops that did not end well.
+    """
     killed, replaced = list(fleet.balancers.values())[:2]
     await asyncio.sleep(WARM_UP_SECONDS)
     progress.say(f"SIGKILL to {killed.id}")
@@ -89,22 +98,39 @@
     progress.say(f"starting {killed.id} again")
     await fleet.restart_balancer(killed)
     await fleet.stand_ins.wait_live(set(fleet.balancers))
-    progress.say(f"replacing {replaced.id}")
-    code = await fleet.replace_balancer(replaced)
-    if code != 0:
-        problems.append(f"{replaced.id} drained with exit code {code}")
+    problems = await stop_balancer(fleet, replaced, progress)
     await fleet.stand_ins.wait_live(set(fleet.balancers))
     await asyncio.sleep(STEP_SECONDS)
     host = find_feed_host(fleet, workloads[0])
-    progress.say(f"draining {host.id}, which carries the feed")
-    codes = await fleet.drain_host(host)
-    progress.say(f"drained {host.id}, exit codes {codes}")
-    if codes != (0, 0):
-        problems.append(f"{host.id} drained with exit codes {codes}")
+    problems += await stop_host(fleet, host, progress)
     await asyncio.sleep(STEP_SECONDS)
     return problems
 
 
+async def stop_balancer(
+    fleet: Fleet, balancer: Balancer, progress: Progress
+) -> list[str]:
+    """Replace a balancer under load; what did not end well."""
+    progress.say(f"replacing {balancer.id}")
+    try:
+        code = await fleet.replace_balancer(balancer)
+    except FleetError as error:
+        return [str(error)]
+    progress.say(f"replaced {balancer.id}, exit code {code}")
+    return [f"{balancer.id} drained with exit code {code}"] if code else []
+
+
+async def stop_host(fleet: Fleet, host: Host, progress: Progress) -> list[str]:
+    """Drain a host under load; what did not end well."""
+    progress.say(f"draining {host.id}, which carries the feed")
+    try:
+        codes = await fleet.drain_host(host)
+    except FleetError as error:
+        return [str(error)]
+    progress.say(f"drained {host.id}, exit codes {codes}")
+    return [f"{host.id} drained with exit codes {codes}"] if any(codes) else []
+
+
 async def run_deployment(
     deployment_id: str, *, number: int, progress: Progress
 ) -> DeploymentResult:
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/__init__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/__init__.py
@@ -12,8 +12,8 @@
 )
 from ._factory import FleetOptions
 from ._fleet import Balancer, Fleet, Host
-from ._process import ManagedProcess
-from ._stand_ins import FleetError, StandIns
+from ._process import FleetError, ManagedProcess
+from ._stand_ins import StandIns
 
 __all__ = [
     "BRANNOCK",
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_fleet.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_fleet.py
@@ -253,7 +253,7 @@
         """Drain a balancer and start another in its place.
 
         :return: exit code of the one that was drained.
-        :raises TimeoutError: it did not end in time.
+        :raises FleetError: it did not end in time.
         """
         await self.list_balancer(balancer, leaving=True)
         code = await balancer.process.terminate(timeout_seconds=DRAIN_TIMEOUT_SECONDS)
@@ -266,7 +266,7 @@
         """Take a host out of service.
 
         :return: exit codes of its agent and its upstream.
-        :raises TimeoutError: one of them did not end in time.
+        :raises FleetError: one of them did not end in time.
         """
         await self.list_host(host, leaving=True)
         agent_code = await host.agent.terminate(timeout_seconds=timeout_seconds)
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_process.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_process.py
@@ -11,6 +11,10 @@
 DAEMON = str(Path(sys.executable).parent / "daisygauged")
 
 
+class FleetError(RuntimeError):
+    """A process of the fleet did not do what it should; the message has its log."""
+
+
 class ManagedProcess:
     """Starts, signals and ends one process; its output goes to a file.
 
@@ -87,11 +91,17 @@
     async def terminate(self, *, timeout_seconds: float) -> int:
         """Ask the process to drain and wait for its exit code.
 
-        :raises TimeoutError: it still runs after ``timeout_seconds``.
+        :raises FleetError: it still runs after ``timeout_seconds``.
         """
         self.send_signal(signal.SIGTERM)
-        async with asyncio.timeout(timeout_seconds):
-            return await self.wait()
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                return await self.wait()
+        except TimeoutError:
+            raise FleetError(
+                f"{self.id} still runs {timeout_seconds:.0f} s after SIGTERM; "
+                f"its last lines:\n{self.log_tail()}"
+            ) from None
 
     def log_tail(self, lines: int = 8) -> str:
         """Return the end of the process's output."""
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_stand_ins.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_stand_ins.py
@@ -12,17 +12,13 @@
 
 from ._deployment import UPSTREAM_PORT, AddressPlan
 from ._documents import Document
-from ._process import ManagedProcess
+from ._process import FleetError, ManagedProcess
 
 REQUEST_TIMEOUT_SECONDS = 5.0
 READY_TIMEOUT_SECONDS = 20.0
 READY_POLL_SECONDS = 0.05
 
 
-class FleetError(RuntimeError):
-    """A process of the fleet did not do what it should; the message has its log."""
-
-
 class StandIns:
     """A client of the stand-ins' control paths."""
 
