--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_accounting.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_accounting.py
@@ -84,8 +84,8 @@
         """Remember what is wrong with one request."""
         request = record.request
         self.notes.append(
-            f"{problem}: {record.service} {record.caller} {request.method} {request.path} "
-            f"{request.request_id} {record.outcome} "
+            f"{problem}: {record.service} {record.caller} "
+            f"{request.method} {request.path} {request.request_id} {record.outcome} "
             f"after {record.ended - record.started:.1f} s"
         )
 
