Let callers cancel an answer that has just ended

On a busy machine 77 requests of one load raised ValueError: their deadline passed in the same turn of the loop in which the answer ended, and qh3 refuses to stop a complete stream; aioquic does once it has discarded the stream.

--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_aioquic.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_aioquic.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 from aioquic.asyncio.protocol import QuicConnectionProtocol
 from aioquic.h3.connection import H3_ALPN, H3Connection
@@ -91,10 +92,12 @@
         return exchange
 
     def cancel(self, exchange: Exchange) -> None:
-        """Stop an answer that has not ended."""
+        """Stop an answer unless it has just ended."""
         if self.exchanges.closed.is_set():
             return
-        self._quic.stop_stream(exchange.stream_id, REQUEST_CANCELLED)
+        # The library refuses to stop a stream that is complete.
+        with contextlib.suppress(ValueError):
+            self._quic.stop_stream(exchange.stream_id, REQUEST_CANCELLED)
         self.transmit()
 
     def abandon(self, reason: str) -> None:
--- a/testing/emulator/test_caller.py
+++ b/testing/emulator/test_caller.py
@@ -20,6 +20,7 @@
     Target,
     Unknown,
 )
+from daisygauge_emulator.caller._exchange import End
 from daisygauge_emulator.fleet import create_certificates
 from daisygauge_wire import send_goaway
 
@@ -152,6 +153,16 @@
     assert isinstance(outcome, Unknown)
 
 
+async def test_an_answer_that_has_just_ended_can_be_cancelled(caller):
+    connection, exchange = await caller.start(Request(path="/run"))
+    while not isinstance(await exchange.events.get(), End):
+        pass
+
+    connection.cancel(exchange)
+
+    assert not connection.exchanges.closed.is_set()
+
+
 async def test_no_server_means_not_run(target):
     caller = Caller(target, connect_timeout_seconds=0.2)
     caller.target = Target(
