Count a feed's silence up to its end

With an agent killed and not replaced, the demo reported 0.2 s as the longest silence of a feed that stayed silent until it was closed: only the time before the next event was counted. The test fails before the change with both callers.

--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_feed.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_feed.py
@@ -144,6 +144,7 @@
                     continue
                 stream = await self.step(stream)
         finally:
+            self.note_silence(now=self.clock())
             if self.moving is not None:
                 self.moving.cancel()
             if stream is not None:
@@ -170,12 +171,7 @@
             self.report.breaks.append(f"gap from {self.expected} to {number}")
         if number < self.expected:
             return
-        if self.last_event is not None:
-            silence = now - self.last_event
-            report = self.report
-            report.longest_silence_seconds = max(
-                report.longest_silence_seconds, silence
-            )
+        self.note_silence(now=now)
         self.last_event = now
         self.expected = number + 1
         self.report.events += 1
@@ -183,6 +179,16 @@
         if host and host not in self.report.hosts:
             self.report.hosts.append(host)
 
+    def note_silence(self, *, now: float) -> None:
+        """Take in the time since the last event.
+
+        :param now: time of ``clock`` in seconds.
+        """
+        if self.last_event is not None:
+            self.report.longest_silence_seconds = max(
+                self.report.longest_silence_seconds, now - self.last_event
+            )
+
     async def take_end(self, stream: FeedStream, ended: Ended) -> FeedStream | None:
         """Note the end of a stream and go on with the one being opened."""
         if ended.whole:
--- a/testing/emulator/test_caller.py
+++ b/testing/emulator/test_caller.py
@@ -203,6 +203,20 @@
     assert (feed.report.moves, feed.expected) == (1, 6)
 
 
+async def test_a_feed_that_went_silent_counts_the_silence_up_to_its_end(caller):
+    now = 100.0
+    feed = Feed(caller, path="/feed", clock=lambda: now)
+    reading = asyncio.create_task(feed.run())
+    while feed.report.events < 3:
+        await asyncio.sleep(0.01)
+
+    now = 109.0
+    reading.cancel()
+    await asyncio.gather(reading, return_exceptions=True)
+
+    assert feed.report.longest_silence_seconds == 9.0
+
+
 async def test_a_stateless_reset_ends_the_connection(target):
     caller = Caller(target)
     connection = await caller.connect()
