--- a/Makefile
+++ b/Makefile
@@ -44,4 +44,4 @@
 
 # Compares the policies with baselines; results and plots go to bench/.
 bench: setup
-	$(BIN)/python -m daisygauge_emulator.bench
+	$(BIN)/daisygaugectl bench policies
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/__init__.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/__init__.py
@@ -14,10 +14,11 @@
 from ._agent import AGENT
 from ._datapath import DATAPATH
 from ._experiment import Experiment, Options
+from ._policies import POLICIES
 from ._report import print_report, write_report
 
 EXPERIMENTS: dict[str, Experiment] = {
-    experiment.name: experiment for experiment in (DATAPATH, AGENT)
+    experiment.name: experiment for experiment in (DATAPATH, AGENT, POLICIES)
 }
 
 TEXT = (
@@ -60,7 +61,12 @@
         raise MisuseError(
             f"unknown experiment {unknown[0]!r}; use one of: {', '.join(EXPERIMENTS)}"
         )
-    options = Options(seconds=values.seconds, seed=values.seed, network=values.network)
+    options = Options(
+        seconds=values.seconds,
+        seed=values.seed,
+        network=values.network,
+        results=values.results,
+    )
     all_met = True
     for name in arguments or EXPERIMENTS:
         report = asyncio.run(EXPERIMENTS[name].run(options))
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_experiment.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_experiment.py
@@ -16,12 +16,14 @@
     """How to run an experiment.
 
     :param seconds: length of each part.
+    :param results: directory for files beside the report.
     :param network: second number of the loopback addresses to use.
     """
 
     seconds: float
     seed: int
     network: int
+    results: str = "bench"
 
 
 @frozen(kw_only=True)
--- /dev/null
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_policies.py
@@ -0,0 +1,39 @@
+"""The policies against baselines, on fleets of real daemons."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from attrs import asdict, evolve
+
+from daisygauge_emulator.bench import SEED, judge, run_policies, write_results
+
+from ._experiment import Experiment, Options, Report, Target
+
+
+async def compare_policies(options: Options) -> Report:
+    """Run every page under every policy; each page fixes its length and seed."""
+    measurements = await run_policies()
+    write_results(Path(options.results) / "policies", measurements=measurements)
+    targets = tuple(
+        Target(
+            name=f"{verdict.page}: {verdict.measure}",
+            measured=verdict.measured,
+            comparison=verdict.comparison,
+            target=verdict.target,
+        )
+        for verdict in judge(measurements)
+    )
+    return Report(
+        experiment="policies",
+        options=evolve(options, seed=SEED),
+        targets=targets,
+        figures={"measurements": [asdict(entry) for entry in measurements]},
+    )
+
+
+POLICIES = Experiment(
+    name="policies",
+    summary="load, worth and imbalance of our policies beside baselines (5 minutes)",
+    run=compare_policies,
+)
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/__init__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/__init__.py
@@ -1,7 +1,20 @@
 """Experiments with real daemons: the policies against baselines in one run."""
 
-from ._pages import PAGES, Page
+from ._compare import run_policies
+from ._pages import PAGES, SEED, Page
 from ._policies import POLICIES
-from ._run import Measurement, run_pages
+from ._report import write_results
+from ._run import Measurement
+from ._targets import Verdict, judge
 
-__all__ = ["PAGES", "POLICIES", "Measurement", "Page", "run_pages"]
+__all__ = [
+    "PAGES",
+    "POLICIES",
+    "SEED",
+    "Measurement",
+    "Page",
+    "Verdict",
+    "judge",
+    "run_policies",
+    "write_results",
+]
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_report.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_report.py
@@ -9,7 +9,6 @@
 
 from ._pages import PAGES
 from ._run import Measurement
-from ._targets import Verdict
 
 COLUMNS = (
     "page",
@@ -47,21 +46,8 @@
     return "\n".join(lines)
 
 
-def format_verdicts(verdicts: list[Verdict]) -> str:
-    """Return the table of target and measured."""
-    lines = [f"{'page':<11}{'measure':<24}{'target':>10}{'measured':>10}  met"]
-    lines += [
-        f"{verdict.page:<11}{verdict.measure:<24}{verdict.target:>10}"
-        f"{verdict.measured:>10.3f}  {'yes' if verdict.met else 'NO'}"
-        for verdict in verdicts
-    ]
-    return "\n".join(lines)
-
-
-def write_results(
-    directory: Path, *, measurements: list[Measurement], verdicts: list[Verdict]
-) -> None:
-    """Write one JSON file and one plot for each page, and all targets."""
+def write_results(directory: Path, *, measurements: list[Measurement]) -> None:
+    """Write one JSON file and one plot for each page."""
     directory.mkdir(parents=True, exist_ok=True)
     for page in PAGES:
         entries = [entry for entry in measurements if entry.page == page.id]
@@ -74,8 +60,6 @@
                 json.dumps(document, indent=2) + "\n"
             )
             plot_page(directory / f"{page.id}.png", title=page.title, entries=entries)
-    targets = [asdict(verdict) for verdict in verdicts]
-    (directory / "targets.json").write_text(json.dumps(targets, indent=2) + "\n")
 
 
 def plot_page(path: Path, *, title: str, entries: list[Measurement]) -> None:
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_targets.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_targets.py
@@ -24,18 +24,18 @@
 
     page: str
     measure: str
-    target: str
+    comparison: str
+    target: float
     measured: float
-    met: bool
 
 
 def _at_most(page: str, measure: str, limit: float, measured: float) -> Verdict:
     return Verdict(
         page=page,
         measure=measure,
-        target=f"<= {limit:.3f}",
+        comparison="<=",
+        target=limit,
         measured=measured,
-        met=measured <= limit,
     )
 
 
@@ -43,9 +43,9 @@
     return Verdict(
         page=page,
         measure=measure,
-        target=f">= {limit:.3f}",
+        comparison=">=",
+        target=limit,
         measured=measured,
-        met=measured >= limit,
     )
 
 
