Pin the connections of an experiment while nothing is passed on

Cause: the page with every connection on two hosts ended with "no handshake in 20 tries": passing sends new connections away from hosts that hold more than their peers, which is what it is for. The page now opens them under a record without passing and then publishes the policy to be measured. Round robin is compared only when it is named: it deals the packets of one handshake out to several hosts and opening took minutes.

--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_compare.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_compare.py
@@ -6,7 +6,7 @@
 
 from ..fleet import AddressPlan
 from ._pages import PAGES
-from ._policies import OURS, POLICIES
+from ._policies import DEFAULT_POLICIES, OURS, POLICIES
 from ._report import format_measurements
 from ._run import Measurement, run_pages
 
@@ -14,7 +14,7 @@
 
 
 async def run_policies(
-    *, pages: Iterable[str] = PAGE_IDS, policies: Iterable[str] = tuple(POLICIES)
+    *, pages: Iterable[str] = PAGE_IDS, policies: Iterable[str] = DEFAULT_POLICIES
 ) -> list[Measurement]:
     """Run the named pages under each named policy, one fleet after another."""
     measurements = []
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_policies.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_policies.py
@@ -8,6 +8,10 @@
 _FIFO = {"type": "fifo"}
 _NO_HAND_OFF = {"type": "none"}
 
+# Deals the packets of one handshake out to several hosts, so that opening the
+# connections of a page takes minutes; compared only when it is named.
+ROUND_ROBIN = "round-robin"
+
 POLICIES: dict[str, dict[str, Any]] = {
     OURS: {},
     "hash": {
@@ -15,7 +19,7 @@
         "queue": _FIFO,
         "hand_off": _NO_HAND_OFF,
     },
-    "round-robin": {
+    ROUND_ROBIN: {
         "placement": {"type": "round-robin"},
         "queue": _FIFO,
         "hand_off": _NO_HAND_OFF,
@@ -26,3 +30,5 @@
         "hand_off": _NO_HAND_OFF,
     },
 }
+
+DEFAULT_POLICIES = tuple(policy for policy in POLICIES if policy != ROUND_ROBIN)
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_run.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections import Counter
 from collections.abc import Sequence
 from typing import Any
@@ -26,6 +27,7 @@
 
 SERVICE = "order-desk"
 LOOKUP = "lookup"
+REVISIONS = itertools.count(2)
 OPENING_AT_ONCE = 14
 OPENING_TRIES = 20
 SETTLE_SECONDS = 1.5
@@ -79,7 +81,12 @@
         await fleet.drain_host(host)
     staying = hosts[page.missing_hosts :]
     pinned = [host.id for host in staying[: page.pinned_hosts]]
+    if pinned:
+        # Passing would keep connections away from hosts that hold so many.
+        await publish_placement(fleet, {"type": "rendezvous", "pass_margin": None})
     callers = await open_patiently(fleet, hosts=pinned)
+    if pinned:
+        await publish_placement(fleet, {"type": "rendezvous"})
     address = fleet.addresses.upstream(hosts[0].index)
     try:
         if page.behaviour:
@@ -105,6 +112,17 @@
     return {name: defaults[name] for name in behaviour}
 
 
+async def publish_placement(fleet: Fleet, placement: dict[str, Any]) -> None:
+    """Publish the service with another placement and wait until it is in force."""
+    plan = fleet.deployment.services[0]
+    policies = fleet.factory.options.policies
+    policies[SERVICE] = {**policies[SERVICE], "placement": placement}
+    await fleet.publish_service(
+        plan, address=fleet.services[SERVICE], revision=next(REVISIONS)
+    )
+    await asyncio.sleep(SETTLE_SECONDS)
+
+
 async def open_patiently(fleet: Fleet, *, hosts: list[str]) -> list[Caller]:
     """Open every connection, trying again where a handshake fails.
 
