--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_dispatch.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_dispatch.py
@@ -6,6 +6,7 @@
 
 from attrs import evolve
 
+from daisygauge_policy import TokenBucket
 from daisygauge_records import Endpoint
 from daisygauge_wire import (
     ANY_INCARNATION,
@@ -24,7 +25,7 @@
 from ._flights import Flights
 from ._metrics import AgentMetrics
 from ._node import AgentNode
-from ._reset import ResetLimit, build_stateless_reset
+from ._reset import RESETS_PER_SECOND, build_stateless_reset
 from ._table import ConnectionTable
 
 
@@ -47,7 +48,9 @@
         self.table = table
         self.flights = flights
         self.metrics = metrics
-        self.reset_limit = ResetLimit()
+        self.reset_limit = TokenBucket(
+            rate=RESETS_PER_SECOND, burst=RESETS_PER_SECOND, now=node.now()
+        )
         self.handlers: dict[Kind, Callable[[Datagram], None]] = {
             Kind.FORWARD: self.on_forward,
             **listeners,
@@ -149,7 +152,7 @@
             key=key,
             packet_bytes=len(datagram.payload),
         )
-        if packet is None or not self.reset_limit.take(now=now):
+        if packet is None or not self.reset_limit.try_take(now=now):
             return
         self.metrics.resets.inc()
         self.node.log.write(
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_headers.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_headers.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Iterable, Sequence
 
-from daisygauge_records import RequestClass, Service
+from daisygauge_policy import match_class
+from daisygauge_records import Service
 
 from ._model import Headers, HostIncarnation, Request
 
@@ -16,7 +17,6 @@
 REQUEST_ID_HEADER = b"x-request-id"
 MAX_DEADLINE_SECONDS = 24 * 3600.0
 MAX_KEY_BYTES = 255
-DEFAULT_CLASS = RequestClass(name="default")
 # Connection-specific fields (RFC 9110, 7.6.1).
 HOP_BY_HOP = frozenset(
     {
@@ -57,16 +57,6 @@
     return tuple((name, value) for name, value in kept if name not in dropped)
 
 
-def find_class(*, service: Service, method: str, path: str) -> RequestClass:
-    """Return the first request class that matches."""
-    for request_class in service.classes:
-        if request_class.method not in ("*", method):
-            continue
-        if path.startswith(request_class.path_prefix):
-            return request_class
-    return DEFAULT_CLASS
-
-
 def _read_deadline(value: bytes | None, *, default: float) -> float:
     if value is None:
         return default
@@ -115,7 +105,7 @@
     path = pseudo.get(b":path", b"").decode("latin-1")
     if not path.startswith("/"):
         raise MalformedRequestError(":path")
-    request_class = find_class(service=service, method=method, path=path)
+    request_class = match_class(service, method=method, path=path)
     seconds = _read_deadline(
         first_values.get(DEADLINE_HEADER), default=request_class.deadline_seconds
     )
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_messages.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from daisygauge_policy import (
+    DEFAULT_CLASS,
     Granted,
     InProgress,
     KeyOwner,
@@ -16,7 +17,6 @@
 from daisygauge_records import Service
 from daisygauge_wire import peer_pb2
 
-from ._headers import DEFAULT_CLASS
 from ._model import Headers, Request
 
 State = peer_pb2.OutcomeAnswer
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_reset.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_reset.py
@@ -14,31 +14,6 @@
 _SHORT_HEADER_MASK = 0x3F
 
 
-class ResetLimit:
-    """Bounds the resets that an agent sends.
-
-    :param per_second: resets allowed each second, and in one burst.
-    """
-
-    def __init__(self, *, per_second: float = RESETS_PER_SECOND) -> None:
-        self.per_second = per_second
-        self.tokens = per_second
-        self.updated = 0.0
-
-    def take(self, *, now: float) -> bool:
-        """Take the right to send one reset.
-
-        :param now: Unix time in seconds.
-        """
-        earned = max(now - self.updated, 0.0) * self.per_second
-        self.tokens = min(self.tokens + earned, self.per_second)
-        self.updated = now
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
-
-
 def build_stateless_reset(
     *, connection_id: bytes, key: DerivedKeys, packet_bytes: int
 ) -> bytes | None:
