Prove configuration, identity and host replacement in scenarios

The revision sum that each daemon has in force becomes a metric, so that operators and scenarios see convergence and that nothing reverts. In the scenario of planned stops, requests now begin 0.4 s before the drain: one that reached the agent after GOAWAY had been rejected as not run, which is true and not a request in flight.

--- a/packages/daisygauge-control/src/daisygauge_control/_source.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_source.py
@@ -79,6 +79,14 @@
         """The configuration in force."""
         return self.state.view
 
+    @property
+    def revision(self) -> int:
+        """Sum of the revisions of the records that this daemon needs.
+
+        Revisions only grow, so it never decreases while the process lives.
+        """
+        return self.state.journal.summarize(service=self.node.member.service).revision
+
     @property
     def refused(self) -> dict[str, RecordRefused]:
         """Records that are refused now, with the reasons, by name."""
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_metrics.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_metrics.py
@@ -40,3 +40,9 @@
             namespace=NAMESPACE,
             registry=registry,
         )
+        self.configuration_revision = Gauge(
+            "configuration_revision",
+            "Sum of the revisions of the records in force; it never decreases.",
+            namespace=NAMESPACE,
+            registry=registry,
+        )
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_runtime.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_runtime.py
@@ -148,6 +148,9 @@
             services=sorted(view.services),
         )
         self.readiness.set("configuration", True)
+        self.metrics.configuration_revision.set_function(
+            lambda: float(self.source.revision)
+        )
         while True:
             self.metrics.configuration_version.set(view.version)
             view = await self.source.wait_for_change(after=view.version)
--- a/testing/proof/features/planned_stops.feature
+++ b/testing/proof/features/planned_stops.feature
@@ -7,6 +7,7 @@
     When request short to order-desk starts and takes 100 ms
     And request middle to order-desk starts and takes 1000 ms
     And request long to order-desk starts and takes 2500 ms
+    And 0.4 seconds pass
     And host 1 of order-desk drains
     And host 2 of order-desk drains
     Then the outcome of short is answered
@@ -32,3 +33,13 @@
     When the callers stop
     Then every request has a true outcome
     And no request has an unknown outcome
+
+  Scenario: Every host is replaced in turn under load
+    Given 1 feeds of order-desk are open
+    And 3 callers of each service send requests
+    When every host of order-desk is replaced in turn
+    And the callers stop
+    Then no feed is broken
+    And every request has a true outcome
+    And no request has an unknown outcome
+    And every planned stop ended with exit code 0
--- a/testing/proof/steps/fleet.py
+++ b/testing/proof/steps/fleet.py
@@ -89,3 +89,36 @@
 @when("{seconds:g} seconds pass")
 def wait(context, seconds):
     context.run(asyncio.sleep(seconds))
+
+
+async def reuse_address(scene, host, other):
+    """Start a host of another service where one has just died."""
+    fleet = scene.fleet
+    plan = next(plan for plan in fleet.deployment.services if plan.id == other)
+    await asyncio.gather(host.agent.kill(), host.upstream.kill())
+    scene.gone_runs.extend(fleet.ledger(host))
+    del fleet.hosts[host.id]
+    await fleet.publish_upstream(plan, host.index)
+    await fleet.start_host(plan, host.index)
+
+
+@when("host {number:d} of {service} dies and {other} takes its address")
+def take_address(context, number, service, other):
+    host = find_host(context, number, service)
+    context.run(reuse_address(context.scene, host, other))
+
+
+@when("every host of {service} is replaced in turn")
+def replace_hosts(context, service):
+    fleet = context.scene.fleet
+    for host in fleet.hosts_of(service):
+        context.scene.exit_codes.extend(context.run(fleet.drain_host(host)))
+        replacement = context.run(fleet.start_host(host.plan, host.index))
+        context.run(fleet.wait_ready(replacement.agent))
+
+
+@when("packets between balancer {number:d} and callers are cut off")
+def cut_balancer(context, number):
+    id = list(context.scene.fleet.balancers)[number - 1]
+    faults = {"cuts": {id: "both"}}
+    context.run(context.scene.fleet.stand_ins.set_fabric_faults(**faults))
