--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,7 @@
 # Compares the policies with baselines; results and plots go to bench/.
 bench: setup
 	$(BIN)/daisygaugectl bench policies
+
+# Shows that the scenarios fail when the mechanism that they prove is taken out.
+proof-red: setup
+	$(BIN)/python testing/proof/mutations.py
--- a/testing/proof/features/whole_answers.feature
+++ b/testing/proof/features/whole_answers.feature
@@ -34,8 +34,10 @@
 
   Scenario: An upstream dies in the middle of its answers
     Given 3 callers of each service send requests
-    When the upstream of host 1 of order-desk is killed
+    When 6 orders of 1500 ms to order-desk start
+    And 0.7 seconds pass
+    And the upstream of host 1 of order-desk is killed
     And 3 seconds pass
     And the callers stop
-    Then every request has a true outcome
+    Then every begun request has a true outcome
     And no order runs twice
--- a/testing/proof/scene.py
+++ b/testing/proof/scene.py
@@ -41,6 +41,9 @@
     exit_codes: list[int] = field(factory=list)
     marks: dict[str, float] = field(factory=dict)
     frozen: list = field(factory=list)
+    named_callers: dict[str, Caller] = field(factory=dict)
+    named_hosts: dict = field(factory=dict)
+    highest_revisions: dict[str, float] = field(factory=dict)
     gone_runs: list = field(factory=list)
     revisions: dict[str, dict[str, float]] = field(factory=dict)
 
@@ -79,10 +82,12 @@
         await asyncio.gather(*self.load)
         self.load.clear()
 
-    async def call(self, service, request):
+    async def call(self, service, request, *, name=None):
         """Send one request on a connection of its own and record its outcome."""
         caller = Caller(self.fleet.target(service))
         self.callers.append(caller)
+        if name is not None:
+            self.named_callers[name] = caller
         return await self.call_with(caller, request)
 
     async def call_with(self, caller, request):
@@ -101,7 +106,20 @@
     def begin(self, name, service, **fields):
         """Send a request whose outcome a later step looks at."""
         request = Request(**fields)
-        self.pending[name] = asyncio.create_task(self.call(service, request))
+        self.pending[name] = asyncio.create_task(self.call(service, request, name=name))
+
+    def host_named(self, name):
+        """Return what the answer of a named request says of its host, or None."""
+        caller = self.named_callers.get(name)
+        connections = caller.connections if caller is not None else []
+        return connections[0].exchanges.host if connections else None
+
+    def host_of(self, name):
+        """Return the host that a named request went to."""
+        if name not in self.named_hosts:
+            id = self.host_named(name).split(";")[0]
+            self.named_hosts[name] = self.fleet.hosts[id]
+        return self.named_hosts[name]
 
     async def outcome(self, name):
         if name not in self.outcomes:
--- a/testing/proof/steps/callers.py
+++ b/testing/proof/steps/callers.py
@@ -31,12 +31,6 @@
     context.run(begin(context.scene, name, service, fields))
 
 
-@when("{count:d} requests of {milliseconds:d} ms to {service} start")
-def begin_requests(context, count, milliseconds, service):
-    for number in range(count):
-        begin_request(context, f"request-{number}", service, milliseconds)
-
-
 @when("order {name} with key {key} to {service} starts and takes {milliseconds:d} ms")
 def begin_order(context, name, key, service, milliseconds):
     fields = {
@@ -47,6 +41,13 @@
     context.run(begin(context.scene, name, service, fields))
 
 
+@when("{count:d} orders of {milliseconds:d} ms to {service} start")
+def begin_orders(context, count, milliseconds, service):
+    for number in range(count):
+        name = f"order-{number}"
+        begin_order(context, name, f"key-{number}", service, milliseconds)
+
+
 async def repeat(scene, name, first):
     earlier = (await scene.pending[first]).request
     outcome = scene.outcomes[first].outcome
@@ -64,3 +65,19 @@
 def repeat_order(context, name, first):
     context.run(context.scene.outcome(first))
     context.run(repeat(context.scene, name, first))
+
+
+DOWNLOAD_BYTES = 90_000
+
+
+@when("download {name} of {service} starts and lasts {seconds:d} seconds")
+def begin_download(context, name, service, seconds):
+    rate = DOWNLOAD_BYTES // seconds
+    fields = {
+        "path": f"/download?size={DOWNLOAD_BYTES}&rate={rate}",
+        "deadline_seconds": 60.0,
+    }
+    scene = context.scene
+    context.run(begin(scene, name, service, fields))
+    seen = context.run(scene.until(lambda: scene.host_named(name), seconds=5))
+    assert seen, f"{name} did not start"
--- a/testing/proof/steps/configuration.py
+++ b/testing/proof/steps/configuration.py
@@ -36,7 +36,10 @@
 async def read_revisions(scene, service):
     processes = daemons_of(scene, service)
     values = await asyncio.gather(*(read_revision(scene, p) for p in processes))
-    return {p.id: v for p, v in zip(processes, values, strict=True) if v is not None}
+    seen = {p.id: v for p, v in zip(processes, values, strict=True) if v is not None}
+    highest = scene.highest_revisions
+    highest.update({id: max(v, highest.get(id, v)) for id, v in seen.items()})
+    return seen
 
 
 def plan_of(scene, service):
@@ -105,10 +108,10 @@
 @then("no revision of {service} is lower {seconds:d} seconds later")
 def not_reverted(context, service, seconds):
     scene = context.scene
-    before = context.run(read_revisions(scene, service))
     context.run(asyncio.sleep(seconds))
-    after = context.run(read_revisions(scene, service))
-    lower = {id: (before[id], after[id]) for id in after if after[id] < before[id]}
+    seen = context.run(read_revisions(scene, service))
+    highest = scene.highest_revisions
+    lower = {id: (highest[id], v) for id, v in seen.items() if v < highest[id]}
     assert not lower, lower
 
 
--- a/testing/proof/steps/fleet.py
+++ b/testing/proof/steps/fleet.py
@@ -1,6 +1,7 @@
 """Steps that start fleets and stop, freeze or replace their processes."""
 
 import asyncio
+import signal
 
 from behave import given, when
 
@@ -122,3 +123,11 @@
     id = list(context.scene.fleet.balancers)[number - 1]
     faults = {"cuts": {id: "both"}}
     context.run(context.scene.fleet.stand_ins.set_fabric_faults(**faults))
+
+
+@when("the host of {name} starts to drain")
+def start_drain(context, name):
+    scene = context.scene
+    host = scene.host_of(name)
+    context.run(scene.fleet.list_host(host, leaving=True))
+    host.agent.send_signal(signal.SIGTERM)
--- a/testing/proof/steps/promises.py
+++ b/testing/proof/steps/promises.py
@@ -45,6 +45,13 @@
     assert account.truthful, account.notes
 
 
+@then("every begun request has a true outcome")
+def begun_outcomes_true(context):
+    for name in list(context.scene.pending):
+        context.run(context.scene.outcome(name))
+    outcomes_true(context)
+
+
 @then("every request is answered whole")
 def all_answered(context):
     account = context.scene.account()
@@ -90,12 +97,19 @@
     assert not any(context.scene.exit_codes), context.scene.exit_codes
 
 
-@then("no new run starts on host {number:d} of {service} {seconds:g} seconds later")
-def no_new_work(context, number, service, seconds):
+@then("no run starts on the host of {name} for {seconds:g} seconds")
+def no_new_work(context, name, seconds):
     scene = context.scene
-    host = scene.fleet.hosts_of(service)[number - 1]
-    context.run(asyncio.sleep(seconds))
+    host = scene.host_of(name)
+    assert host.agent.running, "the agent ended too early to show anything"
     before = len(scene.fleet.ledger(host))
     context.run(asyncio.sleep(seconds))
     after = len(scene.fleet.ledger(host))
     assert after == before, f"{after - before} runs started late on {host.id}"
+
+
+@then("the host of {name} ends with exit code 0")
+def host_ends(context, name):
+    scene = context.scene
+    code = context.run(scene.host_of(name).agent.wait())
+    assert code == 0, code
