Keep a daemon following after it gave up its seat; measure the slopes of control

A daemon that gave up its seat read the result of its cancelled watch at its next step; that ended its configuration task without an error, and its view stayed as it was for good. Seen first with real processes: 12 daemons, all six seats killed, one balancer of two never got the change within 60 s. The test was red before the change (timeout) and is green after it. A second fault of the same run: grpclib raises AttributeError from a send on a connection that has just ended, which stopped the daemon; it now ends the link alone.

--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,7 @@
 # Shows that the scenarios fail when the mechanism that they prove is taken out.
 proof-red: setup
 	$(BIN)/python testing/proof/mutations.py
+
+# Measures the slopes of control; prints target against measured.
+capacity: setup
+	$(BIN)/python bench/capacity/run.py
--- a/packages/daisygauge-control/src/daisygauge_control/_link.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_link.py
@@ -83,7 +83,7 @@
         node = self.node
         sealed = seal(request, keys=node.keys, now=node.clock())
         await node.budget.wait_to_send(size_of(sealed), is_sync=False)
-        await stream.send_message(sealed)
+        await send_message(stream, sealed)
 
     async def _receive(self, stream: LinkStream) -> None:
         sealed = await stream.recv_message()
@@ -147,6 +147,20 @@
             await self.node.changed.wait(seconds=end - loop.time())
 
 
+async def send_message(stream: LinkStream, sealed: Sealed) -> None:
+    """Send a message on a stream whose connection may have just ended.
+
+    grpclib 0.4.9 deletes the transport of a connection that has ended, and then
+    raises an ``AttributeError`` from a send that was about to begin.
+
+    :raises StreamTerminatedError: when the connection has ended.
+    """
+    try:
+        await stream.send_message(sealed)
+    except AttributeError as error:
+        raise StreamTerminatedError("the connection has ended") from error
+
+
 def open_channel(peer: Instance, *, node: Node) -> Channel:
     """Open a channel whose calls are authenticated for a peer."""
     channel = Channel(host=peer.inner.host, port=peer.peer_port)
--- a/packages/daisygauge-control/src/daisygauge_control/_steering.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_steering.py
@@ -127,6 +127,7 @@
             self._watching = asyncio.create_task(self.watch.run())
         elif self._watching is not None:
             self._watching.cancel()
+            self._watching = None
 
     async def _stop_watching(self) -> None:
         if self._watching is not None:
--- a/testing/control/test_spreading.py
+++ b/testing/control/test_spreading.py
@@ -145,3 +145,23 @@
     seat = fleet[seats_of(fleet)[0]]
 
     assert SeatChanged(seat=True) in seat.events
+
+
+async def test_a_daemon_that_gave_up_its_seat_goes_on(platform, monkeypatch):
+    monkeypatch.setattr("daisygauge_control._steering.SEAT_LINGER_SECONDS", 0.1)
+    platform.publish(make_key(), make_service(), make_upstream(slots=1))
+    async with run_fleet(platform) as fleet:
+        for number in range(3):
+            await fleet.add(f"b{number}")
+        fleet.run()
+        await wait_until(lambda: len(seats_of(fleet)) == 3)
+
+        for number in range(3, 12):
+            await fleet.add(f"b{number}")
+        fleet.run()
+        first = [fleet[f"b{number}"].source.node for number in range(3)]
+        await wait_until(lambda: not all(node.seat for node in first))
+        platform.publish(make_upstream(slots=5, revision=2))
+
+        await fleet.wait_for_slots(5)
+        assert not any(p.task.done() for p in fleet.participants.values())
