Spread configuration between the daemons

Cause: daisygauged built its configuration source without a member, so every daemon watched the platform by itself and the spreading was never used. Each daemon now says who it is, serves control calls on its peer port (an agent beside the calls of its peers, by one server), and logs and counts seats, lost peers and fall-backs. The signing of calls stood twice; the control package's remains.

The test of readiness failed since the revision became a metric, because the stand-in source had none; it has one now.

--- a/packages/daisygauge-control/src/daisygauge_control/__init__.py
+++ b/packages/daisygauge-control/src/daisygauge_control/__init__.py
@@ -1,6 +1,8 @@
 """Configuration reading, spreading and membership."""
 
+from ._budget import ControlBudget
 from ._consul import ConsulReader
+from ._credentials import Call, NoKeyError, authenticate_server, sign_call
 from ._events import (
     ConfigurationChanged,
     FellBack,
@@ -26,15 +28,18 @@
 from ._view import ConfigurationView
 
 __all__ = [
+    "Call",
     "ConfigurationChanged",
     "ConfigurationSource",
     "ConfigurationState",
     "ConfigurationView",
     "ConsulReader",
+    "ControlBudget",
     "EVERYTHING",
     "FellBack",
     "InstancesSnapshot",
     "Member",
+    "NoKeyError",
     "Observe",
     "PeerLost",
     "PlatformLost",
@@ -47,5 +52,7 @@
     "RevisionConflict",
     "SeatChanged",
     "SourceEvent",
+    "authenticate_server",
     "create_configuration_source",
+    "sign_call",
 ]
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
@@ -17,6 +17,7 @@
 from daisygauge_records import Endpoint
 from daisygauge_wire import Datagram, Gauge, Kind
 
+from .._peer_port import PeerPort
 from .._runtime import Runtime
 from ._acceptor import Acceptor
 from ._dispatch import Dispatcher
@@ -29,7 +30,7 @@
 from ._metrics import AgentMetrics
 from ._node import AgentNode
 from ._peer_calls import PeerCalls
-from ._peer_server import PeerHandler, start_peer_server, stop_peer_server
+from ._peer_server import PeerHandler
 from ._peers import Peers
 from ._request import RequestServer
 from ._returns import Returns
@@ -105,7 +106,8 @@
         )
         self.receive_datagrams()
         handler = PeerHandler(node=self.node, router=self.router, fence=self.fence)
-        self.peer_server = await start_peer_server(node=self.node, handler=handler)
+        self.peer_port = PeerPort(runtime=self.runtime, handlers=[handler])
+        await self.peer_port.start()
         self.runtime.spawn(self.health.run(), name="health")
         self.runtime.spawn(self.slots.run(), name="slots")
         self.runtime.spawn(self.gauges.run(), name="gauges")
@@ -192,7 +194,7 @@
         for connection in self.table.connections():
             connection.close(reason="host stopped")
         await asyncio.sleep(0)
-        await stop_peer_server(self.peer_server)
+        await self.peer_port.stop()
         self.calls.close()
         await self.upstream.close()
         if self.node.socket is not None:
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_calls.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_calls.py
@@ -8,6 +8,7 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from daisygauge_control import Call, NoKeyError, sign_call
 from daisygauge_policy import KeyOwner
 from daisygauge_policy._fence import OwnerReply
 from daisygauge_records import Endpoint
@@ -17,10 +18,10 @@
 from ._messages import make_head, read_headers, read_outcome_answer
 from ._model import Answer, Answered, Body, NotRun, Outcome, Request, Unknown
 from ._node import AgentNode
-from ._peer_auth import sign_call
 
 ASK_SECONDS = 1.0
 CONNECT_SECONDS = 0.5
+MILLISECONDS_PER_SECOND = 1_000
 HAND_OFF_METHOD = "/daisygauge.Peer/HandOff"
 ASK_METHOD = "/daisygauge.Peer/AskOutcome"
 # With these the peer has refused a call before its handler saw the request.
@@ -54,16 +55,16 @@
 
     def sign(self, method: str, *, receiver: str) -> dict[str, str]:
         """Return the metadata of a call."""
-        key = self.node.newest_key()
-        if key is None:
-            return {}
-        return sign_call(
-            key,
+        call = Call(
             method=method,
             sender=self.node.settings.id,
             receiver=receiver,
-            now=self.node.now(),
+            sent_ms=round(self.node.now() * MILLISECONDS_PER_SECOND),
         )
+        try:
+            return sign_call(call, keys=self.node.keys)
+        except NoKeyError:
+            return {}
 
     async def ask_outcome(
         self, owner: KeyOwner, key: str, fingerprint: bytes
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_server.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_server.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from grpclib import GRPCError, Status
-from grpclib.events import RecvRequest, listen
-from grpclib.server import Server, Stream
+from grpclib.server import Stream
 
 from daisygauge_policy import KeyOwner
 from daisygauge_wire import peer_pb2
@@ -17,7 +14,6 @@
 from ._messages import make_headers, make_outcome_answer, read_head
 from ._model import Answered, Headers, NotRun, Outcome, Unknown
 from ._node import AgentNode
-from ._peer_auth import is_authentic
 from ._routing import Router
 
 MAX_PART_BYTES = 64 * 1024
@@ -130,36 +126,3 @@
             now=self.node.now(),
         )
         await stream.send_message(make_outcome_answer(reply))
-
-
-async def start_peer_server(*, node: AgentNode, handler: PeerHandler) -> Server:
-    """Listen for calls of peers that hold a published key.
-
-    :raises OSError: the address is taken.
-    """
-    server = Server([handler])
-
-    async def check(event: RecvRequest) -> None:
-        authentic = is_authentic(
-            event.metadata,
-            method=event.method_name,
-            receiver=node.settings.id,
-            keys=node.keys,
-            now=node.now(),
-        )
-        if not authentic:
-            raise GRPCError(
-                Status.UNAUTHENTICATED,
-                "no key in force has signed this call; check keys and clocks",
-            )
-
-    listen(server, RecvRequest, check)
-    await server.start(node.settings.host, node.settings.peer_port)
-    return server
-
-
-async def stop_peer_server(server: Server) -> None:
-    """Close the server and wait for its calls to end."""
-    server.close()
-    async with asyncio.timeout(1.0):
-        await server.wait_closed()
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_balancer.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_balancer.py
@@ -9,6 +9,7 @@
 from daisygauge_control import ConfigurationView
 from daisygauge_records import Endpoint, Service
 
+from .._peer_port import PeerPort
 from .._runtime import Runtime
 from . import _events as events
 from ._inner import InnerSocket
@@ -63,6 +64,7 @@
         self.placer = self.inner.placer
         self.outers: dict[str, OuterSocket] = {}
         self.changing = asyncio.Lock()
+        self.peer_port: PeerPort | None = None
         runtime.readiness.set("sockets", False)
 
     async def start(self) -> None:
@@ -73,6 +75,8 @@
         await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self.inner, sock=bind_datagram_socket(self.local)
         )
+        self.peer_port = PeerPort(runtime=self.runtime)
+        await self.peer_port.start()
         self.runtime.spawn(self.follow_configuration(), name="balancer-configuration")
         self.runtime.spawn(self.tend(), name="balancer-timers")
 
@@ -206,6 +210,7 @@
         """Close every socket."""
         for outer in tuple(self.outers.values()):
             self.unbind(outer)
+        await self.peer_port.stop()
         self.inner.transport.close()
 
 
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_configuration.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_configuration.py
@@ -6,10 +6,14 @@
 
 from daisygauge_control import (
     ConfigurationChanged,
+    ControlBudget,
+    FellBack,
+    PeerLost,
     PlatformLost,
     PlatformRegained,
     RecordRefused,
     RevisionConflict,
+    SeatChanged,
     SourceEvent,
 )
 
@@ -55,7 +59,46 @@
     fields=("failures",),
 )
 
-CONFIGURATION_EVENTS = (CHANGED, REFUSED, CONFLICT, PLATFORM_LOST, PLATFORM_REGAINED)
+PEER_LOST = Event(
+    number=405,
+    name="peer-lost",
+    level=Level.WARNING,
+    text="A daemon that was followed does not answer; another takes its place.",
+    fields=("peer", "reason"),
+)
+SEAT_CHANGED = Event(
+    number=406,
+    name="seat-changed",
+    level=Level.INFO,
+    text="The daemon begins or ends to watch the platform for its failure domain.",
+    fields=("seat",),
+)
+FELL_BACK = Event(
+    number=407,
+    name="fell-back",
+    level=Level.WARNING,
+    text="No daemon could be followed, so the platform was read once. "
+    "Check the balancers of this failure domain and the network to them.",
+    fields=("silent_seconds",),
+)
+
+CONFIGURATION_EVENTS = (
+    CHANGED,
+    REFUSED,
+    CONFLICT,
+    PLATFORM_LOST,
+    PLATFORM_REGAINED,
+    PEER_LOST,
+    SEAT_CHANGED,
+    FELL_BACK,
+)
+
+
+BUDGET_HELP = {
+    "control_sent_bytes": "Bytes sent to other daemons for control since the start.",
+    "control_received_bytes": "Bytes received from other daemons for control.",
+    "control_waited_seconds": "Time for which the budget held control back.",
+}
 
 
 class ConfigurationObserver:
@@ -75,6 +118,18 @@
             namespace=NAMESPACE,
             registry=registry,
         )
+        self.seat = Gauge(
+            "seat",
+            "1 while the daemon watches the platform for its failure domain.",
+            namespace=NAMESPACE,
+            registry=registry,
+        )
+        self.fall_backs = Counter(
+            "platform_fall_backs",
+            "Reads of the platform because no daemon could be followed.",
+            namespace=NAMESPACE,
+            registry=registry,
+        )
         self.platform_up = Gauge(
             "platform_up",
             "1 while the platform answers.",
@@ -82,6 +137,21 @@
             registry=registry,
         )
 
+    def follow_budget(
+        self, budget: ControlBudget, *, registry: CollectorRegistry
+    ) -> None:
+        """Show what a daemon uses of its control budget."""
+        readings = {
+            "control_sent_bytes": lambda: budget.sent_bytes,
+            "control_received_bytes": lambda: budget.received_bytes,
+            "control_waited_seconds": lambda: budget.waited_seconds,
+        }
+        for name, read in readings.items():
+            gauge = Gauge(
+                name, BUDGET_HELP[name], namespace=NAMESPACE, registry=registry
+            )
+            gauge.set_function(read)
+
     def __call__(self, event: SourceEvent) -> None:
         """Log and count one event."""
         match event:
@@ -118,6 +188,14 @@
                     reason=event.reason,
                     retry_seconds=round(event.retry_seconds, 3),
                 )
+            case PeerLost():
+                self.log.write(PEER_LOST, peer=event.peer, reason=event.reason)
+            case SeatChanged():
+                self.seat.set(event.seat)
+                self.log.write(SEAT_CHANGED, seat=event.seat)
+            case FellBack():
+                self.fall_backs.inc()
+                self.log.write(FELL_BACK, silent_seconds=round(event.silent_seconds, 3))
             case PlatformRegained():
                 self.platform_up.set(1)
                 self.log.write(PLATFORM_REGAINED, failures=event.failures)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/main.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/main.py
@@ -11,8 +11,8 @@
 from absl import flags
 from prometheus_client import CollectorRegistry
 
-from daisygauge_control import create_configuration_source
-from daisygauge_records import SettingsError
+from daisygauge_control import EVERYTHING, Member, create_configuration_source
+from daisygauge_records import Role as InstanceRole, SettingsError
 
 from ._command_line import MisuseError, new_flags, parse_flags, report_misuse
 from ._configuration import ConfigurationObserver
@@ -74,6 +74,22 @@
             return Agent(runtime=runtime)
 
 
+def describe_member(settings: Settings) -> Member:
+    """Return who this daemon is towards the others; agents need one service."""
+    match settings:
+        case AgentSettings():
+            service = settings.service
+        case BalancerSettings():
+            service = EVERYTHING
+    return Member(
+        id=settings.id,
+        role=InstanceRole(settings.role),
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        service=service,
+    )
+
+
 def serve(settings: Settings) -> int:
     """Run the daemon on an event loop of its own.
 
@@ -83,11 +99,15 @@
     log = create_log(settings)
     registry = CollectorRegistry()
     observer = ConfigurationObserver(log=log, registry=registry)
+    source = create_configuration_source(
+        platform=settings.platform,
+        member=describe_member(settings),
+        observe=observer,
+    )
+    observer.follow_budget(source.budget, registry=registry)
     runtime = Runtime(
         settings=settings,
-        source=create_configuration_source(
-            platform=settings.platform, observe=observer
-        ),
+        source=source,
         incarnation=new_incarnation(now=time.time()),
         log=log,
         registry=registry,
--- a/testing/agent/test_truth.py
+++ b/testing/agent/test_truth.py
@@ -93,7 +93,7 @@
         await wait_until(lambda: runs_of(fleet, "r"))
         await wait_until(lambda: path != "/drip" or moved.body)
         await wait_until(lambda: path != "/run" or moved.whole)
-        fleet.agents[1].peer_server.close()
+        fleet.agents[1].peer_port.server.close()
         await asyncio.wait_for(moved.done.wait(), 10)
         fleet.upstreams[0].release.set()
         await held.done.wait()
@@ -107,7 +107,7 @@
 
     async with fleet.caller() as caller:
         held = await fill(fleet, caller)
-        fleet.agents[1].peer_server.close()
+        fleet.agents[1].peer_port.server.close()
         waiting = caller.start("POST", "/run", headers=[("x-request-id", "r")])
         await asyncio.sleep(0.2)
         fleet.upstreams[0].release.set()
--- a/testing/daemon/fakes.py
+++ b/testing/daemon/fakes.py
@@ -20,8 +20,12 @@
     def __init__(self, view: ConfigurationView | None = None) -> None:
         self.view = view or ConfigurationView()
         self.ready = view is not None
+        self.revision = 0
         self.changed = asyncio.Condition()
 
+    def services(self):
+        return []
+
     async def run(self) -> None:
         await asyncio.Event().wait()
 
