Show the fleet's convergence, and gather what operators need

daisygaugectl status asks one daemon, found through the platform, for the revisions in force in every failure domain, for laggards, unseen daemons and refused records. Names that the agent used of the policy package are public now.

--- a/packages/daisygauge-control/src/daisygauge_control/__init__.py
+++ b/packages/daisygauge-control/src/daisygauge_control/__init__.py
@@ -15,6 +15,7 @@
     SeatChanged,
     SourceEvent,
 )
+from ._fetch import NoAnswerError, fetch_status
 from ._member import EVERYTHING, Member
 from ._platform import (
     InstancesSnapshot,
@@ -39,6 +40,7 @@
     "FellBack",
     "InstancesSnapshot",
     "Member",
+    "NoAnswerError",
     "NoKeyError",
     "Observe",
     "PeerLost",
@@ -54,5 +56,6 @@
     "SourceEvent",
     "authenticate_server",
     "create_configuration_source",
+    "fetch_status",
     "sign_call",
 ]
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_report.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_report.py
@@ -33,6 +33,8 @@
     directory.mkdir(parents=True, exist_ok=True)
     path = directory / f"{report.experiment}.json"
     content = asdict(report) | {"machine": describe_machine()}
+    # Where the results go says nothing of the experiment.
+    del content["options"]["results"]
     path.write_text(json.dumps(content, indent=2) + "\n")
     return path
 
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_commands.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_commands.py
@@ -6,9 +6,10 @@
 from ._check import CHECK
 from ._command import PROGRAM, Command
 from ._events import EVENTS
+from ._status import STATUS
 
 COMMANDS: dict[str, Command] = {
-    command.name: command for command in (BENCH, CHECK, EVENTS)
+    command.name: command for command in (BENCH, CHECK, EVENTS, STATUS)
 }
 
 
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_fence.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_fence.py
@@ -7,18 +7,20 @@
 from collections.abc import Awaitable, Callable
 
 from daisygauge_policy import (
+    LARGEST_ANSWER_BYTES,
     AskOwner,
+    Decision,
     InProgress,
     KeyOwner,
     OtherRequest,
     OutcomeLost,
     OutcomeTable,
+    OwnerReply,
     Replay,
     RunFirst,
     StoredAnswer,
     TableFull,
 )
-from daisygauge_policy._fence import LARGEST_ANSWER_BYTES, Decision, OwnerReply
 
 from ._bodies import ReplayBody
 from ._model import Answer, Answered, Headers, NotRun, Outcome, Request, Unknown
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_messages.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_messages.py
@@ -10,10 +10,10 @@
     Moved,
     OtherRequest,
     OutcomeLost,
+    OwnerReply,
     Replay,
     StoredAnswer,
 )
-from daisygauge_policy._fence import OwnerReply
 from daisygauge_records import Service
 from daisygauge_wire import peer_pb2
 
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_calls.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_calls.py
@@ -9,8 +9,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from daisygauge_control import Call, NoKeyError, sign_call
-from daisygauge_policy import KeyOwner
-from daisygauge_policy._fence import OwnerReply
+from daisygauge_policy import KeyOwner, OwnerReply
 from daisygauge_records import Endpoint
 from daisygauge_wire import peer_pb2
 from daisygauge_wire.peer_grpc import PeerStub
--- a/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
@@ -14,8 +14,10 @@
 from ._deadlines import Deadline, read_deadline
 from ._drain import DrainStage, decide_drain_stage
 from ._fence import (
+    LARGEST_ANSWER_BYTES,
     REPEAT_WINDOW_SECONDS,
     AskOwner,
+    Decision,
     Granted,
     InProgress,
     KeyOwner,
@@ -23,6 +25,7 @@
     OtherRequest,
     OutcomeLost,
     OutcomeTable,
+    OwnerReply,
     Replay,
     RunFirst,
     StoredAnswer,
@@ -63,6 +66,9 @@
 from ._suspects import SuspectList
 
 __all__ = [
+    "LARGEST_ANSWER_BYTES",
+    "Decision",
+    "OwnerReply",
     "DEFAULT_CLASS",
     "REPEAT_WINDOW_SECONDS",
     "AcceptFlight",
--- a/testing/proof/features/configuration.feature
+++ b/testing/proof/features/configuration.feature
@@ -70,3 +70,9 @@
     And balancer 1 starts again
     Then 1 more revision of order-desk is in force within 15 seconds
     And no revision of order-desk is lower 2 seconds later
+
+  Scenario: The status tells whether the fleet has converged
+    When revision 2 of order-desk is published with a retry share of 0.2
+    Then the status shows convergence within 15 seconds
+    When the agent of host 1 of order-desk is killed
+    Then the status names host 1 of order-desk within 60 seconds
