--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,9 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+# Runs every unit and property test, and the scenarios that no load can upset.
 test: setup
+	$(BIN)/behave --no-capture --format=progress3 --tags=@ci testing/proof/features
 	$(BIN)/python -m pytest
 
 # Regenerates the committed protocol code.
