--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_documents.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_documents.py
@@ -146,7 +146,7 @@
 def write_settings(path: Path, settings: Document) -> None:
     """Write a settings file with a comment on its origin."""
     path.write_text(
-        "// Written for an emulated fleet; see docs/OPERATING.md for every field.\n"
+        "// Written for an emulated fleet; see docs/CLI.md for every field.\n"
         + json.dumps(settings, indent=2)
         + "\n"
     )
