--- a/packages/daisygauge-emulator/src/daisygauge_emulator/demo.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/demo.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import json
+import shutil
 import signal
 import sys
 import time
@@ -160,7 +161,11 @@
             await running
         await asyncio.gather(*(workload.close() for workload in workloads))
         progress.say(f"{deployment_id}: comparing outcomes with the ledgers")
-        return summarize(fleet, workloads, problems)
+        result = summarize(fleet, workloads, problems)
+    if result.passed and not result.problems:
+        # Logs and test keys are of use only when something went wrong.
+        shutil.rmtree(fleet.directory)
+    return result
 
 
 def summarize(
--- a/testing/proof/environment.py
+++ b/testing/proof/environment.py
@@ -1,6 +1,7 @@
 """Hooks of behave: one event loop for all scenarios, one fleet for each."""
 
 import asyncio
+import shutil
 import sys
 import threading
 from pathlib import Path
@@ -31,6 +32,9 @@
 
 def after_scenario(context, scenario):
     context.run(context.scene.close())
+    fleet = context.scene.fleet
+    if fleet is not None and scenario.status.name == "passed":
+        shutil.rmtree(fleet.directory)
     verdict = "passed" if scenario.status.name == "passed" else "failed"
     if scenario.status.name != "skipped":
         context.counts[verdict] += 1
