Open many flows while an address changes its service

Cause: with the checks of the service number taken out, the scenario was red in one run and green in another: it went red only when a caller of the load happened to open a flow to the reused address. Sixty orders, each on a connection of its own, now begin after the change.

--- a/testing/proof/features/service_identity.feature
+++ b/testing/proof/features/service_identity.feature
@@ -7,9 +7,10 @@
     Given 4 callers of each service send requests
     When 1 seconds pass
     And host 1 of order-desk dies and pattern-library takes its address
+    And 60 orders of 10 ms to order-desk start
     And 4 seconds pass
     And the callers stop
-    Then every request has a true outcome
+    Then every begun request has a true outcome
     And nothing reached another service
 
   Scenario: A balancer is frozen while an address changes its service
@@ -18,7 +19,8 @@
     And balancer 1 is frozen
     And host 1 of order-desk dies and pattern-library takes its address
     And balancer 1 wakes
+    And 60 orders of 10 ms to order-desk start
     And 4 seconds pass
     And the callers stop
-    Then every request has a true outcome
+    Then every begun request has a true outcome
     And nothing reached another service
