--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_aioquic.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_aioquic.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 
 from aioquic.asyncio.protocol import QuicConnectionProtocol
@@ -14,6 +13,7 @@
 
 from ._control_stream import GoawayFinder, is_server_unidirectional
 from ._exchange import REQUEST_CANCELLED, Exchange, Exchanges, Headers
+from ._protocol import SocketOwner, open_connection
 
 STATELESS_RESET = "stateless reset"
 RESET_TOKEN_BYTES = 16
@@ -21,7 +21,7 @@
 _LONG_HEADER = 0x80
 
 
-class AioquicConnection(QuicConnectionProtocol):
+class AioquicConnection(SocketOwner, QuicConnectionProtocol):
     """One HTTP/3 connection."""
 
     def __init__(self, quic: QuicConnection) -> None:
@@ -109,22 +109,6 @@
         self.exchanges.close(reason)
         self.release()
 
-    def release(self) -> None:
-        """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
-
-    def abort(self) -> None:
-        """Give up a handshake that nobody waits for any more."""
-        self._connected_waiter = None
-        self.close()
-        self.release()
-
-    def transmit(self) -> None:
-        """Send what is due, unless the socket is closed already."""
-        if self._transport is not None and not self._transport.is_closing():
-            super().transmit()
-
 
 async def connect_aioquic(
     *, host: str, port: int, server_name: str, ca_path: str, idle_timeout_seconds: float
@@ -140,14 +124,8 @@
         idle_timeout=idle_timeout_seconds,
     )
     configuration.load_verify_locations(cafile=ca_path)
-    _, connection = await asyncio.get_running_loop().create_datagram_endpoint(
+    return await open_connection(
         lambda: AioquicConnection(QuicConnection(configuration=configuration)),
-        local_addr=("0.0.0.0", 0),
+        host=host,
+        port=port,
     )
-    try:
-        connection.connect((host, port))
-        await connection.wait_connected()
-    except BaseException:
-        connection.abort()
-        raise
-    return connection
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_qh3.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_qh3.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 
 from qh3.asyncio.protocol import QuicConnectionProtocol
@@ -19,9 +18,10 @@
 from qh3.quic.connection import QuicConnection
 
 from ._exchange import REQUEST_CANCELLED, Exchange, Exchanges, Headers
+from ._protocol import SocketOwner, open_connection
 
 
-class Qh3Connection(QuicConnectionProtocol):
+class Qh3Connection(SocketOwner, QuicConnectionProtocol):
     """One HTTP/3 connection."""
 
     def __init__(self, quic: QuicConnection) -> None:
@@ -82,22 +82,6 @@
             self._quic.stop_stream(exchange.stream_id, REQUEST_CANCELLED)
         self.transmit()
 
-    def release(self) -> None:
-        """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
-
-    def abort(self) -> None:
-        """Give up a handshake that nobody waits for any more."""
-        self._connected_waiter = None
-        self.close()
-        self.release()
-
-    def transmit(self) -> None:
-        """Send what is due, unless the socket is closed already."""
-        if self._transport is not None and not self._transport.is_closing():
-            super().transmit()
-
 
 async def connect_qh3(
     *, host: str, port: int, server_name: str, ca_path: str, idle_timeout_seconds: float
@@ -113,14 +97,8 @@
         idle_timeout=idle_timeout_seconds,
     )
     configuration.load_verify_locations(cafile=ca_path)
-    _, connection = await asyncio.get_running_loop().create_datagram_endpoint(
+    return await open_connection(
         lambda: Qh3Connection(QuicConnection(configuration=configuration)),
-        local_addr=("0.0.0.0", 0),
+        host=host,
+        port=port,
     )
-    try:
-        connection.connect((host, port))
-        await connection.wait_connected()
-    except BaseException:
-        connection.abort()
-        raise
-    return connection
