--- a/testing/proof/features/planned_stops.feature
+++ b/testing/proof/features/planned_stops.feature
@@ -37,10 +37,11 @@
     And download sheet of order-desk starts and lasts 9 seconds
     And the host of sheet starts to drain
     And 3 seconds pass
+    And 60 orders of 10 ms to order-desk start
     Then no run starts on the host of sheet for 4 seconds
     And the outcome of sheet is answered
     When the callers stop
-    Then every request has a true outcome
+    Then every begun request has a true outcome
     And no request has an unknown outcome
     And the host of sheet ends with exit code 0
 
