--- a/testing/proof/steps/callers.py
+++ b/testing/proof/steps/callers.py
@@ -25,12 +25,6 @@
     scene.begin(name, service, **fields)
 
 
-@when("request {name} to {service} starts and takes {milliseconds:d} ms")
-def begin_request(context, name, service, milliseconds):
-    fields = {"path": f"/run?work_ms={milliseconds}&size=1000"}
-    context.run(begin(context.scene, name, service, fields))
-
-
 @when("order {name} with key {key} to {service} starts and takes {milliseconds:d} ms")
 def begin_order(context, name, key, service, milliseconds):
     fields = {
--- a/testing/proof/steps/configuration.py
+++ b/testing/proof/steps/configuration.py
@@ -113,12 +113,3 @@
     highest = scene.highest_revisions
     lower = {id: (highest[id], v) for id, v in seen.items() if v < highest[id]}
     assert not lower, lower
-
-
-@then("the platform was read fewer than {limit:d} times in {seconds:d} seconds")
-def few_reads(context, limit, seconds):
-    stand_ins = context.scene.fleet.stand_ins
-    before = context.run(stand_ins.platform_reads())
-    context.run(asyncio.sleep(seconds))
-    reads = context.run(stand_ins.platform_reads()) - before
-    assert reads < limit, reads
--- a/testing/proof/steps/fleet.py
+++ b/testing/proof/steps/fleet.py
@@ -118,13 +118,6 @@
         context.run(fleet.wait_ready(replacement.agent))
 
 
-@when("packets between balancer {number:d} and callers are cut off")
-def cut_balancer(context, number):
-    id = list(context.scene.fleet.balancers)[number - 1]
-    faults = {"cuts": {id: "both"}}
-    context.run(context.scene.fleet.stand_ins.set_fabric_faults(**faults))
-
-
 @when("the host of {name} starts to drain")
 def start_drain(context, name):
     scene = context.scene
--- a/testing/proof/steps/network.py
+++ b/testing/proof/steps/network.py
@@ -13,16 +13,6 @@
     context.run(stand_ins(context).set_fabric_faults(**faults))
 
 
-@when("the fabric loses {percent:d}% of all packets")
-def lose(context, percent):
-    set_faults(context, loss=percent / 100)
-
-
-@when("the fabric doubles {percent:d}% of all packets")
-def double(context, percent):
-    set_faults(context, duplicate=percent / 100)
-
-
 @when("the fabric delays packets by {milliseconds:d} ms and reorders {percent:d}%")
 def reorder(context, milliseconds, percent):
     set_faults(
--- a/testing/proof/steps/promises.py
+++ b/testing/proof/steps/promises.py
@@ -31,12 +31,6 @@
     )
 
 
-@then("no feed was silent for more than {seconds:g} seconds")
-def feeds_not_silent(context, seconds):
-    silences = [report.longest_silence_seconds for report in context.scene.reports]
-    assert max(silences) <= seconds, silences
-
-
 @then("every request has a true outcome")
 def outcomes_true(context):
     account = context.scene.account()
@@ -79,7 +73,6 @@
 
 
 @then("key {key} ran {times:d} time")
-@then("key {key} ran {times:d} times")
 def key_ran(context, key, times):
     runs = [run for run in context.scene.runs() if run.idempotency_key == key]
     assert len(runs) == times, runs
