Trust an upstream's service only where entry and settings agree

Cause: an address is used again 2 s after its host ended; the entry of that host stands for three heartbeats, 3.6 s. The next agent there took its upstream to be of the old entry's service and gave it opening packets of that service, from balancers whose belief was as old.

Change: a packet goes to the upstream only when the entry at its address, if there is one, and the settings of its agent name the packet's service.

--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -262,7 +262,7 @@
         now: float,
     ) -> None:
         """Handle a packet of a flow that isn't in the table."""
-        if frame.service != service_tag(self.upstream.service):
+        if not self.upstream.is_of(frame.service):
             # Its upstream is another one by now; this one must not see the packet.
             if searcher is None:
                 self.give_back(frame.balancer, frame.service, frame.packet, lost=False)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
@@ -42,8 +42,20 @@
     @property
     def service(self) -> str:
         """The service of the upstream."""
+        return self.runtime.settings.service
+
+    def is_of(self, service: int) -> bool:
+        """Tell whether the upstream belongs to a service, by all that is known.
+
+        The entry of an earlier host may still stand at the address, or the settings
+        may not tell of the present one yet. A flow that came by either alone could
+        reach another service.
+
+        :param service: tag of the service.
+        """
         host = self.resident
-        return self.runtime.settings.service if host is None else host.service
+        is_resident = host is None or service_tag(host.service) == service
+        return is_resident and service_tag(self.service) == service
 
     @property
     def slots(self) -> int | None:
@@ -67,7 +79,7 @@
 
         :param service: tag of the service.
         """
-        if service != service_tag(self.service):
+        if not self.is_of(service):
             return OpeningReason.OTHER_SERVICE
         host = self.resident
         is_leaving = host is not None and host.state is HostState.DRAINING
--- a/testing/relay/test_openings.py
+++ b/testing/relay/test_openings.py
@@ -95,6 +95,33 @@
     assert not host.flows
 
 
+def test_a_new_flow_never_reaches_a_host_whose_service_only_the_settings_tell(network):
+    address, host = next(iter(network.hosts.items()))
+    # The entry of the old host still stands when the next one's agent starts.
+    host.service = "pattern-library"
+    network.start_agent(address)
+
+    clients = network.open_clients(20)
+
+    assert all(client.is_open for client in clients)
+    assert not host.flows
+
+
+def test_a_carried_packet_never_reaches_a_host_of_other_settings(network):
+    clients = network.open_clients(20)
+    address, host = next((a, h) for a, h in network.hosts.items() if h.flows)
+    host.service = "pattern-library"
+    host.flows.clear()
+    network.first_start = False
+    network.start_agent(address)
+
+    for client in clients:
+        client.ask("10.0.0.1")
+    network.clock.run(0.3)
+
+    assert not host.foreign
+
+
 def test_a_flow_to_an_unknown_route_is_refused_at_once(network):
     client = network.new_client(service=("198.18.0.1", 9999))
     client.connect("10.0.0.1")
--- /dev/null
+++ b/testing/soak/proxy.py
@@ -0,0 +1,72 @@
+"""A TCP proxy on loopback between one process and the store, with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+CHUNK_BYTES = 65_536
+
+
+class Proxy:
+    """Passes bytes on; ``mode`` makes it fail.
+
+    :ivar mode: ``pass``, ``delayed``, ``reset``, ``silent`` or ``one-way`` (answers
+        are lost).
+    """
+
+    def __init__(self, target):
+        self.target = target
+        self.mode = "pass"
+        self.delay_seconds = 0.3
+        self.server = None
+        self.writers = set()
+
+    async def start(self, host, port):
+        self.server = await asyncio.start_server(self.serve, host, port)
+
+    async def stop(self):
+        self.server.close()
+        self.abort()
+
+    def abort(self):
+        """Reset every connection."""
+        for writer in tuple(self.writers):
+            writer.transport.abort()
+
+    def set_mode(self, mode):
+        self.mode = mode
+        if mode == "reset":
+            self.abort()
+
+    async def serve(self, reader, writer):
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        # The end of the soak cancels what waits on a silent connection.
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            there, back = await asyncio.open_connection(*self.target)
+            await asyncio.gather(
+                self.pass_on(reader, back, is_answer=False),
+                self.pass_on(there, writer, is_answer=True),
+            )
+
+    async def pass_on(self, reader, writer, *, is_answer):
+        self.writers.add(writer)
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if self.mode == "delayed":
+                    await asyncio.sleep(self.delay_seconds)
+                is_lost = self.mode == "silent" or (
+                    self.mode == "one-way" and is_answer
+                )
+                # A connection on which bytes were lost stays silent for good.
+                if is_lost:
+                    await asyncio.Event().wait()
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            return
+        finally:
+            self.writers.discard(writer)
+            writer.close()
