Answer packets that come while sockets open; go on after a defective datagram

Cause: the event loop reads a socket before it says that it is open. What the early binding of sockets was to gain was partly lost by it.

Change: endpoints exist before they are opened. An error that one datagram causes is logged with its traceback (event 627, at most one a second) and the next one is handled. Connections that wait at the end of a process no longer print a traceback.

Before: test_a_packet_that_comes_while_the_sockets_open_can_be_refused failed with the same error.

--- a/packages/daisygauge-control/src/daisygauge_control/_directory_exchange.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_exchange.py
@@ -79,8 +79,13 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Answer one peer until it closes the connection."""
+        # The end of the process cancels what waits; the streams library would print
+        # that as a failure.
         with contextlib.suppress(
-            OSError, asyncio.IncompleteReadError, MalformedMessageError
+            OSError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            MalformedMessageError,
         ):
             while True:
                 request = decode_request(await read_message(reader))
--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -23,7 +23,7 @@
 
 from . import _events as events
 from ._candidates import service_tag
-from ._endpoint import Endpoint, open_endpoint
+from ._endpoint import Endpoint
 from ._flows import AgentFlow, FlowStage, FlowTable
 from ._metrics import Gauge
 from ._openings import Openings
@@ -103,13 +103,15 @@
         self.foreign: dict[bytes, float] = {}
         address = parse_address(settings.upstream)
         self.upstream_address = (address.host, address.port)
-        self.inner: Endpoint | None = None
-        self.outbound: Endpoint | None = None
+        self.inner = Endpoint(receive=self.receive_frame, report=runtime.report_error)
+        self.outbound = Endpoint(
+            receive=self.receive_upstream, report=runtime.report_error
+        )
 
     async def start(self, sockets: RoleSockets) -> None:
         """Begin to read the sockets."""
-        self.outbound = await open_endpoint(sockets.outer, self.receive_upstream)
-        self.inner = await open_endpoint(sockets.inner, self.receive_frame)
+        await self.outbound.open(sockets.outer)
+        await self.inner.open(sockets.inner)
         self.runtime.spawn(self.requests.run(), name="requests")
 
     async def drain(self) -> None:
@@ -125,9 +127,8 @@
     def stop(self) -> None:
         """Close every socket."""
         self.requests.let_go()
-        for endpoint in (self.inner, self.outbound):
-            if endpoint is not None:
-                endpoint.close()
+        self.inner.close()
+        self.outbound.close()
 
     def gauges(self) -> tuple[Gauge, ...]:
         """Return what the metrics page shows of this role."""
--- a/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
@@ -30,7 +30,7 @@
 
 from . import _events as events
 from ._candidates import CandidateLists, choose_service, service_tag
-from ._endpoint import Endpoint, open_endpoint
+from ._endpoint import Endpoint
 from ._flows import BalancerFlow, FlowTable, SeenOffer
 from ._metrics import Gauge
 from ._packet import (
@@ -95,8 +95,10 @@
         self.candidates = CandidateLists()
         self.suspects = SuspectList()
         self.flows: FlowTable[BalancerFlow] = FlowTable(is_over=self.is_over)
-        self.ingress: Endpoint | None = None
-        self.inner: Endpoint | None = None
+        self.ingress = Endpoint(
+            receive=self.receive_packet, report=runtime.report_error
+        )
+        self.inner = Endpoint(receive=self.receive_frame, report=runtime.report_error)
         self.last_packet = float("-inf")
         # Monotonic time of each agent's last frame.
         self.heard: dict[bytes, float] = {}
@@ -106,9 +108,9 @@
 
         Packets that came during the start wait until they can be routed.
         """
-        self.inner = await open_endpoint(sockets.inner, self.receive_frame)
+        await self.inner.open(sockets.inner)
         await self.runtime.wait_complete(seconds=HOLD_SECONDS)
-        self.ingress = await open_endpoint(sockets.outer, self.receive_packet)
+        await self.ingress.open(sockets.outer)
 
     async def drain(self) -> None:
         """Carry packets until the fabric has left this balancer."""
@@ -125,9 +127,8 @@
 
     def stop(self) -> None:
         """Close every socket."""
-        for endpoint in (self.ingress, self.inner):
-            if endpoint is not None:
-                endpoint.close()
+        self.ingress.close()
+        self.inner.close()
 
     def gauges(self) -> tuple[Gauge, ...]:
         """Return what the metrics page shows of this role."""
--- a/packages/daisygauge-relay/src/daisygauge_relay/_events.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_events.py
@@ -192,6 +192,18 @@
     fields=("lines",),
 )
 
+DATAGRAM_FAILED = Event(
+    number=627,
+    name="datagram-failed",
+    level=Level.ERROR,
+    text="Handling a datagram ended with an unexpected error; it was dropped. Report "
+    "the error with its traceback.",
+    fields=("error", "traceback"),
+    limited=True,
+    lines_per_second=1.0,
+    burst=10.0,
+)
+
 RELAY_EVENTS = (
     OPENING_PLACED,
     OPENING_REFUSED,
@@ -216,4 +228,5 @@
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
     LINES_SUPPRESSED,
+    DATAGRAM_FAILED,
 )
--- a/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
@@ -140,6 +140,15 @@
         wants_traffic = self.is_needed or not self.is_leaving
         return self.directory.view.is_complete and wants_traffic
 
+    def report_error(self, error: Exception) -> None:
+        """Log a defect that one datagram has shown; the process goes on."""
+        self.counters.drop("defect")
+        self.log.write(
+            events.DATAGRAM_FAILED,
+            error=repr(error),
+            traceback="".join(traceback.format_exception(error)),
+        )
+
     def belief(self) -> dict[str, Any]:
         """Return what decisions rest on, for the log."""
         age = self.now() - self.directory.confirmed
--- a/testing/relay/network.py
+++ b/testing/relay/network.py
@@ -100,6 +100,9 @@
         self.now = clock.now
         self.call_later = clock.call_later
 
+    def report_error(self, error):
+        raise error
+
     def belief(self):
         return {"version": self.directory.view.version, "as_of": 1, "age_seconds": 0.0}
 
--- a/testing/relay/test_start.py
+++ b/testing/relay/test_start.py
@@ -8,6 +8,7 @@
 
 from daisygauge_platform._packets import SYN, PlatformCodec
 from daisygauge_relay import RelayBalancer
+from daisygauge_relay._endpoint import Endpoint
 from daisygauge_relay._main import EXIT_FAILED, run_relay
 from daisygauge_relay._settings import RelayBalancerSettings
 from daisygauge_relay._sockets import RoleSockets, bind_sockets
@@ -45,8 +46,8 @@
     bound.outer.close()
 
 
-def send_opening():
-    data = pack_packet(("100.64.0.1", 4_000), ("198.18.0.1", 443), flags=SYN)
+def send_opening(*, client_port=4_000, port=443):
+    data = pack_packet(("100.64.0.1", client_port), ("198.18.0.1", port), flags=SYN)
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as client:
         client.sendto(data, INGRESS)
 
@@ -108,6 +109,63 @@
     balancer.stop()
 
 
+class EagerLoop:
+    """Hands a datagram over before it says that a socket is open, as uvloop may."""
+
+    def __init__(self, data):
+        self.data = data
+        self.sent = []
+
+    async def create_datagram_endpoint(self, factory, *, sock):
+        protocol = factory()
+        protocol.connection_made(self)
+        protocol.datagram_received(self.data, ("router", 1))
+        return self, protocol
+
+    def sendto(self, data, address):
+        self.sent.append(data)
+
+
+async def test_a_packet_that_comes_while_the_sockets_open_can_be_refused(
+    settings, sockets, monkeypatch
+):
+    directory = Network().new_directory(HOST)
+    runtime = StartingRuntime(directory, settings)
+    runtime.complete.set()
+    balancer = RelayBalancer(runtime=runtime, settings=settings, codec=PlatformCodec())
+    unknown = pack_packet(("100.64.0.1", 4_000), ("198.18.0.1", 9_999), flags=SYN)
+    loop = EagerLoop(unknown)
+    monkeypatch.setattr(asyncio, "get_running_loop", lambda: loop)
+
+    await balancer.start(sockets)
+
+    assert runtime.counters.refused.total() == 1
+    assert len(loop.sent) == 1
+
+
+async def test_a_datagram_that_shows_a_defect_does_not_end_the_others(
+    settings, sockets
+):
+    taken, errors = [], []
+
+    def receive(data, sender):
+        if data == b"bad":
+            raise ZeroDivisionError("a defect")
+        taken.append(data)
+
+    endpoint = Endpoint(receive=receive, report=errors.append)
+    await endpoint.open(sockets.outer)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as client:
+        for data in (b"good", b"bad", b"better"):
+            client.sendto(data, INGRESS)
+    while len(taken) < 2:
+        await asyncio.sleep(0.01)
+
+    assert taken == [b"good", b"better"]
+    assert [type(error) for error in errors] == [ZeroDivisionError]
+    endpoint.close()
+
+
 def test_both_sockets_are_bound_to_the_addresses_of_the_settings(sockets):
     assert isinstance(sockets, RoleSockets)
     assert sockets.outer.getsockname() == INGRESS
