Read routes from an agent over narrow links, compressed; pack once for all followers

Changes of such a configuration went whole and uncompressed to every follower, each encoded anew.

Change: a process whose link is below 50 Mbit/s reads the hosts alone and asks the seats among their agents for everything, for 0.4 s before it falls back to the store.

Before: the new cases of testing/control/test_directory_follower.py can't pass. After: passed; with real processes in testing/adapter/test_process.py.

--- a/packages/daisygauge-control/src/daisygauge_control/_directory.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory.py
@@ -211,7 +211,7 @@
         :param as_of: revision at which the reading began.
         """
         items = tuple(items)
-        if not self.items:
+        if self.since is None:
             self.floor = as_of
             self.since = now
         present = {item.key for item in items}
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_exchange.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_exchange.py
@@ -16,9 +16,11 @@
     ChangesReply,
     ChangesRequest,
     MalformedMessageError,
+    PackedReply,
     decode_reply,
     decode_request,
     encode_message,
+    pack_items,
 )
 from ._errors import PlatformUnavailableError
 from ._http_client import is_over
@@ -29,6 +31,8 @@
 milliseconds, and a dark one must be left well within the time of a change."""
 LONGEST_WAIT_SECONDS = 5.0
 """Longest wait that a peer may ask for."""
+MAX_PACKED = 8
+"""Replies kept packed: followers of a process ask after few different revisions."""
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 """Far above a whole directory; a larger length is garbage."""
 
@@ -65,6 +69,9 @@
         self.changed = changed
         self.clock = clock
         self.server: asyncio.Server | None = None
+        # Packed items by the revision asked for, all for the revision ``packed_as_of``.
+        self.packed: dict[int, bytes] = {}
+        self.packed_as_of = NO_REVISION
 
     async def start(self, *, host: str, port: int) -> None:
         """Listen for peers."""
@@ -96,7 +103,7 @@
                 await writer.drain()
         writer.close()
 
-    async def answer(self, request: ChangesRequest) -> ChangesReply:
+    async def answer(self, request: ChangesRequest) -> PackedReply:
         """Return what a peer lacks, waiting a while when that is nothing."""
         is_current = request.after >= self.directory.as_of
         if is_current and request.after > NO_REVISION:
@@ -105,15 +112,24 @@
         # Removals before the floor aren't known here, so a peer that may need them
         # is given everything.
         is_complete = request.after < max(self.directory.floor, NO_REVISION + 1)
-        return ChangesReply(
+        return PackedReply(
             as_of=self.directory.as_of,
             age_seconds=self.clock() - self.directory.confirmed,
             is_complete=is_complete,
-            items=self.directory.changes_after(
-                NO_REVISION if is_complete else request.after
-            ),
+            items=self.pack(NO_REVISION if is_complete else request.after),
         )
 
+    def pack(self, after: int) -> bytes:
+        """Return the changes after a revision, packed once for all who ask."""
+        if self.packed_as_of != self.directory.as_of or len(self.packed) >= MAX_PACKED:
+            self.packed.clear()
+            self.packed_as_of = self.directory.as_of
+        packed = self.packed.get(after)
+        if packed is None:
+            changes = self.directory.changes_after(after)
+            packed = self.packed[after] = pack_items(changes)
+        return packed
+
 
 class PeerReader:
     """Reads the directory of one peer over a kept connection.
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_follower.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_follower.py
@@ -36,6 +36,9 @@
 """Well under the time in which a change must be in force."""
 LONGEST_BLIND_RETRY_SECONDS = 0.4
 """A process without a configuration serves nobody; each pause adds to the outage."""
+PATIENCE_SECONDS = 0.4
+"""How long a process with a narrow link asks peers for a configuration before it
+reads the platform's, which takes longer than that to arrive."""
 EXPIRY_SECONDS = 0.25
 """How often lapsed hosts are looked at; their grace is 2 s."""
 PLATFORM = "platform"
@@ -60,6 +63,8 @@
         doesn't.
     :param changed: notified after each change.
     :param clock: monotonic time in seconds.
+    :param has_narrow_link: True where a whole configuration should come from a peer,
+        compressed; the platform then only tells the hosts at first.
     """
 
     def __init__(
@@ -74,6 +79,7 @@
         clock: Callable[[], float],
         observe: ObserveDirectory = ignore_directory_event,
         rng: random.Random | None = None,
+        has_narrow_link: bool = False,
     ) -> None:
         self.directory = directory
         self.reader = reader
@@ -84,6 +90,7 @@
         self.clock = clock
         self.observe = observe
         self.rng = rng or random.Random()
+        self.has_narrow_link = has_narrow_link
         self.health: dict[str, SourceHealth] = {}
         self.peers: dict[str, PeerReader] = {}
         self.needs_everything = True
@@ -123,7 +130,11 @@
             self.needs_everything = True
             return
         self._report_success(source)
-        if news:
+        if self.has_narrow_link and self.needs_everything:
+            # Only hosts are known: their agents are asked for the configuration now.
+            later = self.clock() + PATIENCE_SECONDS
+            self.health[source] = SourceHealth(retry_at=later)
+        elif news:
             await asyncio.sleep(GATHER_SECONDS)
 
     def choose_source(self, *, now: float) -> str | None:
@@ -141,6 +152,8 @@
             (seat for seat in seats if seat != self.own_address),
             follower=self.own_address,
         )
+        if seats and self.has_narrow_link and self.needs_everything:
+            return (*others, PLATFORM, *self.first_peers)
         if self.own_address in seats or not seats:
             return (PLATFORM, *others, *self.first_peers)
         return (*others[:1], PLATFORM, *others[1:], *self.first_peers)
@@ -166,6 +179,8 @@
         return news
 
     async def _read_platform(self) -> tuple[DirectoryItem, ...]:
+        if self.has_narrow_link and not self.directory.items:
+            return await self._read_hosts()
         if self.needs_everything:
             reading = await self.reader.read_all()
             self.needs_everything = False
@@ -178,13 +193,20 @@
         news = merge(reading.items, as_of=reading.as_of, now=self.clock())
         return self._announce(news, source=PLATFORM, age_seconds=0.0)
 
+    async def _read_hosts(self) -> tuple[DirectoryItem, ...]:
+        """Learn whom to ask for the rest; no revision is known in full by that."""
+        reading = await self.reader.read_hosts()
+        now = self.clock()
+        news = self.directory.apply(reading.items, as_of=NO_REVISION, now=now)
+        return self._announce(news, source=PLATFORM, age_seconds=0.0)
+
     async def _ask_peer(self, address: str) -> tuple[DirectoryItem, ...]:
         peer = self.peers.get(address)
         if peer is None:
             peer = self.peers[address] = PeerReader(host=address, port=self.peer_port)
         after = NO_REVISION if self.needs_everything else self.directory.as_of
         # A process that knows nothing has no time to wait for a peer's news.
-        wait_seconds = WATCH_SECONDS if self.directory.view.is_complete else 0.0
+        wait_seconds = 0.0 if self.needs_everything else WATCH_SECONDS
         reply = await peer.fetch(after=after, wait_seconds=wait_seconds)
         merge = self.directory.replace if reply.is_complete else self.directory.apply
         news: tuple[DirectoryItem, ...] = ()
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_reader.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_reader.py
@@ -38,6 +38,13 @@
         """
         ...
 
+    async def read_hosts(self) -> DirectoryReading:
+        """Read the hosts alone, which is little beside many routes.
+
+        :raises PlatformUnavailableError: when the platform gives no usable answer.
+        """
+        ...
+
     async def watch(self, *, after: int, wait_seconds: float) -> DirectoryReading:
         """Wait for changes after a revision; the answer may hold none.
 
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_relayed.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_relayed.py
@@ -21,7 +21,11 @@
     RoutingRecord,
     ServiceShare,
 )
-from daisygauge_control._directory_messages import ChangesReply, encode_message
+from daisygauge_control._directory_messages import (
+    PackedReply,
+    encode_message,
+    pack_items,
+)
 from daisygauge_relay._candidates import CandidateLists, service_tag
 from daisygauge_wire import CarryFrame, OpenFrame, decode_frame, encode_frame
 
@@ -134,7 +138,7 @@
 def encode_items(items: tuple[DirectoryItem, ...]) -> bytes:
     """Return items as a peer is told them."""
     return encode_message(
-        ChangesReply(as_of=1, age_seconds=0.0, is_complete=True, items=items)
+        PackedReply(as_of=1, age_seconds=0.0, is_complete=True, items=pack_items(items))
     )
 
 
--- a/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
@@ -104,6 +104,7 @@
             changed=self.changed,
             clock=self.now,
             observe=self.observe,
+            has_narrow_link=settings.has_narrow_link,
         )
         self.server = DirectoryServer(
             directory=self.directory, changed=self.changed, clock=self.now
--- a/packages/daisygauge-relay/src/daisygauge_relay/_settings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_settings.py
@@ -9,6 +9,8 @@
 from msgspec import Struct
 
 MAX_PORT = 65_535
+NARROW_MEGABITS = 50.0
+"""A configuration of 2,000 routes is 0.5 MB at the platform: 0.08 s on such a link."""
 
 
 class RelaySettingsError(ValueError):
@@ -59,6 +61,7 @@
     :param first_start: True when the whole system starts for the first time.
     :param flow_seconds: age at which a flow may be forgotten.
     :param grace_seconds: time from SIGTERM to SIGKILL.
+    :param link_megabits: what the instance's link carries, in Mbit/s.
     """
 
     id: str
@@ -73,6 +76,7 @@
     first_start: bool = False
     flow_seconds: float = 60.0
     grace_seconds: float = 6.0
+    link_megabits: float = 1_000.0
 
     def __post_init__(self) -> None:
         check_host(self.host)
@@ -87,6 +91,11 @@
         """Where the role takes packets that are no frames of other instances."""
         raise NotImplementedError
 
+    @property
+    def has_narrow_link(self) -> bool:
+        """True where whole configurations take long to arrive."""
+        return self.link_megabits < NARROW_MEGABITS
+
     @property
     def client_port(self) -> int:
         """UDP port at which every client takes packets."""
--- a/testing/adapter/fleet.py
+++ b/testing/adapter/fleet.py
@@ -147,9 +147,10 @@
         }
         await self.launch("agent", address, settings)
 
-    async def start_balancer(self, address):
+    async def start_balancer(self, address, **changed):
         settings = self.shared_settings(address) | {
-            "ingress": f"{address}:{CLIENT_PORT}"
+            "ingress": f"{address}:{CLIENT_PORT}",
+            **changed,
         }
         await self.launch("balancer", address, settings)
 
--- a/testing/adapter/test_process.py
+++ b/testing/adapter/test_process.py
@@ -140,3 +140,23 @@
         codes.append(await process.wait())
 
     assert codes == [0] * 4
+
+
+async def test_a_balancer_behind_a_narrow_link_learns_its_routes_from_an_agent(fleet):
+    address = fleet.balancer_addresses[0]
+    await fleet.end(address, signal.SIGTERM)
+    before = len(fleet.lines(address))
+    await fleet.start_balancer(address, link_megabits=5.5)
+    await fleet.wait_ready(address)
+    clients = await open_flows(fleet, 2)
+    assert await ask_all(fleet, clients, address, sequence=1) == 2
+    await fleet.end(address, signal.SIGTERM)
+
+    moved = [
+        line for line in fleet.lines(address)[before:]
+        if line["message_type"].endswith("directory-moved")
+    ]  # fmt: skip
+    assert moved[0]["source"] == "platform"
+    assert moved[0]["version"] == 0
+    assert moved[1]["source"] in fleet.agent_addresses
+    assert moved[1]["version"] > 0
--- a/testing/adapter/test_store.py
+++ b/testing/adapter/test_store.py
@@ -118,6 +118,17 @@
     assert (read.port, read.idempotent, read.target_seconds) == (8443, True, 0.143)
 
 
+async def test_hosts_are_read_without_the_configuration(store, reader):
+    for number in range(7):
+        store.put(f"servers/h-{number}", ENTRY)
+    store.put("op/config", {"version": 1, "routes": []})
+
+    reading = await reader.read_hosts()
+
+    assert len(reading.items) == 7
+    assert all(isinstance(item.content, HostRecord) for item in reading.items)
+
+
 async def test_every_page_is_read(store, reader):
     for number in range(8):
         store.put(f"servers/h-{number}", ENTRY)
--- a/testing/control/test_directory_follower.py
+++ b/testing/control/test_directory_follower.py
@@ -22,6 +22,14 @@
     SourceRegained,
 )
 from daisygauge_control._directory_follower import PLATFORM
+from daisygauge_control._directory_messages import (
+    ChangesReply,
+    MalformedMessageError,
+    PackedReply,
+    decode_reply,
+    encode_message,
+    pack_items,
+)
 from daisygauge_control._directory_seats import choose_seats, order_seats
 
 PEER_PORT = 17_911
@@ -47,6 +55,9 @@
     async def read_all(self):
         return await self.answer("all")
 
+    async def read_hosts(self):
+        return await self.answer("hosts")
+
     async def watch(self, *, after, wait_seconds):
         return await self.answer(after)
 
@@ -68,13 +79,13 @@
     return PlatformUnavailableError(address="store", reason="down")
 
 
-def make_follower(reader, *, own="127.60.0.200", peers=()):
+def make_follower(reader, *, own="127.60.0.200", peers=(), narrow=False):
     events = []
     times = [0.0]
     follower = DirectoryFollower(
         directory=Directory(), reader=reader, own_address=own, peer_port=PEER_PORT,
         first_peers=peers, changed=Signal(), clock=lambda: times[0],
-        observe=events.append, rng=random.Random(1),
+        observe=events.append, rng=random.Random(1), has_narrow_link=narrow,
     )  # fmt: skip
     return follower, events, times
 
@@ -121,6 +132,72 @@
     assert waits == [0.0]
 
 
+class FakePeer:
+    """A seat that answers as the test says."""
+
+    def __init__(self, reply):
+        self.reply = reply
+        self.waits = []
+
+    async def fetch(self, *, after, wait_seconds):
+        self.waits.append(wait_seconds)
+        return self.reply
+
+
+def narrow_follower(*answers, seat_reply=None):
+    """A follower that has read three hosts over a narrow link."""
+    hosts = tuple(host_item(n, n) for n in range(1, 4))
+    reader = FakeReader(DirectoryReading(as_of=9, items=hosts), *answers)
+    follower, events, times = make_follower(reader, narrow=True)
+    reply = seat_reply or ChangesReply(
+        as_of=9, age_seconds=0.1, is_complete=True, items=(*hosts, routing_item(8))
+    )
+    for number in range(1, 4):
+        follower.peers[f"127.60.0.{number}"] = FakePeer(reply)
+    return follower, reader, times
+
+
+async def test_over_a_narrow_link_hosts_come_from_the_platform_and_routes_from_a_seat():
+    follower, reader, _ = narrow_follower()
+
+    await follower.step()
+    assert reader.asked == ["hosts"]
+    assert not follower.directory.view.is_complete
+    await follower.step()
+
+    assert follower.directory.view.is_complete
+    assert follower.directory.as_of == 9
+    assert follower.directory.since is not None
+    assert reader.asked == ["hosts"]
+
+
+async def test_over_a_narrow_link_the_platform_tells_routes_when_no_seat_does():
+    nothing = ChangesReply(as_of=0, age_seconds=0.0, is_complete=True, items=())
+    everything = DirectoryReading(as_of=9, items=(routing_item(8),))
+    follower, reader, times = narrow_follower(everything, seat_reply=nothing)
+    for _ in range(12):
+        follower.clock = lambda at=times[0]: at
+        await follower.step()
+        times[0] += 0.1
+
+    assert reader.asked[:2] == ["hosts", "all"]
+    assert follower.directory.view.is_complete
+
+
+async def test_a_process_that_waits_for_the_first_configuration_waits_for_news():
+    hosts = tuple(host_item(n, n) for n in range(1, 9))
+    follower, _, _ = make_follower(FakeReader(DirectoryReading(as_of=9, items=hosts)))
+    await follower.step()
+    seats = choose_seats(follower.directory.view.residents)
+    reply = ChangesReply(as_of=9, age_seconds=0.1, is_complete=False, items=())
+    peers = {seat: FakePeer(reply) for seat in seats}
+    follower.peers.update(peers)
+
+    await follower.step()
+
+    assert [wait for peer in peers.values() for wait in peer.waits] == [1.0]
+
+
 async def test_a_follower_reads_everything_first_and_watches_then():
     reader = FakeReader(DirectoryReading(as_of=7, items=()))
     follower, _, _ = make_follower(reader)
@@ -342,3 +419,39 @@
 
     server.close()
     assert failures == []
+
+
+def test_a_reply_survives_the_way_and_is_small():
+    items = tuple(host_item(n % 250, n) for n in range(500))
+    packed = PackedReply(
+        as_of=500, age_seconds=0.5, is_complete=True, items=pack_items(items)
+    )
+    data = encode_message(packed)
+
+    reply = decode_reply(data)
+
+    assert reply.items == items
+    assert (reply.as_of, reply.age_seconds, reply.is_complete) == (500, 0.5, True)
+    assert len(data) < 500 * 20
+
+
+@pytest.mark.parametrize("length", [0, 1, 10, 40])
+def test_a_reply_cut_short_is_refused(length):
+    packed = pack_items([host_item(1, 1)])[:length]
+    data = encode_message(
+        PackedReply(as_of=1, age_seconds=0.0, is_complete=True, items=packed)
+    )
+
+    with pytest.raises(MalformedMessageError):
+        decode_reply(data)
+
+
+async def test_peers_that_ask_alike_share_one_packed_reply():
+    directory = Directory()
+    directory.replace([routing_item(1)], as_of=1, now=0.0)
+    server = DirectoryServer(directory=directory, changed=Signal(), clock=lambda: 0.0)
+
+    assert server.pack(0) is server.pack(0)
+    before = server.pack(0)
+    directory.apply([host_item(1, 2)], as_of=2, now=0.0)
+    assert server.pack(0) != before
