Refuse a new flow by a reset only where no upstream can have taken it

Cause: an upstream answered an opening packet after 63 ms, 13 ms later than its agent waits. The packet had been passed on, the last agent asked found no upstream that answered and reset the flow; the client had opened it meanwhile.

Ruled out: the search (it found the owner), the balancer (it refused nothing).

Change: an opening packet that an upstream was given and has not returned is marked as such when it is passed on. A marked one, or a repeated one, whose earlier copy may have been given to anybody, is not refused by a reset (event 616). One that every upstream returns is refused at once, as before.

Before: two new cases of testing/relay/test_openings.py failed. After: passed.

--- a/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
@@ -208,7 +208,7 @@
             avoided=silent,
         )
         if agent is None:
-            self.refuse(packet, BalancerRefusal.NO_HOST)
+            self.refuse_without_host(packet)
             return
         if agent not in flow.asked:
             flow.asked.append(agent)
@@ -242,6 +242,17 @@
         routes = self.runtime.directory.view.routes
         return routes.get((service_host(flow), service_port(flow)))
 
+    def refuse_without_host(self, packet: RelayedPacket) -> None:
+        """Refuse a new flow of a service without hosts.
+
+        An upstream that left since may have been given an earlier copy; a reset would
+        then cut an open flow.
+        """
+        if packet.copy:
+            self.runtime.counters.drop("opening-uncertain")
+            return
+        self.refuse(packet, BalancerRefusal.NO_HOST)
+
     def refuse(self, packet: RelayedPacket, reason: BalancerRefusal) -> None:
         """Reset a flow that isn't open, unless nothing is known yet."""
         if not self.runtime.directory.view.is_complete:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_events.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_events.py
@@ -47,6 +47,14 @@
     ("flow", "reason", *BELIEF),
     Level.WARNING,
 )
+OPENING_UNCERTAIN = _flow_event(
+    616,
+    "opening-uncertain",
+    "No upstream takes a flow now; one that was asked before may still answer, so the "
+    "client isn't told.",
+    ("flow", "reason", *BELIEF),
+    Level.WARNING,
+)
 FLOW_SEARCHED = _flow_event(
     602,
     "flow-searched",
@@ -207,6 +215,7 @@
 RELAY_EVENTS = (
     OPENING_PLACED,
     OPENING_REFUSED,
+    OPENING_UNCERTAIN,
     FLOW_SEARCHED,
     FLOW_FOUND,
     OPENING_TAKEN,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
@@ -130,10 +130,10 @@
                 self.take(frame, packet, own, now=now)
             case PassOpening():
                 if own.inability is OpeningReason.SILENT:
-                    self.try_upstream(frame, now=now)
+                    frame = self.try_upstream(frame, now=now)
                 self.pass_on(frame, packet, own, decision)
             case RefuseOpening():
-                self.refuse(packet, decision)
+                self.refuse(frame, packet, decision)
 
     def take(
         self, frame: OpenFrame, packet: RelayedPacket, own: AskedAgent, *, now: float
@@ -164,6 +164,7 @@
         now = self.runtime.now()
         self.flows.drop(flow)
         self.upstream.note_silence(now=now)
+        asked.frame = replace(asked.frame, given=True)
         self.decide_again(asked, OpeningReason.SILENT, now=now)
 
     def note_returned(self, flow: bytes, *, now: float) -> None:
@@ -182,10 +183,12 @@
         )
         self.decide(asked.frame, asked.packet, own, now=now)
 
-    def try_upstream(self, frame: OpenFrame, *, now: float) -> None:
+    def try_upstream(self, frame: OpenFrame, *, now: float) -> OpenFrame:
         """Give a silent upstream a packet that others get too, now and then."""
-        if self.upstream.begin_trial(now=now):
-            self.deliver(frame.packet)
+        if not self.upstream.begin_trial(now=now):
+            return frame
+        self.deliver(frame.packet)
+        return replace(frame, given=True)
 
     def pass_on(
         self,
@@ -217,15 +220,26 @@
         )
         self.send(decision.target, passed)
 
-    def refuse(self, packet: RelayedPacket, decision: RefuseOpening) -> None:
-        """Tell the client at once that no upstream takes its flow."""
-        self.runtime.counters.refuse(decision.reason.value)
+    def refuse(
+        self, frame: OpenFrame, packet: RelayedPacket, decision: RefuseOpening
+    ) -> None:
+        """Tell the client at once that no upstream takes its flow, if that is sure.
+
+        An upstream that was given this packet, or an earlier copy, may still answer;
+        a reset would then cut an open flow.
+        """
+        is_uncertain = frame.given or packet.copy > 0
+        event = events.OPENING_UNCERTAIN if is_uncertain else events.OPENING_REFUSED
         self.runtime.log.write(
-            events.OPENING_REFUSED,
+            event,
             flow=flow_name(packet.flow),
             reason=decision.reason.value,
             **self.runtime.belief(),
         )
+        if is_uncertain:
+            self.runtime.counters.drop("opening-uncertain")
+            return
+        self.runtime.counters.refuse(decision.reason.value)
         self.reset(packet.flow)
 
     def note_offer(self, flow: AgentFlow, packet: RelayedPacket, *, now: float) -> None:
--- a/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
@@ -22,6 +22,8 @@
 
 _CARRY = struct.Struct("!B4sI")
 _OPEN = struct.Struct("!B4sI4sHBBB")
+_FINAL_BIT = 1
+_GIVEN_BIT = 2
 _OFFER = struct.Struct("!B12sIHH")
 _FLOW = struct.Struct("!B12s")
 _NOWHERE = struct.Struct("!B12sIH")
@@ -51,6 +53,8 @@
     :param best: the least busy of the agents asked, or None.
     :param final: True when a free slot is no longer looked for: the first agent that
         can takes the flow.
+    :param given: True when an upstream that was given the packet has neither answered
+        nor returned it: the flow may still open there.
     """
 
     balancer: bytes
@@ -60,6 +64,7 @@
     hops: int = 0
     best: LoadOffer | None = None
     final: bool = False
+    given: bool = False
 
 
 class CarryFrame(Struct, kw_only=True, frozen=True):
@@ -210,7 +215,7 @@
         frame.service,
         best.agent,
         best.load,
-        frame.final,
+        frame.final * _FINAL_BIT | frame.given * _GIVEN_BIT,
         frame.hops,
         len(frame.tried),
     )
@@ -232,7 +237,7 @@
 
 
 def _decode_open(data: bytes) -> OpenFrame:
-    _, balancer, service, agent, load, final, hops, count = _OPEN.unpack_from(data)
+    _, balancer, service, agent, load, flags, hops, count = _OPEN.unpack_from(data)
     end = _OPEN.size + count * ADDRESS_BYTES
     if count > MAX_TRIED or len(data) < end:
         raise MalformedFrameError("a frame names more agents than it holds")
@@ -247,7 +252,8 @@
         tried=tried,
         hops=hops,
         best=None if agent == NO_ADDRESS else LoadOffer(agent=agent, load=load),
-        final=bool(final),
+        final=bool(flags & _FINAL_BIT),
+        given=bool(flags & _GIVEN_BIT),
     )
 
 
--- a/testing/relay/test_openings.py
+++ b/testing/relay/test_openings.py
@@ -235,3 +235,51 @@
 
     assert network.balancers["10.0.0.1"].runtime.counters.placed == 1
     assert client.is_open
+
+
+def slow_and_full_hosts(seconds):
+    """A fleet of two hosts: one answers late, the other takes no flow."""
+    network = Network(hosts=2)
+    slow, full = network.hosts.values()
+    full.refuses = True
+    receive = slow.receive
+    slow.receive = lambda data: network.clock.call_later(seconds, lambda: receive(data))
+    return network
+
+
+def test_a_flow_is_not_reset_while_an_upstream_may_still_take_it():
+    network = slow_and_full_hosts(0.08)
+    clients = [network.new_client() for _ in range(10)]
+    for client in clients:
+        client.connect("10.0.0.1")
+
+    network.clock.run(0.5)
+
+    assert all(client.is_open for client in clients)
+    assert not any(client.resets for client in clients)
+
+
+def test_a_repeated_opening_is_not_reset_while_the_first_may_be_taken():
+    network = slow_and_full_hosts(0.25)
+    clients = [network.new_client() for _ in range(10)]
+    for client in clients:
+        client.connect("10.0.0.1", copies=1)
+        network.clock.call_later(
+            0.2, lambda client=client: client.knock("10.0.0.2", copy=1)
+        )
+
+    network.clock.run(0.6)
+
+    assert not any(client.resets for client in clients)
+
+
+def test_a_flow_that_every_upstream_returns_is_refused_at_once():
+    network = Network(hosts=2)
+    for host in network.hosts.values():
+        host.refuses = True
+    client = network.new_client()
+    client.connect("10.0.0.1")
+
+    network.clock.run(0.02)
+
+    assert client.resets == 1
--- a/testing/soak/regressions.py
+++ b/testing/soak/regressions.py
@@ -54,4 +54,10 @@
         seconds=12.0,
         cause="SIGTERM while a process loads ended it by the signal",
     ),
+    Regression(
+        seed=25,
+        seconds=12.0,
+        cause="a flow was refused by a reset while an upstream that had been slow to "
+        "answer its opening packet took it",
+    ),
 )
--- a/testing/wire/test_relayed.py
+++ b/testing/wire/test_relayed.py
@@ -40,6 +40,7 @@
         hops=st.integers(0, 255),
         best=st.none() | st.builds(LoadOffer, agent=ADDRESSES, load=SMALL),
         final=st.booleans(),
+        given=st.booleans(),
     ),
 )
 
