--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_explain.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_explain.py
@@ -55,6 +55,13 @@
         text="The flow was refused before it opened; no request in it has run. See "
         "'reason'.",
     ),
+    Finding(
+        matches=lambda names: (
+            "opening-uncertain" in names and "request-begun" not in names
+        ),
+        text="No upstream was free or answered. One that was given the opening packet "
+        "might still have taken it, so the client was not told. No request has run.",
+    ),
     Finding(
         matches=lambda names: "flow-lost" in names,
         text="The upstream that held the flow began anew and lost it; the client was "
--- a/testing/ctl/test_explain.py
+++ b/testing/ctl/test_explain.py
@@ -63,6 +63,7 @@
         (["opening-placed", "opening-taken", "request-begun"], "no answer was seen"),
         (["opening-taken", "request-begun", "request-expired"], "it has not run"),
         (["opening-refused"], "refused before it opened"),
+        (["opening-placed", "opening-uncertain"], "was not told"),
         (["request-begun", "flow-lost"], "began anew"),
         (["flow-searched"], "nobody claimed"),
     ],
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -21,6 +21,7 @@
         self.delay_seconds = 0.3
         self.server = None
         self.writers = set()
+        self.tasks = set()
 
     async def start(self, host, port):
         self.server = await asyncio.start_server(self.serve, host, port)
@@ -28,6 +29,9 @@
     async def stop(self):
         self.server.close()
         self.abort()
+        for task in tuple(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
 
     def abort(self):
         """Reset every connection."""
@@ -43,6 +47,9 @@
         if self.mode == "reset":
             writer.transport.abort()
             return
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
         # The end of the soak cancels what waits on a silent connection.
         with contextlib.suppress(OSError, asyncio.CancelledError):
             there, back = await asyncio.open_connection(*self.target)
