--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -36,7 +36,7 @@
     flow_name,
 )
 from ._requests import Requests
-from ._runtime import RelayRuntime
+from ._runtime import DRAIN_POLL_SECONDS, RelayRuntime
 from ._searches import Searches
 from ._settings import RelayAgentSettings, parse_address
 from ._sockets import RoleSockets
@@ -48,9 +48,6 @@
 """How long it is remembered that the upstream doesn't hold a flow."""
 MAX_REMEMBERED = 4_096
 """Flows remembered as foreign or uncertain; more come only after everything died."""
-DRAIN_POLL_SECONDS = 0.1
-GRACE_SHARE = 0.87
-"""Part of the grace period that draining may use; closing needs the rest."""
 LEAST_DRAIN_SECONDS = 0.5
 """Opening packets on their way when the drain begins still arrive."""
 
@@ -117,7 +114,7 @@
     async def drain(self) -> None:
         """Pass new flows on, and stay while the upstream still has some."""
         began = self.runtime.now()
-        longest = self.settings.grace_seconds * GRACE_SHARE
+        longest = self.settings.longest_drain_seconds
         while self.runtime.now() - began < longest:
             await self.runtime.sleep(DRAIN_POLL_SECONDS)
             now = self.runtime.now()
--- a/packages/daisygauge-relay/src/daisygauge_relay/_candidates.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_candidates.py
@@ -10,6 +10,8 @@
 from daisygauge_control import DirectoryView, HostRecord, HostState, RouteRecord
 from daisygauge_policy import rank
 
+from ._packet import service_host, service_port
+
 BUCKETS = 1_024
 """Flows of a bucket share an order, which is worked out once for each view."""
 
@@ -30,6 +32,11 @@
     return route.shares[-1].service
 
 
+def find_route(view: DirectoryView, flow: bytes) -> RouteRecord | None:
+    """Return the route that a flow was opened to, if it is there."""
+    return view.routes.get((service_host(flow), service_port(flow)))
+
+
 class CandidateLists:
     """Orders by view; equal views give equal orders in every process.
 
--- a/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
@@ -6,18 +6,16 @@
 
 from msgspec import Struct, field
 
-from daisygauge_control import RouteRecord
 from daisygauge_policy import GateChange, GatedRequest, RequestGate
 
 from . import _events as events
+from ._candidates import find_route
 from ._flows import AgentFlow
 from ._packet import (
     SEQUENCE_RANGE,
     PacketCodec,
     RelayedPacket,
     flow_name,
-    service_host,
-    service_port,
 )
 from ._runtime import RelayRuntime
 
@@ -103,7 +101,7 @@
         self, flow: AgentFlow, packet: RelayedPacket, *, now: float
     ) -> GatedRequest:
         """Return what the gate orders a request by."""
-        route = self.find_route(packet.flow)
+        route = find_route(self.runtime.directory.view, packet.flow)
         # The first request of a flow began before its opening packet arrived.
         began = now if flow.served else min(now, flow.began)
         request = GatedRequest(flow=packet.flow, priority=0)
@@ -116,11 +114,6 @@
             request.deadline_at = began + route.timeout_seconds
         return request
 
-    def find_route(self, flow: bytes) -> RouteRecord | None:
-        """Return the route that a flow was opened to, if it is still there."""
-        routes = self.runtime.directory.view.routes
-        return routes.get((service_host(flow), service_port(flow)))
-
     def apply(self, change: GateChange) -> None:
         """Send on and drop what the gate says."""
         for flow in change.sent:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
@@ -7,7 +7,7 @@
 import signal
 import traceback
 from collections.abc import Callable, Coroutine
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from daisygauge_control import (
     WATCH_SECONDS,
@@ -48,7 +48,12 @@
 )
 from ._sockets import RoleSockets
 
+if TYPE_CHECKING:
+    from ._metrics import Gauge
+
 METRICS_PATH = "/metrics"
+DRAIN_POLL_SECONDS = 0.1
+"""How often a stopping process looks whether it may end."""
 SETTINGS_SECONDS = 1.0
 """How often the settings file is looked at; it may change without a signal."""
 LONGEST_CHANGES = 20
@@ -67,6 +72,9 @@
     def stop(self) -> None:
         """Close every socket."""
 
+    def gauges(self) -> tuple[Gauge, ...]:
+        """Return what the metrics page shows of this role."""
+
 
 class RelayRuntime:
     """One process's surroundings.
--- a/packages/daisygauge-relay/src/daisygauge_relay/_settings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_settings.py
@@ -9,6 +9,8 @@
 from msgspec import Struct
 
 MAX_PORT = 65_535
+GRACE_SHARE = 0.87
+"""Part of the grace period that draining may use; closing needs the rest."""
 NARROW_MEGABITS = 50.0
 """A configuration of 2,000 routes is 0.5 MB at the platform: 0.08 s on such a link."""
 
@@ -91,6 +93,11 @@
         """Where the role takes packets that are no frames of other instances."""
         raise NotImplementedError
 
+    @property
+    def longest_drain_seconds(self) -> float:
+        """Time that a stopping process may take for what it has begun."""
+        return self.grace_seconds * GRACE_SHARE
+
     @property
     def has_narrow_link(self) -> bool:
         """True where whole configurations take long to arrive."""
--- a/testing/relay/test_openings.py
+++ b/testing/relay/test_openings.py
@@ -193,11 +193,11 @@
 
 def test_what_is_held_against_agents_that_left_is_forgotten(network):
     balancer = network.balancers["10.0.0.1"]
-    balancer.suspects.report_silence("10.0.9.9", now=network.clock.now())
+    balancer.placement.suspects.report_silence("10.0.9.9", now=network.clock.now())
     network.publish_routes()
     network.open_clients(1)
 
-    assert "10.0.9.9" not in balancer.suspects.suspicions
+    assert "10.0.9.9" not in balancer.placement.suspects.suspicions
 
 
 def test_a_late_copy_of_an_opening_packet_opens_nothing_anew(network):
