--- a/packages/daisygauge-control/src/daisygauge_control/__init__.py
+++ b/packages/daisygauge-control/src/daisygauge_control/__init__.py
@@ -73,6 +73,7 @@
             "RecordsSnapshot",
         ],
         "_signal": ["Signal"],
+        "_tcp": ["connect_tcp", "listen_tcp"],
         "_source": [
             "ConfigurationSource",
             "create_configuration_source",
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_exchange.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_exchange.py
@@ -25,6 +25,7 @@
 from ._errors import PlatformUnavailableError
 from ._http_client import is_over
 from ._signal import Signal
+from ._tcp import Streams, connect_tcp, listen_tcp
 
 ANSWER_SECONDS = 0.5
 """Longest time for an answer beyond the wait that was asked for: peers are within
@@ -75,7 +76,8 @@
 
     async def start(self, *, host: str, port: int) -> None:
         """Listen for peers."""
-        self.server = await asyncio.start_server(self.serve, host, port)
+        bound = listen_tcp(host, port)
+        self.server = await asyncio.start_server(self.serve, sock=bound)
 
     def close(self) -> None:
         """Stop listening."""
@@ -141,7 +143,7 @@
         self.host = host
         self.port = port
         self.calls = 0
-        self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self.streams: Streams | None = None
 
     async def fetch(self, *, after: int, wait_seconds: float) -> ChangesReply:
         """Ask for changes after a revision.
@@ -167,7 +169,7 @@
     async def _exchange(self, request: ChangesRequest) -> ChangesReply:
         if is_over(self.streams):
             self.close()
-            self.streams = await asyncio.open_connection(self.host, self.port)
+            self.streams = await connect_tcp(self.host, self.port)
         reader, writer = self.streams
         writer.write(frame_message(encode_message(request)))
         await writer.drain()
--- a/packages/daisygauge-control/src/daisygauge_control/_http_client.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_http_client.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from ._errors import PlatformUnavailableError
+from ._tcp import Streams, connect_tcp
 
 READ_BYTES = 65_536
 
@@ -42,9 +43,6 @@
         return HttpAnswer(status=status, body=b"".join(self.body))
 
 
-Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
-
-
 def is_over(streams: Streams | None) -> bool:
     """Tell whether a kept connection was ended or reset since its last use."""
     if streams is None:
@@ -65,7 +63,7 @@
         self.port = port
         self.calls = 0
         self._is_busy = False
-        self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self.streams: Streams | None = None
 
     async def get(self, target: str, *, timeout_seconds: float) -> HttpAnswer:
         """Send a GET request.
@@ -92,7 +90,7 @@
         self._is_busy = True
         if is_over(self.streams):
             self.close()
-            self.streams = await asyncio.open_connection(self.host, self.port)
+            self.streams = await connect_tcp(self.host, self.port)
         reader, writer = self.streams
         head = f"GET {target} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n"
         writer.write(head.encode())
--- a/packages/daisygauge-relay/src/daisygauge_relay/_pages.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_pages.py
@@ -8,6 +8,8 @@
 import httptools
 from msgspec import Struct
 
+from daisygauge_control import listen_tcp
+
 MAX_REQUEST_BYTES = 8_192
 """Requests for a page have no body and few headers."""
 
@@ -89,4 +91,5 @@
     :raises OSError: the address can't be bound.
     """
     loop = asyncio.get_running_loop()
-    return await loop.create_server(lambda: PageConnection(pages), host, port)
+    bound = listen_tcp(host, port)
+    return await loop.create_server(lambda: PageConnection(pages), sock=bound)
