Let an upstream's late answer offer a flow, not claim it

Cause: an agent forgot an opening packet that its upstream left unanswered for 50 ms. The answer that came later was taken for one of an open flow. Where two upstreams had answered late, the agent of the one that the client had not chosen claimed the flow, its upstream returned the packet, and the client was reset.

Change: the flow stays known as asked, so that a late answer offers it to its balancer; an answer to an opening packet that an agent didn't give makes an offer, too.

--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -331,7 +331,9 @@
         """Begin to know a flow that the upstream holds."""
         uncertain = self.uncertain.pop(packet.flow, None)
         balancer = self.own if uncertain is None else uncertain.balancer
-        entry = AgentFlow(balancer=balancer, began=now, seen=now, stage=FlowStage.OPEN)
+        # A client that several upstreams answer opens its flow at one of them.
+        stage = FlowStage.OFFERED if packet.accepting else FlowStage.OPEN
+        entry = AgentFlow(balancer=balancer, began=now, seen=now, stage=stage)
         self.flows.add(packet.flow, entry, now=now)
         self.runtime.log.write(
             events.FLOW_CLAIMED,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
@@ -162,7 +162,7 @@
         if asked is None:
             return
         now = self.runtime.now()
-        self.flows.drop(flow)
+        # The flow stays known: an answer that comes late must reach its balancer.
         self.upstream.note_silence(now=now)
         asked.frame = replace(asked.frame, given=True)
         self.decide_again(asked, OpeningReason.SILENT, now=now)
--- a/testing/relay/test_openings.py
+++ b/testing/relay/test_openings.py
@@ -1,8 +1,11 @@
 """New flows reach a host that can serve them, or are refused at once."""
 
+import itertools
+
 import pytest
 
 from daisygauge_control import HostState
+from daisygauge_relay._flows import FlowStage
 from daisygauge_wire import StrayFrame, encode_frame
 
 from .network import SERVICE_END, Network
@@ -283,3 +286,41 @@
     network.clock.run(0.02)
 
     assert client.resets == 1
+
+
+@pytest.mark.parametrize("delays", list(itertools.permutations((0.06, 0.2, 0.3))))
+def test_a_flow_that_several_slow_upstreams_answer_goes_on_at_the_chosen_one(delays):
+    network = Network(hosts=3)
+    for host, seconds in zip(network.hosts.values(), delays, strict=True):
+        receive = host.receive
+        host.receive = lambda data, receive=receive, seconds=seconds: (
+            network.clock.call_later(seconds, lambda: receive(data))
+        )
+    client = network.new_client()
+    client.connect("10.0.0.1")
+    network.clock.run(0.7)
+    assert client.is_open
+
+    client.ask("10.0.0.1")
+    network.clock.run(1.0)
+
+    assert client.resets == 0
+    assert client.answers
+
+
+def test_an_answer_that_a_restarted_agent_sees_first_does_not_claim_the_flow():
+    network = Network(hosts=2)
+    client = network.new_client()
+    client.connect("10.0.0.1")
+    network.clock.run(0.0035)
+    network.first_start = False
+    for address in network.hosts:
+        network.start_agent(address)
+    network.clock.run(0.5)
+    stages = {
+        flow.stage
+        for agent in network.agents.values()
+        for flow in agent.flows.entries.values()
+    }
+
+    assert FlowStage.OPEN not in stages
--- a/testing/soak/regressions.py
+++ b/testing/soak/regressions.py
@@ -60,4 +60,16 @@
         cause="a flow was refused by a reset while an upstream that had been slow to "
         "answer its opening packet took it",
     ),
+    Regression(
+        seed=201,
+        seconds=12.0,
+        cause="two upstreams answered an opening packet late; the agent of one that the "
+        "client had not chosen claimed the flow, which was reset",
+    ),
+    Regression(
+        seed=208,
+        seconds=12.0,
+        cause="two upstreams answered an opening packet late; the agent of one that the "
+        "client had not chosen claimed the flow, which was reset",
+    ),
 )
