--- a/testing/soak/regressions.py
+++ b/testing/soak/regressions.py
@@ -63,13 +63,13 @@
     Regression(
         seed=201,
         seconds=12.0,
-        cause="two upstreams answered an opening packet late; the agent of one that the "
-        "client had not chosen claimed the flow, which was reset",
+        cause="two upstreams answered an opening packet late; the agent of the one "
+        "that the client had not chosen claimed the flow, which was reset",
     ),
     Regression(
         seed=208,
         seconds=12.0,
-        cause="two upstreams answered an opening packet late; the agent of one that the "
-        "client had not chosen claimed the flow, which was reset",
+        cause="two upstreams answered an opening packet late; the agent of the one "
+        "that the client had not chosen claimed the flow, which was reset",
     ),
 )
