Make the soak's check of leaving hosts hold

Cause: a fault was noted as the latest strike before the check asked how long nothing had struck, so the time was always zero and a leaving host that got new flows was never reported.

Change: the calm time is taken before the fault is noted. Dead state of the soak goes.

Before: the new case of testing/soak/test_soak.py failed. After: passed.

--- a/testing/soak/host.py
+++ b/testing/soak/host.py
@@ -50,7 +50,6 @@
         self.ran = Counter()
         self.is_dark = False
         self.is_leaving = False
-        self.slots = 2
         self.offered = []
 
     def receive(self, data):
--- a/testing/soak/injector.py
+++ b/testing/soak/injector.py
@@ -22,7 +22,8 @@
 class Injector:
     """Strikes a fleet; each method is a kind of fault.
 
-    :ivar struck: monotonic time of the last fault of processes or the store.
+    :ivar struck: monotonic time at which a fault last began or ended.
+    :ivar calm_seconds: time without one before the latest fault began.
     """
 
     def __init__(self, fleet):
@@ -32,7 +33,7 @@
             for address in (*fleet.agent_addresses, *fleet.balancer_addresses)
         }
         self.struck = float("-inf")
-        self.calm_from = float("-inf")
+        self.calm_seconds = 0.0
         self.later = set()
 
     async def run(self, schedule):
@@ -50,7 +51,9 @@
         task.add_done_callback(self.later.discard)
 
     async def strike(self, fault):
-        self.struck = time.monotonic()
+        now = time.monotonic()
+        self.calm_seconds = now - self.struck
+        self.struck = now
         await getattr(self, fault.kind)(fault)
         self.struck = time.monotonic()
 
@@ -196,7 +199,7 @@
         if host.is_dark or host.is_leaving:
             return
         host.is_leaving = True
-        was_calm = time.monotonic() - self.struck > CALM_SECONDS
+        was_calm = self.calm_seconds > CALM_SECONDS
         said, lag = time.monotonic(), self.fleet.lag
         self.fleet.publish_host(address, state="draining")
         before = self.struck
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -118,7 +118,7 @@
         until = time.monotonic() + RECOVERY_SECONDS
         lag = fleet.lag
         ends = [*SERVICES.values(), (PROBE_HOST, fleet.probe_ports[-1])]
-        served = {end for host in fleet.hosts.values() for end in [host.service]}
+        served = {host.service for host in fleet.hosts.values()}
         waiting = [end for end in ends if self.is_served(end, served)]
         while waiting:
             answers = [await self.ask_once(end) for end in waiting]
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -1,11 +1,13 @@
 """A short soak with a fixed seed, and checks of the soak's own parts."""
 
 import asyncio
+import time
+from types import SimpleNamespace
 
 import pytest
 
-from .faults import KINDS, make_schedule
-from .injector import Injector
+from .faults import KINDS, Fault, make_schedule
+from .injector import DRAIN_SECONDS, Injector
 from .proxy import Proxy
 from .regressions import REGRESSIONS
 from .run import Soak
@@ -25,6 +27,33 @@
     assert result.outcomes["answered"] > 0
 
 
+class LeavingHosts:
+    """A fleet that goes on offering flows to a host that has left."""
+
+    def __init__(self):
+        self.agent_addresses = [HOST]
+        self.balancer_addresses = []
+        self.broken = []
+        self.lag = 0.0
+        self.host = SimpleNamespace(is_dark=False, is_leaving=False, offered=[])
+        self.hosts = {HOST: self.host}
+        self.report = self.broken.append
+
+    def publish_host(self, address, *, state):
+        late = time.monotonic() + DRAIN_SECONDS + 0.5
+        self.host.offered.append((late, b"client"))
+        self.hosts = {HOST: None}
+
+
+async def test_a_host_that_gets_flows_after_it_left_is_reported():
+    fleet = LeavingHosts()
+    fault = Fault(at=0.0, kind="drain_host", target=0, seconds=1.0)
+
+    await Injector(fleet).strike(fault)
+
+    assert len(fleet.broken) == 1
+
+
 def test_a_seed_always_means_the_same_schedule():
     one, other = (make_schedule(7, seconds=60.0, pause=PAUSE_SECONDS) for _ in range(2))
 
