Search a flow at every agent before it counts as lost

Cause: a route named two services by weight; a flow opened at a host of the second.

Ways weighed: handing on the services that a route has ever named (needs every version to have been seen by somebody who still lives; after the loss of every process nothing is known); telling each new balancer what agents hold (messages grow with flows). Asking the rest of the fleet only when those of the present services hold nothing costs one query an agent for a flow that is really lost, nothing for one that is found.

Change: the searching agent asks the agents of the services that the route names, then all others; a flow is nowhere once every agent of the fleet has said so, and the list of hosts can't be missing a live one. A repeated search asks only those that have not answered. The balancer sends one search, not one for each service of a split.

Found by the new state machine: an agent dropped the first request of a flow that had been opened longer ago than the request's timeout; the time of a request now begins with the flow's opening only where it follows within 2 s.

Tests: testing/relay/test_splits.py, 5 of 12 red before, and the state machine; one in test_requests.py red before. test_answers_about_another_service_do_not_count went: what an agent says is about the flow, not about a service; test_search.py checks the two rounds, joined agents and repeated searches in its place. 'began anew' in the test of explain expected a cause that the line doesn't show.

--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_explain.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_explain.py
@@ -64,8 +64,9 @@
     ),
     Finding(
         matches=lambda names: "flow-lost" in names,
-        text="The upstream that held the flow began anew and lost it; the client was "
-        "told. A request in it may have run.",
+        text="No upstream holds the flow any more; the client was told. 'reason' and "
+        "'absent' say which agents stated it: the one that held the flow, or every "
+        "agent known. A request in it may have run.",
     ),
     Finding(
         matches=lambda names: "request-answered" in names,
--- a/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
@@ -80,7 +80,12 @@
         ],
         "_rendezvous": ["rank", "rendezvous_score"],
         "_rotation": ["Rotation", "RotationStage"],
-        "_search": ["PendingSearches", "SearchBudget", "is_nowhere"],
+        "_search": [
+            "PendingSearch",
+            "PendingSearches",
+            "SearchBudget",
+            "SearchStep",
+        ],
         "_passing": [
             "AcceptFlight",
             "FlightDecision",
--- a/packages/daisygauge-policy/src/daisygauge_policy/_search.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_search.py
@@ -1,4 +1,4 @@
-"""How a balancer has the agent of a flow found, and how often it may.
+"""How the agent of a flow is found, how often, and when a flow is nowhere.
 
 It answers the load after many balancers or agents were lost at once: every open
 flow is then unknown somewhere. A balancer may have a slow processor and a narrow
@@ -9,7 +9,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import enum
+from collections.abc import Collection, Iterable
 
 from msgspec import Struct, field
 
@@ -52,48 +53,95 @@
         return True
 
 
+class SearchStep(enum.Enum):
+    """What the agent that carries out a search does next."""
+
+    WAIT = "wait"
+    WIDEN = "widen"
+    """Ask the agents of all other services: a route may have named them before."""
+    GIVE_UP = "give-up"
+    """No agent holds the flow."""
+
+
 class PendingSearch(Struct, kw_only=True):
     """A search that an agent carries out for a balancer.
 
     :param balancer: who is told the outcome.
-    :param service: tag of the service at which the flow may be.
+    :param service: tag of the service at which the flow most likely is.
+    :param packet: the latest packet of the flow, for agents that are asked later.
     :param since: monotonic time at which it began.
+    :param is_wide: True once agents of services that the flow's route doesn't name
+        are asked, too.
     :param absent: agents whose upstream doesn't hold the flow.
+    :param unanswered: agents that were asked and have not answered.
     """
 
     balancer: bytes
     service: int
+    packet: bytes
     since: float
+    is_wide: bool = False
     absent: set[bytes] = field(default_factory=set)
+    unanswered: set[bytes] = field(default_factory=set)
+
+    def list_unasked(self, agents: Iterable[bytes]) -> list[bytes]:
+        """Return which of the agents to ask now; their answers are waited for."""
+        asked = [agent for agent in agents if agent not in self.absent]
+        self.unanswered.update(asked)
+        return asked
+
+    def next_step(
+        self, *, near: Collection[bytes], everyone: Collection[bytes], own: bytes
+    ) -> SearchStep:
+        """Return what follows from the answers so far.
+
+        :param near: agents of the services that the flow's route names.
+        :param everyone: every agent of the fleet, as the asking agent knows them. A
+            list without the asking agent itself is not to be trusted.
+        """
+        if own not in everyone or not self.absent.issuperset(near):
+            return SearchStep.WAIT
+        if self.absent.issuperset(everyone):
+            return SearchStep.GIVE_UP
+        return SearchStep.WAIT if self.is_wide else SearchStep.WIDEN
 
 
 class PendingSearches:
-    """Gathers what the agents of a service say of searched flows."""
+    """Gathers what agents say of searched flows."""
 
     def __init__(self) -> None:
         self.searches: dict[bytes, PendingSearch] = {}
 
-    def begin(self, flow: bytes, *, balancer: bytes, service: int, now: float) -> None:
+    def begin(
+        self, flow: bytes, *, balancer: bytes, service: int, packet: bytes, now: float
+    ) -> PendingSearch:
         """Follow a search; a repeated one goes on with what is known."""
         self._forget_old(now=now)
         search = self.searches.get(flow)
-        if search is not None and search.service == service:
-            search.balancer = balancer
-            return
-        self.searches[flow] = PendingSearch(
-            balancer=balancer, service=service, since=now
-        )
+        if search is None:
+            search = self.searches[flow] = PendingSearch(
+                balancer=balancer, service=service, packet=packet, since=now
+            )
+        search.balancer = balancer
+        search.service = service
+        search.packet = packet
+        return search
 
     def end(self, flow: bytes) -> None:
-        """Forget a search whose flow is found."""
+        """Forget a search that is over."""
         self.searches.pop(flow, None)
 
     def note_absent(self, flow: bytes, agent: bytes) -> PendingSearch | None:
-        """Note an agent that doesn't hold a flow; returns the search it is part of."""
+        """Note an agent that doesn't hold a flow.
+
+        :return: the search, once no answer is missing.
+        """
         search = self.searches.get(flow)
-        if search is not None:
-            search.absent.add(agent)
-        return search
+        if search is None:
+            return None
+        search.absent.add(agent)
+        search.unanswered.discard(agent)
+        return None if search.unanswered else search
 
     def _forget_old(self, *, now: float) -> None:
         """Drop searches that are over; the oldest stand first."""
@@ -103,13 +151,3 @@
             if not is_over and len(self.searches) < MAX_PENDING:
                 return
             del self.searches[flow]
-
-
-def is_nowhere(search: PendingSearch, agents: Iterable[bytes], *, own: bytes) -> bool:
-    """Tell whether no agent of a service holds a flow.
-
-    :param agents: every agent of the service, as the asking agent knows them. A list
-        without the asking agent itself is not to be trusted.
-    """
-    agents = frozenset(agents)
-    return own in agents and search.absent >= agents
--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -94,7 +94,10 @@
             reset=self.reset,
         )
         self.searches = Searches(
-            runtime=runtime, candidates=self.openings.candidates, send=self.send
+            runtime=runtime,
+            candidates=self.openings.candidates,
+            send=self.send,
+            ask_own=self.query_own,
         )
         self.uncertain: dict[bytes, UncertainPacket] = {}
         self.foreign: dict[bytes, float] = {}
@@ -214,9 +217,14 @@
     def search(self, frame: SearchFrame, packet: RelayedPacket, *, now: float) -> None:
         """Find the agent that holds a flow, for a balancer."""
         flow = self.flows.get(packet.flow)
-        is_here = flow is not None and is_chosen(flow, packet)
-        if not is_here:
+        if flow is not None and is_chosen(flow, packet):
+            self.receive_packet(frame, packet, searcher=self.own, now=now)
+        else:
             self.searches.begin(frame, packet, now=now)
+
+    def query_own(self, frame: QueryFrame, now: float) -> None:
+        """Tell this agent's own search whether the flow is here."""
+        packet = self.codec.read_from_client(frame.packet)
         self.receive_packet(frame, packet, searcher=self.own, now=now)
 
     def receive_packet(
--- a/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
@@ -182,32 +182,26 @@
             self.runtime.counters.drop("search-budget")
             return
         flow.acknowledged = packet.acknowledged
-        for tag in self.possible_services(flow, packet.flow):
-            agents = self.candidates.order_all(tag, packet.flow)
-            if not agents:
-                continue
-            # An agent that doesn't answer costs one round: the next asks another.
-            agent = agents[flow.budget.rounds % len(agents)]
-            self.runtime.counters.searched += 1
-            self.runtime.log.write(
-                events.FLOW_SEARCHED,
-                flow=flow_name(packet.flow),
-                service=flow.service,
-                agent=inet_ntoa(agent),
-                agents=len(agents),
-                **self.runtime.belief(),
-            )
-            self.send(agent, SearchFrame(balancer=self.own, service=tag, packet=data))
-
-    def possible_services(self, flow: BalancerFlow, key: bytes) -> tuple[int, ...]:
-        """Return the tags of the services at which a flow may be.
-
-        Another balancer may have placed it when its route's weights were others.
-        """
-        route = find_route(self.runtime.directory.view, key)
-        names = [flow.service]
-        names += [share.service for share in route.shares] if route is not None else []
-        return tuple(dict.fromkeys(map(service_tag, names)))
+        tag = service_tag(flow.service)
+        # Any agent can search; those of the service are the likeliest to hold it.
+        agents = self.candidates.order_all(tag, packet.flow) or tuple(
+            self.candidates.tags
+        )
+        if not agents:
+            self.runtime.counters.drop("no-agent")
+            return
+        # An agent that doesn't answer costs one round: the next asks another.
+        agent = agents[flow.budget.rounds % len(agents)]
+        self.runtime.counters.searched += 1
+        self.runtime.log.write(
+            events.FLOW_SEARCHED,
+            flow=flow_name(packet.flow),
+            service=flow.service,
+            agent=inet_ntoa(agent),
+            agents=len(agents),
+            **self.runtime.belief(),
+        )
+        self.send(agent, SearchFrame(balancer=self.own, service=tag, packet=data))
 
     def reset(self, flow: bytes) -> None:
         """Reset a flow that isn't open."""
@@ -261,7 +255,6 @@
             return
         flow.owner = agent
         flow.budget = None
-        flow.absent.clear()
         self.runtime.log.write(
             events.FLOW_FOUND, flow=flow_name(frame.flow), agent=inet_ntoa(agent)
         )
@@ -278,26 +271,27 @@
             flow.owner = None
             flow.offers = [offer for offer in flow.offers if offer.agent != agent]
             if frame.lost:
-                self.end_lost(packet.flow, flow, LostFlow.AT_OWNER)
+                self.end_lost(packet.flow, flow, LostFlow.AT_OWNER, absent=1)
                 return
         self.placement.refresh()
         self.search(flow, packet, frame.packet, now=now)
 
     def note_nowhere(self, frame: NowhereFrame) -> None:
-        """End a flow that no upstream of its services holds."""
+        """End a flow that no upstream holds."""
         flow = self.flows.get(frame.flow)
         if flow is None or flow.owner is not None:
             return
-        flow.absent[frame.service] = frame.agents
-        services = self.possible_services(flow, frame.flow)
-        if all(tag in flow.absent for tag in services):
-            self.end_lost(frame.flow, flow, LostFlow.EVERYWHERE)
+        self.end_lost(frame.flow, flow, LostFlow.EVERYWHERE, absent=frame.agents)
 
-    def end_lost(self, key: bytes, flow: BalancerFlow, reason: LostFlow) -> None:
+    def end_lost(
+        self, key: bytes, flow: BalancerFlow, reason: LostFlow, *, absent: int
+    ) -> None:
         """Tell a client at once that its flow's upstream has lost it.
 
         Its requests that may be repeated go on over another flow without waiting for
         their timeout.
+
+        :param absent: agents that don't hold the flow.
         """
         self.flows.drop(key)
         self.runtime.counters.lost[reason.value] += 1
@@ -305,7 +299,7 @@
             events.FLOW_LOST,
             flow=flow_name(key),
             reason=reason.value,
-            absent=sum(flow.absent.values()),
+            absent=absent,
             **self.runtime.belief(),
         )
         reset = self.codec.make_reset(key, sequence=flow.acknowledged)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_candidates.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_candidates.py
@@ -41,12 +41,14 @@
     """Orders by view; equal views give equal orders in every process.
 
     :ivar ejected: packed addresses of agents that are tried last.
+    :ivar tags: the service of the newest host at each agent, by packed address.
     """
 
     def __init__(self) -> None:
         self.view = DirectoryView()
         self.ejected: frozenset[bytes] = frozenset()
         self.agents: dict[int, tuple[bytes, ...]] = {}
+        self.tags: dict[bytes, int] = {}
         self.ready: dict[int, tuple[HostRecord, ...]] = {}
         self._orders: dict[tuple[int, int], tuple[bytes, ...]] = {}
 
@@ -62,6 +64,10 @@
             )
             for service, hosts in view.hosts.items()
         }
+        self.tags = {
+            inet_aton(address): service_tag(host.service)
+            for address, host in view.residents.items()
+        }
         self.ready = {
             service_tag(service): _select_ready(hosts, view=view)
             for service, hosts in view.hosts.items()
--- a/packages/daisygauge-relay/src/daisygauge_relay/_events.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_events.py
@@ -118,7 +118,7 @@
 FLOW_LOST = _flow_event(
     615,
     "flow-lost",
-    "A flow was reset because its upstream, restarted, no longer holds it.",
+    "A flow was reset because no upstream holds it; 'reason' tells who said so.",
     ("flow", "reason", "absent", *BELIEF),
     Level.WARNING,
 )
--- a/packages/daisygauge-relay/src/daisygauge_relay/_flows.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_flows.py
@@ -32,8 +32,6 @@
     :param service: name of the service that the flow was placed for.
     :param asked: agents that were sent its opening packet.
     :param owner: the agent that holds the flow, once known.
-    :param absent: agents that were asked and don't hold it, by the services none of
-        whose agents does.
     :param acknowledged: what the client's last packet acknowledges.
     :param seen: monotonic time of the last packet.
     """
@@ -43,7 +41,6 @@
     asked: list[bytes] = field(default_factory=list)
     offers: list[SeenOffer] = field(default_factory=list)
     owner: bytes | None = None
-    absent: dict[int, int] = field(default_factory=dict)
     acknowledged: int = 0
     budget: SearchBudget | None = None
 
--- a/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
@@ -22,6 +22,8 @@
 TICK_SECONDS = 0.05
 """How often the gate is looked at without an answer; a tenth of the shortest time in
 which a held request can become too late."""
+LONGEST_OPENING_SECONDS = 2.0
+"""Clients give an opening up after 1.4 s; the rest is for a repeated first packet."""
 MAX_HELD_PACKETS = 16
 """A client has no more packets in flight."""
 
@@ -102,8 +104,7 @@
     ) -> GatedRequest:
         """Return what the gate orders a request by."""
         route = find_route(self.runtime.directory.view, packet.flow)
-        # The first request of a flow began before its opening packet arrived.
-        began = now if flow.served else min(now, flow.began)
+        began = find_start(flow, now=now)
         request = GatedRequest(flow=packet.flow, priority=0)
         if route is None:
             return request
@@ -163,6 +164,16 @@
         self.held.clear()
 
 
+def find_start(flow: AgentFlow, *, now: float) -> float:
+    """Return when a request that arrives now began at its client.
+
+    The first request of a flow mostly began with the opening. One that comes much
+    later was sent over a flow that stood ready.
+    """
+    is_first = not flow.served and now - flow.began <= LONGEST_OPENING_SECONDS
+    return flow.began if is_first else now
+
+
 def hold_packet(held: HeldRequest, packet: RelayedPacket, data: bytes) -> None:
     """Keep a packet of a waiting request once."""
     if packet.sequence in held.sequences or len(held.packets) >= MAX_HELD_PACKETS:
--- a/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
@@ -26,7 +26,7 @@
 _GIVEN_BIT = 2
 _OFFER = struct.Struct("!B12sIHH")
 _FLOW = struct.Struct("!B12s")
-_NOWHERE = struct.Struct("!B12sIH")
+_NOWHERE = struct.Struct("!B12sH")
 
 
 class MalformedFrameError(ValueError):
@@ -138,13 +138,12 @@
 
 
 class NowhereFrame(Struct, kw_only=True, frozen=True):
-    """Every agent of a service has said that it doesn't hold a flow.
+    """Every agent has said that it doesn't hold a flow.
 
     :param agents: how many they were.
     """
 
     flow: bytes
-    service: int
     agents: int
 
 
@@ -195,7 +194,7 @@
         case AbsentFrame():
             return _FLOW.pack(_ABSENT_KIND, frame.flow)
         case NowhereFrame():
-            return _NOWHERE.pack(_NOWHERE_KIND, frame.flow, frame.service, frame.agents)
+            return _NOWHERE.pack(_NOWHERE_KIND, frame.flow, frame.agents)
         case OpenFrame():
             return _encode_open(frame)
 
@@ -298,8 +297,8 @@
 
 
 def _decode_nowhere(data: bytes) -> NowhereFrame:
-    _, flow, service, agents = _NOWHERE.unpack(data)
-    return NowhereFrame(flow=flow, service=service, agents=agents)
+    _, flow, agents = _NOWHERE.unpack(data)
+    return NowhereFrame(flow=flow, agents=agents)
 
 
 _DECODERS: dict[int, Callable[[bytes], Frame]] = {
--- a/testing/ctl/test_explain.py
+++ b/testing/ctl/test_explain.py
@@ -64,7 +64,7 @@
         (["opening-taken", "request-begun", "request-expired"], "it has not run"),
         (["opening-refused"], "refused before it opened"),
         (["opening-placed", "opening-uncertain"], "was not told"),
-        (["request-begun", "flow-lost"], "began anew"),
+        (["request-begun", "flow-lost"], "No upstream holds the flow"),
         (["flow-searched"], "nobody claimed"),
     ],
 )
--- a/testing/policy/test_search.py
+++ b/testing/policy/test_search.py
@@ -1,15 +1,20 @@
 """How often flows are searched, and when a flow is nowhere."""
 
-from daisygauge_policy import PendingSearches, SearchBudget, is_nowhere
+from daisygauge_policy import PendingSearches, SearchBudget, SearchStep
 from daisygauge_policy._search import BURST_PACKETS, MAX_PENDING, PENDING_SECONDS
 
 OWN = b"\x0a\x00\x00\x01"
 OTHER = b"\x0a\x00\x00\x02"
+FAR = b"\x0a\x00\x00\x03"
 BALANCER = b"\x0a\x00\x01\x01"
 
 
-def begin(searches, flow, *, service=1, now=0.0):
-    searches.begin(flow, balancer=BALANCER, service=service, now=now)
+def begin(searches, flow, *, service=1, now=0.0, ask=()):
+    search = searches.begin(
+        flow, balancer=BALANCER, service=service, packet=b"", now=now
+    )
+    search.list_unasked(ask)
+    return search
 
 
 def test_each_pause_of_a_search_asks_another_agent():
@@ -23,44 +28,68 @@
     assert max(rounds.count(turn) for turn in rounds) <= BURST_PACKETS
 
 
+def step(search, *, near=(OWN, OTHER), everyone=(OWN, OTHER)):
+    return search.next_step(near=near, everyone=everyone, own=OWN)
+
+
 def test_a_flow_is_nowhere_once_every_agent_has_said_so():
     searches = PendingSearches()
-    begin(searches, b"flow")
+    search = begin(searches, b"flow", ask=(OWN, OTHER))
 
-    first = searches.note_absent(b"flow", OWN)
-    assert not is_nowhere(first, [OWN, OTHER], own=OWN)
+    assert searches.note_absent(b"flow", OWN) is None
+    assert step(search) is SearchStep.WAIT
 
-    last = searches.note_absent(b"flow", OTHER)
-    assert is_nowhere(last, [OWN, OTHER], own=OWN)
+    assert searches.note_absent(b"flow", OTHER) is search
+    assert step(search) is SearchStep.GIVE_UP
 
 
-def test_a_list_without_the_asking_agent_proves_nothing():
+def test_agents_of_other_services_are_asked_before_a_flow_is_nowhere():
     searches = PendingSearches()
-    begin(searches, b"flow")
-    search = searches.note_absent(b"flow", OTHER)
+    search = begin(searches, b"flow", ask=(OWN, OTHER))
+    everyone = (OWN, OTHER, FAR)
+    searches.note_absent(b"flow", OWN)
+    searches.note_absent(b"flow", OTHER)
+
+    assert step(search, everyone=everyone) is SearchStep.WIDEN
+    search.is_wide = True
+    assert search.list_unasked(everyone) == [FAR]
+    assert step(search, everyone=everyone) is SearchStep.WAIT
 
-    assert not is_nowhere(search, [OTHER], own=OWN)
-    assert not is_nowhere(search, [], own=OWN)
+    assert searches.note_absent(b"flow", FAR) is search
+    assert step(search, everyone=everyone) is SearchStep.GIVE_UP
 
 
-def test_a_repeated_search_keeps_what_is_known():
+def test_an_agent_that_joined_since_is_asked_too():
     searches = PendingSearches()
-    begin(searches, b"flow")
+    search = begin(searches, b"flow", ask=(OWN, OTHER))
+    searches.note_absent(b"flow", OWN)
     searches.note_absent(b"flow", OTHER)
 
-    begin(searches, b"flow", now=0.2)
+    joined = (OWN, OTHER, FAR)
+
+    assert step(search, near=joined, everyone=joined) is SearchStep.WAIT
+    assert search.list_unasked(joined) == [FAR]
+
+
+def test_a_list_without_the_asking_agent_proves_nothing():
+    searches = PendingSearches()
+    search = begin(searches, b"flow", ask=(OTHER,))
+    searches.note_absent(b"flow", OTHER)
 
-    assert is_nowhere(searches.note_absent(b"flow", OWN), [OWN, OTHER], own=OWN)
+    assert step(search, near=[OTHER], everyone=[OTHER]) is SearchStep.WAIT
+    assert step(search, near=[], everyone=[]) is SearchStep.WAIT
 
 
-def test_answers_about_another_service_do_not_count():
+def test_a_repeated_search_asks_only_those_who_have_not_answered():
     searches = PendingSearches()
-    begin(searches, b"flow", service=1)
+    begin(searches, b"flow", ask=(OWN, OTHER))
     searches.note_absent(b"flow", OTHER)
 
-    begin(searches, b"flow", service=2)
+    search = begin(searches, b"flow", now=0.2)
 
-    assert not is_nowhere(searches.note_absent(b"flow", OWN), [OWN, OTHER], own=OWN)
+    assert search.list_unasked((OWN, OTHER)) == [OWN]
+    assert searches.note_absent(b"flow", OWN) is search
+    assert step(search) is SearchStep.GIVE_UP
 
 
 def test_late_answers_of_a_search_that_is_over_count_for_nothing():
--- a/testing/relay/network.py
+++ b/testing/relay/network.py
@@ -430,3 +430,31 @@
             if flow is not None and flow.is_open:
                 return host
         return None
+
+
+def ask_all(network, clients, *, balancer, sequence=1, seconds=0.6):
+    """Send a request in each flow; return how many were answered."""
+    before = [client.answers for client in clients]
+    for client in clients:
+        client.ask(balancer, sequence=sequence)
+    network.clock.run(seconds)
+    return sum(
+        client.answers > count for client, count in zip(clients, before, strict=True)
+    )
+
+
+def restart_host(network, address):
+    """Let a host crash and begin anew at its address."""
+    host = network.hosts[address]
+    host.flows.clear()
+    network.publish_host(host, incarnation=2)
+
+
+def confirm(network):
+    """Let every process hear from the platform."""
+    for directory in network.directories.values():
+        directory.replace(
+            list(network.records.values()),
+            as_of=network.revision,
+            now=network.clock.now(),
+        )
--- a/testing/relay/test_flows.py
+++ b/testing/relay/test_flows.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from .network import Network
+from .network import Network, ask_all, confirm, restart_host
 
 
 @pytest.fixture
@@ -10,16 +10,6 @@
     return Network()
 
 
-def ask_all(network, clients, *, balancer, sequence=1, seconds=0.6):
-    before = [client.answers for client in clients]
-    for client in clients:
-        client.ask(balancer, sequence=sequence)
-    network.clock.run(seconds)
-    return sum(
-        client.answers > count for client, count in zip(clients, before, strict=True)
-    )
-
-
 def test_a_flow_opens_and_its_request_is_answered(network):
     (client,) = network.open_clients(1)
 
@@ -125,23 +115,6 @@
     assert network.holder_of(client) is not None
 
 
-def restart_host(network, address):
-    """Let a host crash and begin anew at its address."""
-    host = network.hosts[address]
-    host.flows.clear()
-    network.publish_host(host, incarnation=2)
-
-
-def confirm(network):
-    """Let every process hear from the platform."""
-    for directory in network.directories.values():
-        directory.replace(
-            list(network.records.values()),
-            as_of=network.revision,
-            now=network.clock.now(),
-        )
-
-
 def test_a_client_of_a_restarted_host_is_told_at_once(network):
     clients = network.open_clients(20)
     address, host = next(iter(network.hosts.items()))
--- a/testing/relay/test_requests.py
+++ b/testing/relay/test_requests.py
@@ -62,3 +62,13 @@
     network.clock.run(1.0)
 
     assert len(host.ran) == 8
+
+
+def test_a_flow_opened_long_before_its_first_request_has_its_whole_time(network):
+    (client,) = network.open_clients(1)
+    network.clock.run(3.0)
+
+    client.ask("10.0.0.1")
+    network.clock.run(0.2)
+
+    assert client.answers == 1
--- /dev/null
+++ b/testing/relay/test_splits.py
@@ -0,0 +1,236 @@
+"""Live flows keep their host whatever services their route names meanwhile."""
+
+import pytest
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from daisygauge_control import HostState
+from daisygauge_relay._candidates import choose_service
+
+from .network import SERVICE, SERVICE_END, Network, ask_all, confirm, pack_end
+
+SMALL_SERVICE = "order-desk-trial"
+UNRELATED_SERVICE = "pattern-library"
+SPLIT = ((SERVICE, 1.0), (SMALL_SERVICE, 1.0))
+SETTLED_SECONDS = 3.0
+CLIENTS = 20
+
+
+@pytest.fixture
+def network():
+    network = Network()
+    network.add_host("10.0.1.8", service=SMALL_SERVICE)
+    network.add_host("10.0.1.9", service=SMALL_SERVICE)
+    network.add_host("10.0.2.1", service=UNRELATED_SERVICE)
+    return network
+
+
+def open_split(network):
+    """Open flows while the route names both services."""
+    network.publish_routes(services=SPLIT)
+    clients = network.open_clients(CLIENTS)
+    assert ask_all(network, clients, balancer="10.0.0.1") == CLIENTS
+    return clients
+
+
+def services_of(network, clients):
+    return {network.holder_of(client).service for client in clients}
+
+
+def settle(network):
+    """Let processes be old enough, and current, to trust their list of hosts."""
+    network.clock.run(SETTLED_SECONDS)
+    confirm(network)
+
+
+def test_a_flow_outlives_its_split_through_a_balancer_that_never_saw_it(network):
+    clients = open_split(network)
+    assert services_of(network, clients) == {SERVICE, SMALL_SERVICE}
+    network.publish_routes()
+    network.start_balancer("10.0.0.2")
+    settle(network)
+
+    answered = ask_all(network, clients, balancer="10.0.0.2", sequence=100)
+
+    assert [client.resets for client in clients] == [0] * CLIENTS
+    assert answered == CLIENTS
+
+
+def test_a_flow_outlives_its_split_when_every_process_begins_anew(network):
+    clients = open_split(network)
+    network.publish_routes()
+    network.first_start = False
+    for address in list(network.agents):
+        network.start_agent(address)
+    network.start_balancer("10.0.0.2")
+    settle(network)
+
+    answered = ask_all(network, clients, balancer="10.0.0.2", sequence=100)
+
+    assert [client.resets for client in clients] == [0] * CLIENTS
+    assert answered == CLIENTS
+
+
+def test_a_flow_outlives_its_split_while_its_last_host_drains(network):
+    clients = open_split(network)
+    network.publish_routes()
+    for host in network.hosts.values():
+        if host.service == SMALL_SERVICE:
+            network.publish_host(host, state=HostState.DRAINING)
+    network.start_balancer("10.0.0.2")
+    settle(network)
+
+    answered = ask_all(network, clients, balancer="10.0.0.2", sequence=100)
+
+    assert [client.resets for client in clients] == [0] * CLIENTS
+    assert answered == CLIENTS
+
+
+def test_a_flow_is_found_while_the_service_of_its_route_has_no_host(network):
+    clients = open_split(network)
+    network.publish_routes(services=(("not-there-yet", 1.0),))
+    network.start_balancer("10.0.0.2")
+    settle(network)
+
+    answered = ask_all(network, clients, balancer="10.0.0.2", sequence=100)
+
+    assert answered == CLIENTS
+
+
+def test_an_agent_that_does_not_answer_keeps_a_flow_of_a_withdrawn_split(network):
+    clients = open_split(network)
+    network.publish_routes()
+    network.start_balancer("10.0.0.2")
+    settle(network)
+    network.down.update({"10.0.1.8", "10.0.1.9"})
+
+    ask_all(network, clients, balancer="10.0.0.2", sequence=100)
+
+    assert [client.resets for client in clients] == [0] * CLIENTS
+
+
+def test_a_flow_that_no_host_of_any_service_holds_is_reset(network):
+    clients = open_split(network)
+    network.publish_routes()
+    for host in network.hosts.values():
+        host.flows.clear()
+        network.publish_host(host, incarnation=2)
+    network.first_start = False
+    for address in list(network.agents):
+        network.start_agent(address)
+    network.start_balancer("10.0.0.2")
+    settle(network)
+
+    ask_all(network, clients, balancer="10.0.0.2", sequence=100)
+
+    assert [client.resets for client in clients] == [1] * CLIENTS
+
+
+def test_agents_of_other_services_are_asked_only_for_flows_not_found_nearer(network):
+    clients = open_split(network)
+    settle(network)
+    network.sent.clear()
+
+    assert ask_all(network, clients, balancer="10.0.0.2", sequence=100) == CLIENTS
+
+    assert network.sent["10.0.2.1"] == 0
+
+
+def test_a_withdrawn_service_gets_no_new_flow(network):
+    open_split(network)
+    network.publish_routes()
+
+    fresh = network.open_clients(CLIENTS)
+
+    assert ask_all(network, fresh, balancer="10.0.0.1") == CLIENTS
+    assert services_of(network, fresh) == {SERVICE}
+
+
+@pytest.mark.parametrize("weights", [(1.0, 1.0), (9.0, 1.0), (3.0, 5.0)])
+def test_new_flows_follow_the_weights_of_a_split(network, weights):
+    network.publish_routes(
+        services=((SERVICE, weights[0]), (SMALL_SERVICE, weights[1]))
+    )
+    (route,) = network.directories["10.0.0.1"].view.routes.values()
+    flows = 10_000
+    chosen = [
+        choose_service(
+            route,
+            pack_end(f"100.64.{number % 200}.{number // 200}", 1_024 + number)
+            + pack_end(*SERVICE_END),
+        )
+        for number in range(flows)
+    ]
+
+    assert chosen.count(SERVICE) / flows == pytest.approx(
+        weights[0] / sum(weights), abs=0.02
+    )
+
+
+class SplitMachine(RuleBasedStateMachine):
+    """Versions, restarts and searches in any order; no live flow is ever reset."""
+
+    @initialize()
+    def begin(self):
+        self.network = Network(hosts=3, balancers=2)
+        self.network.add_host("10.0.1.8", service=SMALL_SERVICE)
+        self.network.add_host("10.0.2.1", service=UNRELATED_SERVICE)
+        self.clients = []
+        self.sequence = 1
+
+    @rule(small=st.sampled_from([0.0, 0.5, 5.0]), main=st.sampled_from([0.0, 1.0]))
+    def publish(self, small, main):
+        shares = ((SERVICE, main), (SMALL_SERVICE, small))
+        named = tuple(share for share in shares if share[1])
+        if named:
+            self.network.publish_routes(services=named)
+
+    @precondition(lambda self: len(self.clients) < 12)
+    @rule(balancer=st.sampled_from(["10.0.0.1", "10.0.0.2"]))
+    def open(self, balancer):
+        self.clients += self.network.open_clients(2, balancer=balancer)
+
+    @rule(balancer=st.sampled_from(["10.0.0.1", "10.0.0.2"]))
+    def restart_balancer(self, balancer):
+        self.network.first_start = False
+        self.network.start_balancer(balancer)
+
+    @rule(agent=st.sampled_from(["10.0.1.1", "10.0.1.2", "10.0.1.8", "10.0.2.1"]))
+    def restart_agent(self, agent):
+        self.network.first_start = False
+        self.network.start_agent(agent)
+
+    @rule(seconds=st.sampled_from([0.1, 3.0, 16.0]))
+    def wait(self, seconds):
+        self.network.clock.run(seconds)
+        confirm(self.network)
+
+    @rule(host=st.sampled_from(["10.0.1.1", "10.0.1.8"]))
+    def drain_host(self, host):
+        self.network.publish_host(self.network.hosts[host], state=HostState.DRAINING)
+
+    @rule(balancer=st.sampled_from(["10.0.0.1", "10.0.0.2"]))
+    def ask(self, balancer):
+        self.sequence += 50
+        is_open = [client for client in self.clients if client.is_open]
+        answered = ask_all(
+            self.network, is_open, balancer=balancer, sequence=self.sequence
+        )
+        assert answered == len(is_open)
+
+    @invariant()
+    def no_live_flow_is_reset(self):
+        resets = [c for c in getattr(self, "clients", ()) if c.is_open and c.resets]
+        assert not resets
+
+
+SplitMachine.TestCase.settings = settings(
+    max_examples=40, stateful_step_count=25, deadline=None, derandomize=True
+)
+TestSplitMachine = SplitMachine.TestCase
--- a/testing/wire/test_relayed.py
+++ b/testing/wire/test_relayed.py
@@ -28,7 +28,7 @@
     st.builds(CarryFrame, **COMMON),
     st.builds(SearchFrame, **COMMON),
     st.builds(QueryFrame, **COMMON),
-    st.builds(NowhereFrame, flow=FLOWS, service=SERVICES, agents=SMALL),
+    st.builds(NowhereFrame, flow=FLOWS, agents=SMALL),
     st.builds(StrayFrame, **COMMON, lost=st.booleans()),
     st.builds(OwnerFrame, flow=FLOWS),
     st.builds(AbsentFrame, flow=FLOWS),
