Take the circles out of the imports; write a process's first lines when asked to

Exit codes, gauges and a caller's request stood in modules that import their users. They have modules of their own now; behaviour is the same.

log_delay_seconds is a setting (3 s as before).

--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/__init__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/__init__.py
@@ -1,8 +1,9 @@
 """HTTP/3 callers for tests, the demo and experiments, on two libraries."""
 
-from ._caller import Caller, Client, Request, Target
+from ._caller import Caller, Client
 from ._feed import Feed, FeedReport
 from ._outcome import Answered, Defect, NotRun, Outcome, Unknown
+from ._request import Request, Target
 
 __all__ = [
     "Answered",
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_answer.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_answer.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from .._content import answer_body, digest
 from ._exchange import (
     REQUEST_REJECTED,
@@ -16,9 +14,7 @@
     Reset,
 )
 from ._outcome import Answered, Defect, NotRun, Outcome, Unknown
-
-if TYPE_CHECKING:
-    from ._caller import Request
+from ._request import Request
 
 OUTCOME_HEADER = "x-daisygauge-outcome"
 HTTP_OK = 200
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_feed.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_feed.py
@@ -10,7 +10,7 @@
 from attrs import define, field
 
 from .._content import feed_number
-from ._caller import Caller, Request
+from ._caller import Caller
 from ._exchange import (
     REQUEST_REJECTED,
     Closed,
@@ -21,6 +21,7 @@
     HeaderBlock,
     Reset,
 )
+from ._request import Request
 
 POLL_SECONDS = 0.1
 REOPEN_DELAY_SECONDS = 0.2
--- a/packages/daisygauge-relay/src/daisygauge_relay/__init__.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/__init__.py
@@ -9,7 +9,8 @@
         "_agent": ["RelayAgent"],
         "_balancer": ["RelayBalancer"],
         "_events": ["RELAY_EVENTS"],
-        "_main": ["EXIT_MISUSE", "run_relay"],
+        "_exit_codes": ["EXIT_MISUSE"],
+        "_main": ["run_relay"],
         "_packet": ["MalformedPacketError", "PacketCodec", "RelayedPacket"],
         "_platform": ["Platform"],
         "_settings": [
--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -23,9 +23,9 @@
 
 from . import _events as events
 from ._candidates import service_tag
+from ._counters import Gauge
 from ._endpoint import Endpoint
 from ._flows import AgentFlow, FlowStage, FlowTable
-from ._metrics import Gauge
 from ._openings import Openings
 from ._packet import (
     MalformedPacketError,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
@@ -25,9 +25,9 @@
 
 from . import _events as events
 from ._candidates import choose_service, find_route, service_tag
+from ._counters import Gauge
 from ._endpoint import Endpoint
 from ._flows import BalancerFlow, FlowTable, SeenOffer
-from ._metrics import Gauge
 from ._packet import (
     MalformedPacketError,
     PacketCodec,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
@@ -4,6 +4,7 @@
 
 from bisect import bisect_left
 from collections import Counter
+from collections.abc import Callable
 
 from msgspec import Struct, field
 
@@ -32,6 +33,14 @@
         self.total_seconds += seconds
 
 
+class Gauge(Struct, kw_only=True, frozen=True):
+    """A number that may fall, read when the metrics page is asked for."""
+
+    name: str
+    text: str
+    read: Callable[[], float]
+
+
 class RelayCounters(Struct, kw_only=True):
     """Counters of one process; plain numbers, since each packet changes some.
 
--- a/packages/daisygauge-relay/src/daisygauge_relay/_log.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_log.py
@@ -22,9 +22,6 @@
 
 QUEUED_LINES = 4_000
 """About a second of the busiest process's lines, and 2 MB."""
-START_SECONDS = 3.0
-"""Lines wait this long after the start: a process that follows a failure serves
-first, and loads the logging library afterwards."""
 FLUSH_SECONDS = 0.1
 LINES_PER_FLUSH = 40
 """Formatting them takes a few milliseconds, which no packet may wait longer."""
@@ -36,6 +33,9 @@
     """An event log whose lines are written later.
 
     :param descriptor: file descriptor that lines are written to.
+    :param delay_seconds: time after the start before the first line is written: a
+        process that follows a failure serves first, and loads the logging library
+        afterwards.
     :param wall: Unix time in seconds, for the lines.
     :ivar dropped: lines lost since the last line that told so.
     :ivar lost: lines lost since the start.
@@ -45,12 +45,14 @@
         self,
         *,
         descriptor: int,
+        delay_seconds: float = 0.0,
         level: Level = Level.INFO,
         clock: Callable[[], float] = time.monotonic,
         wall: Callable[[], float] = time.time,
     ) -> None:
         super().__init__(level=level, clock=clock)
         self.descriptor = descriptor
+        self.delay_seconds = delay_seconds
         self.wall = wall
         self.queue: deque[tuple[Event, dict[str, Any]]] = deque()
         self.buffer = io.StringIO()
@@ -70,7 +72,7 @@
 
     async def run(self) -> None:
         """Write queued lines until cancelled."""
-        await asyncio.sleep(START_SECONDS)
+        await asyncio.sleep(self.delay_seconds)
         # The import of the library takes longer than a packet may wait.
         await asyncio.to_thread(importlib.import_module, "eliot")
         self.begin()
--- a/packages/daisygauge-relay/src/daisygauge_relay/_main.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_main.py
@@ -10,6 +10,7 @@
 from types import FrameType
 from typing import TYPE_CHECKING, NoReturn
 
+from ._exit_codes import EXIT_FAILED, EXIT_MISUSE, EXIT_STOPPED
 from ._settings import (
     RelayAgentSettings,
     RelayBalancerSettings,
@@ -22,10 +23,6 @@
 if TYPE_CHECKING:
     from ._platform import Platform
 
-EXIT_STOPPED = 0
-EXIT_FAILED = 1
-EXIT_MISUSE = 2
-
 SETTINGS: dict[str, type[RelaySettings]] = {
     "balancer": RelayBalancerSettings,
     "agent": RelayAgentSettings,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
@@ -8,12 +8,10 @@
 
 import asyncio
 import importlib
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
-from msgspec import Struct
-
-from ._counters import Histogram
+from ._counters import Gauge, Histogram
 from ._pages import Page
 from ._runtime import RelayRuntime
 
@@ -22,14 +20,6 @@
 LOADING = Page(status=503, body=b"the metrics library is being loaded; ask again\n")
 
 
-class Gauge(Struct, kw_only=True, frozen=True):
-    """A number that may fall, read when the page is asked for."""
-
-    name: str
-    text: str
-    read: Callable[[], float]
-
-
 class MetricsPage:
     """Answers the metrics address.
 
--- a/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
@@ -7,7 +7,7 @@
 import signal
 import traceback
 from collections.abc import Callable, Coroutine
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import Any, Protocol
 
 from daisygauge_control import (
     WATCH_SECONDS,
@@ -36,9 +36,9 @@
 )
 
 from . import _events as events
-from ._counters import RelayCounters
+from ._counters import Gauge, RelayCounters
+from ._exit_codes import EXIT_FAILED, EXIT_STOPPED
 from ._log import QueuedLog
-from ._main import EXIT_FAILED, EXIT_STOPPED
 from ._pages import GetPage, Page, serve_pages
 from ._settings import (
     RelaySettings,
@@ -48,9 +48,6 @@
 )
 from ._sockets import RoleSockets
 
-if TYPE_CHECKING:
-    from ._metrics import Gauge
-
 METRICS_PATH = "/metrics"
 DRAIN_POLL_SECONDS = 0.1
 """How often a stopping process looks whether it may end."""
--- a/packages/daisygauge-relay/src/daisygauge_relay/_serve.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_serve.py
@@ -45,7 +45,10 @@
             settings=settings,
             settings_path=settings_path,
             reader=platform.create_reader(settings),
-            log=QueuedLog(descriptor=sys.stdout.fileno()),
+            log=QueuedLog(
+                descriptor=sys.stdout.fileno(),
+                delay_seconds=settings.log_delay_seconds,
+            ),
             incarnation=time.time_ns() // 1_000_000,
         )
         pages: dict[str, GetPage] = {platform.readiness_path: runtime.readiness_page}
--- a/packages/daisygauge-relay/src/daisygauge_relay/_settings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_settings.py
@@ -64,6 +64,8 @@
     :param flow_seconds: age at which a flow may be forgotten.
     :param grace_seconds: time from SIGTERM to SIGKILL.
     :param link_megabits: what the instance's link carries, in Mbit/s.
+    :param log_delay_seconds: time after the start before lines are written; those of
+        a process that is killed sooner are lost.
     """
 
     id: str
@@ -79,12 +81,15 @@
     flow_seconds: float = 60.0
     grace_seconds: float = 6.0
     link_megabits: float = 1_000.0
+    log_delay_seconds: float = 3.0
 
     def __post_init__(self) -> None:
         check_host(self.host)
         first, last = self.inner_ports
         if not 0 < first < last <= MAX_PORT:
             raise ValueError("inner_ports: give two rising ports, such as [7720, 7735]")
+        if self.log_delay_seconds < 0.0:
+            raise ValueError("log_delay_seconds: give a time of 0 or more")
         for text in (self.client_address, self.ready, self.platform, *self.first_peers):
             parse_address(text)
 
--- a/testing/relay/test_metrics.py
+++ b/testing/relay/test_metrics.py
@@ -6,8 +6,8 @@
 import pytest
 
 from daisygauge_control import Directory
-from daisygauge_relay._counters import RelayCounters
-from daisygauge_relay._metrics import Gauge, MetricsPage
+from daisygauge_relay._counters import Gauge, RelayCounters
+from daisygauge_relay._metrics import MetricsPage
 
 
 @pytest.fixture
--- a/testing/relay/test_settings.py
+++ b/testing/relay/test_settings.py
@@ -54,6 +54,7 @@
         {"first_peers": ["nobody"]},
         {"first_start": "yes"},
         {"flow_seconds": "60"},
+        {"log_delay_seconds": -1},
         {"ingress": ""},
     ],
 )
--- a/testing/relay/test_start.py
+++ b/testing/relay/test_start.py
@@ -9,7 +9,8 @@
 from daisygauge_platform._packets import SYN, PlatformCodec
 from daisygauge_relay import RelayBalancer
 from daisygauge_relay._endpoint import Endpoint
-from daisygauge_relay._main import EXIT_FAILED, run_relay
+from daisygauge_relay._exit_codes import EXIT_FAILED
+from daisygauge_relay._main import run_relay
 from daisygauge_relay._settings import RelayBalancerSettings
 from daisygauge_relay._sockets import RoleSockets, bind_sockets
 
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -125,7 +125,9 @@
     def shared_settings(self, address):
         number = list(self.proxies).index(address) + 1
         return super().shared_settings(address) | {
-            "platform": f"{self.address(8, number)}:{STORE_PORT}"
+            "platform": f"{self.address(8, number)}:{STORE_PORT}",
+            # A process may be killed in its first seconds; its lines must be there.
+            "log_delay_seconds": 0.0,
         }
 
     def publish_routes(self, version, *, port=443):
