Use each connection to an upstream for one request

Cause: the HTTP client kept an idle connection's parser alive. A second copy of an answer that came while the connection was idle, or in use again, was taken for the answer to the next request, and reached a caller that it didn't belong to.

Ways weighed: refusing connections on which bytes came while idle doesn't help where the copy comes after the next request was sent; HTTP/1.1 answers carry no name. The upstream is on the agent's own instance, so a connection is a handshake over loopback (its cost wasn't measured).

--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_upstream.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_upstream.py
@@ -84,7 +84,6 @@
 def _tracing() -> aiohttp.TraceConfig:
     tracing = aiohttp.TraceConfig()
     tracing.on_connection_create_end.append(_before_first_byte)
-    tracing.on_connection_reuseconn.append(_before_first_byte)
     return tracing
 
 
@@ -117,7 +116,11 @@
         self.now = now
         self.base = f"http://{endpoint.host}:{endpoint.port}"
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, ttl_dns_cache=None),
+            # One request a connection: on one in use again, a second copy of an
+            # answer that comes late would pass for the answer to the next request.
+            connector=aiohttp.TCPConnector(
+                limit=0, ttl_dns_cache=None, force_close=True
+            ),
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
             auto_decompress=False,
