Let one malformed entry or answer cost no more than itself

A task of a process that meets an unexpected error is logged, counted and begins again; only an address that can't be bound ends the process. A source that led to such an error is left alone for a while like one that fails.

--- a/packages/daisygauge-control/src/daisygauge_control/_directory_exchange.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_exchange.py
@@ -64,14 +64,21 @@
 
     :param changed: notified after each change of the directory.
     :param clock: monotonic time in seconds.
+    :param report: takes an unexpected error of one peer's call.
     """
 
     def __init__(
-        self, *, directory: Directory, changed: Signal, clock: Callable[[], float]
+        self,
+        *,
+        directory: Directory,
+        changed: Signal,
+        clock: Callable[[], float],
+        report: Callable[[Exception], None],
     ) -> None:
         self.directory = directory
         self.changed = changed
         self.clock = clock
+        self.report = report
         self.server: asyncio.Server | None = None
         # Packed items by the revision asked for, all for the revision ``packed_as_of``.
         self.packed: dict[int, bytes] = {}
@@ -99,15 +106,28 @@
             asyncio.CancelledError,
             MalformedMessageError,
         ):
-            while True:
-                request = decode_request(await read_message(reader))
-                reply = await self.answer(request)
-                if writer.is_closing():
-                    return
-                writer.write(frame_message(encode_message(reply)))
-                await writer.drain()
+            await self.serve_calls(reader, writer)
         writer.close()
 
+    async def serve_calls(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer calls in turn.
+
+        :raises MalformedMessageError: the peer sends no calls.
+        """
+        while True:
+            request = decode_request(await read_message(reader))
+            try:
+                reply = encode_message(await self.answer(request))
+            except Exception as error:
+                self.report(error)
+                return
+            if writer.is_closing():
+                return
+            writer.write(frame_message(reply))
+            await writer.drain()
+
     async def answer(self, request: ChangesRequest) -> PackedReply:
         """Return what a peer lacks, waiting a while when that is nothing."""
         is_current = request.after >= self.directory.as_of
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_follower.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_follower.py
@@ -97,12 +97,10 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        expiry = asyncio.create_task(self.expire(), name="directory-expiry")
         try:
             while True:
                 await self.step()
         finally:
-            expiry.cancel()
             await self.reader.close()
 
     async def expire(self) -> None:
@@ -129,6 +127,10 @@
         except HistoryLostError:
             self.needs_everything = True
             return
+        except Exception as error:
+            # Another source is asked next; who runs this task logs the error.
+            self._report_failure(source, f"unexpected {error!r}")
+            raise
         self._report_success(source)
         if self.has_narrow_link and self.needs_everything:
             # Only hosts are known: their agents are asked for the configuration now.
--- a/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
@@ -44,6 +44,7 @@
 class RelayCounters(Struct, kw_only=True):
     """Counters of one process; plain numbers, since each packet changes some.
 
+    :ivar failures: unexpected errors of tasks, by the task's name.
     :ivar answers: time from a request's first packet to its answer's first.
     :ivar platform_calls: time of calls to the platform beyond the wait asked for.
     """
@@ -60,6 +61,7 @@
     dropped: Counter = field(default_factory=Counter)
     refused: Counter = field(default_factory=Counter)
     lost: Counter = field(default_factory=Counter)
+    failures: Counter = field(default_factory=Counter)
     answers: Histogram = field(default_factory=Histogram)
     platform_calls: Histogram = field(default_factory=Histogram)
 
--- a/packages/daisygauge-relay/src/daisygauge_relay/_events.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_events.py
@@ -204,14 +204,26 @@
     number=627,
     name="datagram-failed",
     level=Level.ERROR,
-    text="Handling a datagram ended with an unexpected error; it was dropped. Report "
-    "the error with its traceback.",
+    text="Handling a datagram or a peer's call ended with an unexpected error; it was "
+    "dropped. Report the error with its traceback.",
     fields=("error", "traceback"),
     limited=True,
     lines_per_second=1.0,
     burst=10.0,
 )
 
+TASK_RESTARTED = Event(
+    number=628,
+    name="task-restarted",
+    level=Level.ERROR,
+    text="A task ended with an unexpected error and begins again; the process goes on. "
+    "Report the error with its traceback.",
+    fields=("task", "error", "traceback"),
+    limited=True,
+    lines_per_second=1.0,
+    burst=10.0,
+)
+
 RELAY_EVENTS = (
     OPENING_PLACED,
     OPENING_REFUSED,
@@ -238,4 +250,5 @@
     SETTINGS_REFUSED,
     LINES_SUPPRESSED,
     DATAGRAM_FAILED,
+    TASK_RESTARTED,
 )
--- a/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
@@ -72,18 +72,18 @@
             metric = core.CounterMetricFamily(f"{PREFIX}_{name}", text)
             metric.add_metric([], value)
             yield metric
-        for name, text, counts in (
-            ("dropped", "Datagrams that went nowhere.", counters.dropped),
-            ("refused", "Flows refused.", counters.refused),
+        for name, text, label, counts in (
+            ("dropped", "Datagrams that went nowhere.", "reason", counters.dropped),
+            ("refused", "Flows refused.", "reason", counters.refused),
             (
                 "flows_lost",
                 "Flows reset since no upstream holds them.",
+                "reason",
                 counters.lost,
             ),
+            ("task_failures", "Errors of tasks.", "task", counters.failures),
         ):
-            metric = core.CounterMetricFamily(
-                f"{PREFIX}_{name}", text, labels=["reason"]
-            )
+            metric = core.CounterMetricFamily(f"{PREFIX}_{name}", text, labels=[label])
             for reason, count in counts.items():
                 metric.add_metric([reason], count)
             yield metric
--- a/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
@@ -53,6 +53,8 @@
 """How often a stopping process looks whether it may end."""
 SETTINGS_SECONDS = 1.0
 """How often the settings file is looked at; it may change without a signal."""
+TASK_PAUSE_SECONDS = 0.5
+"""Pause before a task that failed begins again."""
 LONGEST_CHANGES = 20
 """Changes named in one line of the log."""
 
@@ -112,7 +114,10 @@
             has_narrow_link=settings.has_narrow_link,
         )
         self.server = DirectoryServer(
-            directory=self.directory, changed=self.changed, clock=self.now
+            directory=self.directory,
+            changed=self.changed,
+            clock=self.now,
+            report=self.report_error,
         )
         self.stopping = asyncio.Event()
         self.is_leaving = False
@@ -203,6 +208,31 @@
             changes=[describe_item(item) for item in moved.items[:LONGEST_CHANGES]],
         )
 
+    def keep(self, work: Callable[[], Coroutine[Any, Any, None]], *, name: str) -> None:
+        """Run a task that an unexpected error doesn't end.
+
+        :param work: begins the task, and begins it again after an error. One message
+            that nobody thought of must not cost the flows of the whole process.
+        """
+        self.spawn(self.repeat(work, name=name), name=name)
+
+    async def repeat(
+        self, work: Callable[[], Coroutine[Any, Any, None]], *, name: str
+    ) -> None:
+        """Run a task until it ends without an error."""
+        while True:
+            try:
+                return await work()
+            except Exception as error:
+                self.counters.failures[name] += 1
+                self.log.write(
+                    events.TASK_RESTARTED,
+                    task=name,
+                    error=repr(error),
+                    traceback="".join(traceback.format_exception(error)),
+                )
+            await self.sleep(TASK_PAUSE_SECONDS)
+
     def spawn(self, work: Coroutine[Any, Any, None], *, name: str) -> None:
         """Run a task that must not end with an error."""
         task = asyncio.create_task(work, name=name)
@@ -250,7 +280,8 @@
         :param must_reload: tells whether SIGHUP came before this one could take it.
         :return: the exit code.
         """
-        self.spawn(self.follower.run(), name="directory")
+        self.keep(self.follower.run, name="directory")
+        self.keep(self.follower.expire, name="directory-expiry")
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         self.loop.add_signal_handler(signal.SIGINT, self.stopping.set)
@@ -261,9 +292,9 @@
         self.spawn(self.serve_peers(metrics), name="peers")
         await role.start(sockets)
         self.log_start()
-        self.spawn(self.log.run(), name="log")
-        self.spawn(self.log_readiness(), name="readiness")
-        self.spawn(self.watch_settings(), name="settings")
+        self.keep(self.log.run, name="log")
+        self.keep(self.log_readiness, name="readiness")
+        self.keep(self.watch_settings, name="settings")
         await self.stopping.wait()
         self.is_leaving = True
         self.log.write(DRAINING, role=self.name, id=self.settings.id)
--- a/testing/adapter/test_store.py
+++ b/testing/adapter/test_store.py
@@ -14,7 +14,8 @@
     RoutingRecord,
     UnusableRecord,
 )
-from daisygauge_platform._store import StoreReader, read_item
+from daisygauge_platform._entries import read_item
+from daisygauge_platform._store import StoreReader
 
 HOST = "127.61.0.1"
 PORT = 18_269
--- a/testing/control/test_directory_follower.py
+++ b/testing/control/test_directory_follower.py
@@ -44,6 +44,10 @@
     return DirectoryItem(key=record.id, revision=revision, content=record)
 
 
+def fail(error):
+    raise error
+
+
 class FakeReader:
     """Answers as the test says; an exception is raised."""
 
@@ -251,6 +255,17 @@
     assert steps[0] < steps[-1] <= 1.2
 
 
+async def test_another_source_is_asked_after_an_unexpected_error():
+    reader = FakeReader(KeyError("items"))
+    follower, events, _ = make_follower(reader, peers=("127.60.0.9",))
+
+    with pytest.raises(KeyError):
+        await follower.step()
+
+    assert follower.choose_source(now=follower.clock()) == "127.60.0.9"
+    assert [type(event) for event in events] == [SourceLost]
+
+
 async def test_seats_watch_the_platform_and_others_watch_a_seat():
     items = tuple(host_item(n, n) for n in range(1, 9))
     follower, _, _ = make_follower(FakeReader())
@@ -291,7 +306,7 @@
     directory, changed = Directory(), Signal()
     times = [0.0]
     server = DirectoryServer(
-        directory=directory, changed=changed, clock=lambda: times[0]
+        directory=directory, changed=changed, clock=lambda: times[0], report=fail
     )
     await server.start(host="127.60.0.1", port=PEER_PORT)
     yield directory, changed, times
@@ -376,7 +391,9 @@
 async def ask_twice_with_a_reset_between():
     directory, changed = Directory(), Signal()
     directory.replace([host_item(1, 5)], as_of=6, now=0.0)
-    server = DirectoryServer(directory=directory, changed=changed, clock=lambda: 0.0)
+    server = DirectoryServer(
+        directory=directory, changed=changed, clock=lambda: 0.0, report=fail
+    )
     writers = []
 
     async def serve(reader, writer):
@@ -407,7 +424,9 @@
     )
     directory, changed = Directory(), Signal()
     directory.replace([host_item(1, 5)], as_of=6, now=0.0)
-    server = DirectoryServer(directory=directory, changed=changed, clock=lambda: 0.0)
+    server = DirectoryServer(
+        directory=directory, changed=changed, clock=lambda: 0.0, report=fail
+    )
     await server.start(host="127.60.0.8", port=PEER_PORT)
     reader = PeerReader(host="127.60.0.8", port=PEER_PORT)
     asking = asyncio.create_task(reader.fetch(after=6, wait_seconds=3.0))
@@ -451,7 +470,9 @@
 async def test_peers_that_ask_alike_share_one_packed_reply():
     directory = Directory()
     directory.replace([routing_item(1)], as_of=1, now=0.0)
-    server = DirectoryServer(directory=directory, changed=Signal(), clock=lambda: 0.0)
+    server = DirectoryServer(
+        directory=directory, changed=Signal(), clock=lambda: 0.0, report=fail
+    )
 
     assert server.pack(0) is server.pack(0)
     before = server.pack(0)
