Take repeated bytes of an upstream for no answer to the next request

Cause: an upstream repeats the end of an answer when its acknowledgement was lost. The agent took that for the answer to the request that had begun meanwhile: it logged it as answered, with a time that was none, learnt a wrong service time and let another request through.

Change: an agent follows the upstream's sequence numbers as it does the client's; one function serves both. The fleet in memory numbers its answers as hosts do.

--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -327,8 +327,8 @@
         flow.seen = now
         if packet.accepting:
             self.openings.note_offer(flow, packet, now=now)
-        elif packet.length and flow.asked_at is not None:
-            self.requests.answer(packet.flow, flow, now=now)
+        elif packet.length:
+            self.requests.receive_answer(flow, packet, now=now)
         if packet.finishing or packet.resetting:
             flow.stage = FlowStage.CLOSED
         self.runtime.counters.packets_out += 1
--- a/packages/daisygauge-relay/src/daisygauge_relay/_flows.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_flows.py
@@ -62,6 +62,7 @@
     :param seen: monotonic time of the last packet in either direction.
     :param sequence: the upstream's first sequence number.
     :param client_next: sequence number after the client's newest byte.
+    :param upstream_next: the same of the upstream's.
     :param asked_at: monotonic time at which the running request began, or None.
     :param request: id of the running request, where its bytes told it.
     """
@@ -72,6 +73,7 @@
     stage: FlowStage = FlowStage.ASKED
     sequence: int = 0
     client_next: int | None = None
+    upstream_next: int | None = None
     asked_at: float | None = None
     request: str | None = None
     served: int = 0
--- a/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
@@ -75,7 +75,7 @@
         held = self.held.get(packet.flow)
         if held is not None:
             hold_packet(held, packet, data)
-        elif advance(flow, packet) and flow.asked_at is None:
+        elif note_progress(flow, packet) and flow.asked_at is None:
             self.begin(flow, packet, data, now=now)
         else:
             self.deliver(data)
@@ -132,6 +132,21 @@
                 waiting=len(self.gate.waiting),
             )
 
+    def receive_answer(
+        self, flow: AgentFlow, packet: RelayedPacket, *, now: float
+    ) -> None:
+        """Handle an upstream's packet with data.
+
+        A repeated one belongs to an answer that was noted before, and says nothing of
+        the request that runs now.
+        """
+        end = find_progress(flow.upstream_next, packet)
+        if end is None:
+            return
+        flow.upstream_next = end
+        if flow.asked_at is not None:
+            self.answer(packet.flow, flow, now=now)
+
     def answer(self, key: bytes, flow: AgentFlow, *, now: float) -> None:
         """Note that the upstream answers a flow's request."""
         seconds = now - flow.asked_at
@@ -182,12 +197,21 @@
     held.packets.append(data)
 
 
-def advance(flow: AgentFlow, packet: RelayedPacket) -> bool:
-    """Tell whether a packet holds bytes that the client had not sent before."""
+def note_progress(flow: AgentFlow, packet: RelayedPacket) -> bool:
+    """Note a client's bytes; returns whether they were not sent before."""
+    end = find_progress(flow.client_next, packet)
+    if end is not None:
+        flow.client_next = end
+    return end is not None
+
+
+def find_progress(known: int | None, packet: RelayedPacket) -> int | None:
+    """Return the sequence number after a packet's bytes, or None for repeated ones.
+
+    :param known: the number after the newest byte of the same sender before.
+    """
     end = (packet.sequence + packet.length) % SEQUENCE_RANGE
-    if flow.client_next is not None:
-        ahead = (end - flow.client_next) % SEQUENCE_RANGE
-        if not 0 < ahead < SEQUENCE_RANGE // 2:
-            return False
-    flow.client_next = end
-    return True
+    if known is None:
+        return end
+    ahead = (end - known) % SEQUENCE_RANGE
+    return end if 0 < ahead < SEQUENCE_RANGE // 2 else None
--- a/testing/relay/network.py
+++ b/testing/relay/network.py
@@ -37,6 +37,7 @@
 CLIENT_PORT = 8172
 SERVICE = "order-desk"
 SERVICE_END = ("198.18.0.1", 443)
+ANSWER = b"HTTP/1.1 200 OK\r\n\r\n"
 
 
 def pack_end(host: str, port: int) -> bytes:
@@ -109,9 +110,12 @@
 
 @define
 class HostFlow:
+    """One flow at its host; ``sent`` counts the bytes of its answers."""
+
     sequence: int
     is_open: bool = False
     requests: int = 0
+    sent: int = 0
 
 
 class FakeHost:
@@ -173,10 +177,12 @@
         src, dst, ack, body = request
         self.running -= 1
         self.ran.append(body)
+        flow = self.flows.get(src + dst)
+        sequence = ack if flow is None else flow.sequence + 1 + flow.sent
+        if flow is not None:
+            flow.sent += len(ANSWER)
         if not self.is_dark:
-            self.send(
-                dst, src, flags=ACK, sequence=ack, data=b"HTTP/1.1 200 OK\r\n\r\n"
-            )
+            self.send(dst, src, flags=ACK, sequence=sequence, data=ANSWER)
         self.start()
 
     def give_back(self, data):
