Let first peers wait for the first hosts on behalf of the others

Change: a process that has read the platform once and knows no host yet asks a first peer for news; first peers themselves watch the platform. The platform stays the next source when a first peer gives no usable answer.

Before: the new case of test_directory_follower.py red.

--- a/packages/daisygauge-control/src/daisygauge_control/_directory_follower.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_follower.py
@@ -85,6 +85,8 @@
         self.reader = reader
         self.own_address = own_address
         self.peer_port = peer_port
+        first_peers = tuple(first_peers)
+        self.is_first_peer = own_address in first_peers
         self.first_peers = tuple(p for p in first_peers if p != own_address)
         self.changed = changed
         self.clock = clock
@@ -156,6 +158,10 @@
         )
         if seats and self.has_narrow_link and self.needs_everything:
             return (*others, PLATFORM, *self.first_peers)
+        if not seats and not self.needs_everything and not self.is_first_peer:
+            # At the first start everyone waits for hosts; a few wait at the platform.
+            peers = order_seats(self.first_peers, follower=self.own_address)
+            return (*peers, PLATFORM)
         if self.own_address in seats or not seats:
             return (PLATFORM, *others, *self.first_peers)
         return (*others[:1], PLATFORM, *others[1:], *self.first_peers)
--- a/testing/control/test_directory_follower.py
+++ b/testing/control/test_directory_follower.py
@@ -277,6 +277,23 @@
     assert follower.list_sources()[0] == PLATFORM
 
 
+async def test_while_no_host_is_known_a_first_peer_tells_news_to_the_others():
+    follower, *_ = make_follower(FakeReader(), peers=("127.60.0.8", "127.60.0.9"))
+    assert follower.choose_source(now=0.0) == PLATFORM
+
+    await follower.step()
+
+    assert follower.choose_source(now=0.0) in ("127.60.0.8", "127.60.0.9")
+    assert PLATFORM in follower.list_sources()
+
+
+async def test_while_no_host_is_known_a_first_peer_itself_watches_the_platform():
+    follower, *_ = make_follower(FakeReader(), peers=("127.60.0.200", "127.60.0.9"))
+    await follower.step()
+
+    assert follower.choose_source(now=0.0) == PLATFORM
+
+
 async def test_the_platform_is_asked_when_a_seat_fails():
     follower, _, _ = make_follower(FakeReader())
     follower.directory.replace([host_item(1, 1), host_item(2, 2)], as_of=9, now=0.0)
