--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -112,7 +112,7 @@
         """Begin to read the sockets."""
         await self.outbound.open(sockets.outer)
         await self.inner.open(sockets.inner)
-        self.runtime.keep(self.requests.run, name="requests")
+        self.runtime.tasks.keep(self.requests.run, name="requests")
 
     async def drain(self) -> None:
         """Pass new flows on, and stay while the upstream still has some."""
--- a/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
@@ -6,39 +6,28 @@
 import os
 import signal
 import traceback
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from daisygauge_control import (
-    WATCH_SECONDS,
     Directory,
-    DirectoryEvent,
     DirectoryFollower,
-    DirectoryItem,
-    DirectoryMoved,
     DirectoryReader,
     DirectoryServer,
-    HostGone,
-    HostRecord,
-    PlatformCalled,
-    RoutingRecord,
     Signal,
-    SourceLost,
-    SourceRegained,
-    UnusableRecord,
 )
 from daisygauge_daemon import (
     CONFIGURATION_READY,
     DRAINING,
     STARTED,
     STOPPED,
-    TASK_FAILED,
 )
 
 from . import _events as events
 from ._counters import Gauge, RelayCounters
 from ._exit_codes import EXIT_FAILED, EXIT_STOPPED
 from ._log import QueuedLog
+from ._observer import DirectoryObserver
 from ._pages import GetPage, Page, serve_pages
 from ._settings import (
     RelaySettings,
@@ -47,16 +36,13 @@
     parse_address,
 )
 from ._sockets import RoleSockets
+from ._tasks import Tasks
 
 METRICS_PATH = "/metrics"
 DRAIN_POLL_SECONDS = 0.1
 """How often a stopping process looks whether it may end."""
 SETTINGS_SECONDS = 1.0
 """How often the settings file is looked at; it may change without a signal."""
-TASK_PAUSE_SECONDS = 0.5
-"""Pause before a task that failed begins again."""
-LONGEST_CHANGES = 20
-"""Changes named in one line of the log."""
 
 
 class RelayRole(Protocol):
@@ -101,6 +87,9 @@
         self.loop = asyncio.get_running_loop()
         self.counters = RelayCounters()
         self.directory = Directory()
+        self.observer = DirectoryObserver(
+            log=log, counters=self.counters, directory=self.directory
+        )
         self.changed = Signal()
         self.follower = DirectoryFollower(
             directory=self.directory,
@@ -110,7 +99,7 @@
             first_peers=[parse_address(peer).host for peer in settings.first_peers],
             changed=self.changed,
             clock=self.now,
-            observe=self.observe,
+            observe=self.observer.observe,
             has_narrow_link=settings.has_narrow_link,
         )
         self.server = DirectoryServer(
@@ -124,7 +113,9 @@
         # A stopping balancer that the fabric can't do without yet reports ready.
         self.is_needed = False
         self.exit_code = EXIT_STOPPED
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = Tasks(
+            log=log, failures=self.counters.failures, failed=self.stop_failed
+        )
 
     def load_settings(self) -> RelaySettings:
         """Read the settings file.
@@ -173,84 +164,8 @@
         """Answer whether this process wants traffic."""
         return Page(status=200 if self.is_ready else 503)
 
-    def observe(self, event: DirectoryEvent) -> None:
-        """Log what the follower of the directory reports."""
-        match event:
-            case PlatformCalled():
-                # A wait that ended without news took its whole time by intent.
-                waited = 0.0 if event.news else WATCH_SECONDS
-                seconds = max(event.seconds - waited, 0.0)
-                self.counters.platform_calls.observe(seconds)
-            case DirectoryMoved():
-                self.log_changes(event)
-            case HostGone():
-                self.log.write(events.HOST_GONE, host=event.id)
-            case SourceLost():
-                self.log.write(
-                    events.SOURCE_LOST,
-                    source=event.source,
-                    reason=event.reason,
-                    retry_seconds=round(event.retry_seconds, 3),
-                )
-            case SourceRegained():
-                self.log.write(
-                    events.SOURCE_REGAINED, source=event.source, failures=event.failures
-                )
-
-    def log_changes(self, moved: DirectoryMoved) -> None:
-        """Log merged changes."""
-        self.log.write(
-            events.DIRECTORY_MOVED,
-            source=moved.source,
-            as_of=moved.as_of,
-            source_age_seconds=round(moved.age_seconds, 3),
-            version=self.directory.view.version,
-            changes=[describe_item(item) for item in moved.items[:LONGEST_CHANGES]],
-        )
-
-    def keep(self, work: Callable[[], Coroutine[Any, Any, None]], *, name: str) -> None:
-        """Run a task that an unexpected error doesn't end.
-
-        :param work: begins the task, and begins it again after an error. One message
-            that nobody thought of must not cost the flows of the whole process.
-        """
-        self.spawn(self.repeat(work, name=name), name=name)
-
-    async def repeat(
-        self, work: Callable[[], Coroutine[Any, Any, None]], *, name: str
-    ) -> None:
-        """Run a task until it ends without an error."""
-        while True:
-            try:
-                return await work()
-            except Exception as error:
-                self.counters.failures[name] += 1
-                self.log.write(
-                    events.TASK_RESTARTED,
-                    task=name,
-                    error=repr(error),
-                    traceback="".join(traceback.format_exception(error)),
-                )
-            await self.sleep(TASK_PAUSE_SECONDS)
-
-    def spawn(self, work: Coroutine[Any, Any, None], *, name: str) -> None:
-        """Run a task that must not end with an error."""
-        task = asyncio.create_task(work, name=name)
-        self.tasks.add(task)
-        task.add_done_callback(self.finish_task)
-
-    def finish_task(self, task: asyncio.Task[None]) -> None:
-        """Account for a task that ended; an unexpected error stops the process."""
-        self.tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
-        error = task.exception()
-        self.log.write(
-            TASK_FAILED,
-            task=task.get_name(),
-            error=repr(error),
-            traceback="".join(traceback.format_exception(error)),
-        )
+    def stop_failed(self) -> None:
+        """Stop, and tell the platform by the exit code that something failed."""
         self.exit_code = EXIT_FAILED
         self.stopping.set()
 
@@ -280,8 +195,8 @@
         :param must_reload: tells whether SIGHUP came before this one could take it.
         :return: the exit code.
         """
-        self.keep(self.follower.run, name="directory")
-        self.keep(self.follower.expire, name="directory-expiry")
+        self.tasks.keep(self.follower.run, name="directory")
+        self.tasks.keep(self.follower.expire, name="directory-expiry")
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         self.loop.add_signal_handler(signal.SIGINT, self.stopping.set)
@@ -289,12 +204,12 @@
             self.reload()
         ready = parse_address(self.settings.ready)
         server = await serve_pages(host=ready.host, port=ready.port, pages=pages)
-        self.spawn(self.serve_peers(metrics), name="peers")
+        self.tasks.spawn(self.serve_peers(metrics), name="peers")
         await role.start(sockets)
         self.log_start()
-        self.keep(self.log.run, name="log")
-        self.keep(self.log_readiness, name="readiness")
-        self.keep(self.watch_settings, name="settings")
+        self.tasks.keep(self.log.run, name="log")
+        self.tasks.keep(self.log_readiness, name="readiness")
+        self.tasks.keep(self.watch_settings, name="settings")
         await self.stopping.wait()
         self.is_leaving = True
         self.log.write(DRAINING, role=self.name, id=self.settings.id)
@@ -305,8 +220,7 @@
         self.log.write(
             STOPPED, role=self.name, id=self.settings.id, exit_code=self.exit_code
         )
-        for task in tuple(self.tasks):
-            task.cancel()
+        self.tasks.cancel()
         self.log.close()
         return self.exit_code
 
@@ -370,16 +284,3 @@
             failure_domain=self.settings.failure_domain,
             incarnation=self.incarnation,
         )
-
-
-def describe_item(item: DirectoryItem) -> str:
-    """Return a change as a few words."""
-    match item.content:
-        case None:
-            return f"{item.key}@{item.revision} removed"
-        case HostRecord(service=service, address=address, state=state):
-            return f"{item.key}@{item.revision} {service} {address} {state.value}"
-        case RoutingRecord(version=version, routes=routes):
-            return f"{item.key}@{item.revision} version {version}, {len(routes)} routes"
-        case UnusableRecord(problem=problem):
-            return f"{item.key}@{item.revision} unusable: {problem}"
--- a/testing/relay/test_tasks.py
+++ b/testing/relay/test_tasks.py
@@ -43,7 +43,7 @@
 async def test_a_task_that_failed_begins_again(runtime, error):
     work = FailingOnce(error)
 
-    runtime.keep(work.run, name="directory")
+    runtime.tasks.keep(work.run, name="directory")
 
     await asyncio.wait_for(work.done.wait(), 5.0)
     assert not runtime.stopping.is_set()
@@ -53,7 +53,7 @@
 async def test_an_address_that_cannot_be_bound_ends_the_process(runtime):
     work = FailingOnce(OSError("address in use"))
 
-    runtime.spawn(work.run(), name="peers")
+    runtime.tasks.spawn(work.run(), name="peers")
 
     await asyncio.wait_for(runtime.stopping.wait(), 5.0)
     assert runtime.exit_code != 0
