--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -4,8 +4,6 @@
 
 from socket import inet_aton, inet_ntoa
 
-from msgspec import Struct
-
 from daisygauge_policy import RequestGate
 from daisygauge_wire import (
     AbsentFrame,
@@ -16,13 +14,10 @@
     OwnerFrame,
     QueryFrame,
     SearchFrame,
-    StrayFrame,
     decode_frame,
     encode_frame,
 )
 
-from . import _events as events
-from ._candidates import service_tag
 from ._counters import Gauge
 from ._endpoint import Endpoint
 from ._flows import AgentFlow, FlowStage, FlowTable
@@ -33,36 +28,21 @@
     RelayedPacket,
     acknowledges,
     client_host,
-    flow_name,
 )
 from ._requests import Requests
 from ._runtime import DRAIN_POLL_SECONDS, RelayRuntime
 from ._searches import Searches
 from ._settings import RelayAgentSettings, parse_address
 from ._sockets import RoleSockets
+from ._strays import Strays
 from ._upstream import Upstream
 
 CLOSED_SECONDS = 5.0
 """Late packets of a closed flow still belong to its upstream."""
-FOREIGN_SECONDS = 1.0
-"""How long it is remembered that the upstream doesn't hold a flow."""
-MAX_REMEMBERED = 4_096
-"""Flows remembered as foreign or uncertain; more come only after everything died."""
 LEAST_DRAIN_SECONDS = 0.5
 """Opening packets on their way when the drain begins still arrive."""
 
 
-class UncertainPacket(Struct, kw_only=True):
-    """A packet that only the upstream can tell whether its flow is here.
-
-    :param searcher: the agent that asked for it, or None when a balancer believes
-        that the flow is here.
-    """
-
-    balancer: bytes
-    searcher: bytes | None
-
-
 class RelayAgent:
     """One agent's sockets and its upstream's flows."""
 
@@ -99,8 +79,15 @@
             send=self.send,
             ask_own=self.query_own,
         )
-        self.uncertain: dict[bytes, UncertainPacket] = {}
-        self.foreign: dict[bytes, float] = {}
+        self.strays = Strays(
+            runtime=runtime,
+            codec=codec,
+            upstream=self.upstream,
+            flows=self.flows,
+            searches=self.searches,
+            deliver=self.deliver,
+            send=self.send,
+        )
         address = parse_address(settings.upstream)
         self.upstream_address = (address.host, address.port)
         self.inner = Endpoint(receive=self.receive_frame, report=runtime.report_error)
@@ -241,7 +228,7 @@
         """
         flow = self.flows.get(packet.flow)
         if flow is None or not is_chosen(flow, packet):
-            self.receive_unknown(frame, packet, searcher=searcher, now=now)
+            self.strays.receive(frame, packet, searcher=searcher, now=now)
             return
         if searcher is not None:
             self.send(frame.balancer, OwnerFrame(flow=packet.flow))
@@ -253,60 +240,6 @@
         if packet.finishing or packet.resetting:
             flow.stage = FlowStage.CLOSED
 
-    def receive_unknown(
-        self,
-        frame: CarryFrame | SearchFrame | QueryFrame,
-        packet: RelayedPacket,
-        *,
-        searcher: bytes | None,
-        now: float,
-    ) -> None:
-        """Handle a packet of a flow that isn't in the table."""
-        if not self.upstream.is_of(frame.service):
-            # Its upstream is another one by now; this one must not see the packet.
-            if searcher is None:
-                self.give_back(frame.balancer, frame.service, frame.packet, lost=False)
-            return
-        heard_foreign = self.foreign.get(packet.flow, float("-inf"))
-        is_foreign = now - heard_foreign < FOREIGN_SECONDS
-        if self.upstream.is_known(now=now) or is_foreign:
-            # A flow that is offered here but was opened elsewhere isn't lost.
-            lost = packet.flow not in self.flows.entries
-            if searcher is None:
-                self.give_back(frame.balancer, frame.service, frame.packet, lost=lost)
-            else:
-                self.report_absent(packet.flow, searcher, now=now)
-            return
-        trim(self.uncertain)
-        self.uncertain[packet.flow] = UncertainPacket(
-            balancer=frame.balancer, searcher=searcher
-        )
-        self.runtime.log.write(
-            events.FLOW_TRIED,
-            flow=flow_name(packet.flow),
-            balancer=inet_ntoa(frame.balancer),
-            carried=searcher is None,
-        )
-        self.deliver(frame.packet)
-
-    def report_absent(self, flow: bytes, searcher: bytes, *, now: float) -> None:
-        """Tell the agent that looks for a flow that the upstream doesn't hold it."""
-        if searcher == self.own:
-            self.searches.note_absent(flow, self.own, now=now)
-        else:
-            self.send(searcher, AbsentFrame(flow=flow))
-
-    def give_back(
-        self, balancer: bytes, service: int, data: bytes, *, lost: bool
-    ) -> None:
-        """Return a packet of a flow that isn't here.
-
-        :param lost: True when the upstream doesn't hold the flow any more.
-        """
-        self.runtime.counters.strays += 1
-        frame = StrayFrame(balancer=balancer, service=service, packet=data, lost=lost)
-        self.send(balancer, frame)
-
     # Packets from the upstream.
 
     def receive_upstream(self, data: bytes, sender: tuple[str, int]) -> None:
@@ -319,11 +252,14 @@
             return
         self.upstream.note_heard(now=now)
         if packet.returned:
-            self.receive_returned(packet, data, now=now)
+            if packet.opening:
+                self.openings.note_returned(packet.flow, now=now)
+            else:
+                self.strays.note_returned(packet, data, now=now)
             return
         flow = self.flows.get(packet.flow)
         if flow is None:
-            flow = self.discover(packet, now=now)
+            flow = self.strays.discover(packet, now=now)
         flow.seen = now
         if packet.accepting:
             self.openings.note_offer(flow, packet, now=now)
@@ -335,50 +271,6 @@
         address = (client_host(packet.flow), self.client_port)
         self.outbound.send(data, address)
 
-    def discover(self, packet: RelayedPacket, *, now: float) -> AgentFlow:
-        """Begin to know a flow that the upstream holds."""
-        uncertain = self.uncertain.pop(packet.flow, None)
-        balancer = self.own if uncertain is None else uncertain.balancer
-        # A client that several upstreams answer opens its flow at one of them.
-        stage = FlowStage.OFFERED if packet.accepting else FlowStage.OPEN
-        entry = AgentFlow(balancer=balancer, began=now, seen=now, stage=stage)
-        self.flows.add(packet.flow, entry, now=now)
-        self.runtime.log.write(
-            events.FLOW_CLAIMED,
-            flow=flow_name(packet.flow),
-            balancer=None if uncertain is None else inet_ntoa(balancer),
-        )
-        if uncertain is not None:
-            self.send(balancer, OwnerFrame(flow=packet.flow))
-        return entry
-
-    def receive_returned(
-        self, packet: RelayedPacket, data: bytes, *, now: float
-    ) -> None:
-        """Handle a packet that the upstream doesn't take."""
-        if packet.opening:
-            self.openings.note_returned(packet.flow, now=now)
-            return
-        trim(self.foreign)
-        self.foreign[packet.flow] = now
-        uncertain = self.uncertain.pop(packet.flow, None)
-        flow = self.flows.get(packet.flow)
-        self.flows.drop(packet.flow)
-        self.runtime.log.write(
-            events.FLOW_RETURNED,
-            flow=flow_name(packet.flow),
-            was_known=flow is not None,
-        )
-        tag = service_tag(self.upstream.service)
-        if flow is not None:
-            self.give_back(flow.balancer, tag, self.codec.clean(data), lost=True)
-        elif uncertain is None:
-            return
-        elif uncertain.searcher is None:
-            self.give_back(uncertain.balancer, tag, self.codec.clean(data), lost=True)
-        else:
-            self.report_absent(packet.flow, uncertain.searcher, now=now)
-
     # Sending.
 
     def deliver(self, data: bytes) -> None:
@@ -404,9 +296,3 @@
     if flow.stage is not FlowStage.OFFERED:
         return flow.stage is not FlowStage.ASKED
     return acknowledges(packet, flow.sequence)
-
-
-def trim(remembered: dict[bytes, object]) -> None:
-    """Keep what is remembered of flows within bounds."""
-    if len(remembered) >= MAX_REMEMBERED:
-        remembered.clear()
