Let a defect that one packet shows end one connection, not the process

Cause: the task of each caller's connection was one that must not fail, so an unexpected error in one of them stopped the whole agent; and the event loop closes a datagram socket whose handler raises, which would have made balancers and agents of QUIC flows deaf while they went on reporting ready.

Change: a connection that fails is logged (306), dropped and forgotten alone; sockets hand datagrams through a guard that logs (105), counts and goes on. The guard costs the data path one call a packet, which wasn't measured.

The fault soak splits a route, withdraws the split and restarts balancers that can't reach the store; seeds that once failed keep their drawing.

--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_acceptor.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_acceptor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections.abc import Awaitable, Callable
 
 from aioquic.h3.connection import H3_ALPN
@@ -113,9 +114,20 @@
     async def run(
         self, connection: CallerConnection, *, flight: tuple[Endpoint, bytes]
     ) -> None:
-        """Serve a connection and forget it at its end."""
+        """Serve a connection and forget it at its end.
+
+        What one caller sends must not end the connections of the others.
+        """
         try:
             await connection.run()
+        except Exception as error:
+            connection.end_reason = "defect"
+            self.node.log.write(
+                events.CONNECTION_FAILED,
+                caller=str(connection.caller),
+                error=repr(error),
+                traceback="".join(traceback.format_exception(error)),
+            )
         finally:
             self.table.remove(connection, flight=flight, now=self.node.now())
             self.metrics.connections.set(len(self.table))
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
@@ -116,7 +116,9 @@
 
     async def open_socket(self) -> None:
         """Bind the inner socket; the incarnation begins after that."""
-        self.node.socket = await open_inner_socket(local=self.node.inner)
+        self.node.socket = await open_inner_socket(
+            local=self.node.inner, log=self.node.log
+        )
         await asyncio.sleep(TICK_SECONDS)
         self.runtime.incarnation = incarnation_at(self.runtime.now())
 
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_events.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_events.py
@@ -51,6 +51,17 @@
     fields=("caller", "reason"),
     limited=True,
 )
+CONNECTION_FAILED = Event(
+    number=306,
+    name="connection-failed",
+    level=Level.ERROR,
+    text="A connection met an unexpected error and was dropped; the agent goes on. "
+    "Report the error with its traceback.",
+    fields=("caller", "error", "traceback"),
+    limited=True,
+    lines_per_second=1.0,
+    burst=10.0,
+)
 REQUEST_ROUTED = Event(
     number=310,
     name="request-routed",
@@ -104,6 +115,7 @@
     CONNECTION_ENDED,
     DATAGRAM_DROPPED,
     RESET_SENT,
+    CONNECTION_FAILED,
     REQUEST_ROUTED,
     REQUEST_ENDED,
     REQUEST_FAILED,
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_socket.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_socket.py
@@ -9,17 +9,21 @@
 
 from daisygauge_records import Endpoint
 
+from .._datagrams import GuardedDatagrams
+from .._events import EventLog
+
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 SEND_BUFFER_BYTES = 2 * 1024 * 1024
 
 
-class InnerSocket(asyncio.DatagramProtocol):
+class InnerSocket(GuardedDatagrams):
     """Hands every datagram to ``on_datagram``, drops it while there is none.
 
     :ivar on_datagram: called with the datagram and its sender.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, log: EventLog) -> None:
+        super().__init__(log=log)
         self.on_datagram: Callable[[bytes, Endpoint], None] | None = None
         self.transport: asyncio.DatagramTransport | None = None
 
@@ -27,10 +31,10 @@
         """Keep the transport for sending."""
         self.transport = transport
 
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+    def take_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
         """Pass a datagram on."""
         if self.on_datagram is not None:
-            self.on_datagram(data, Endpoint(host=addr[0], port=addr[1]))
+            self.on_datagram(data, Endpoint(host=sender[0], port=sender[1]))
 
     def send(self, data: bytes, receiver: Endpoint) -> None:
         """Send a datagram; a full socket buffer drops it, as a network does."""
@@ -43,7 +47,7 @@
             self.transport.close()
 
 
-async def open_inner_socket(*, local: Endpoint) -> InnerSocket:
+async def open_inner_socket(*, local: Endpoint, log: EventLog) -> InnerSocket:
     """Bind the inner socket.
 
     :raises OSError: the address is taken or is not one of this machine.
@@ -58,6 +62,6 @@
         inner.close()
         raise
     _, protocol = await asyncio.get_running_loop().create_datagram_endpoint(
-        InnerSocket, sock=inner
+        lambda: InnerSocket(log=log), sock=inner
     )
     return protocol
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
@@ -21,6 +21,7 @@
     unpack_endpoint,
 )
 
+from .._datagrams import GuardedDatagrams
 from .._events import EventLog
 from . import _events as events
 from ._metrics import BalancerCounts
@@ -28,7 +29,7 @@
 from ._placer import Placer
 
 
-class InnerSocket(asyncio.DatagramProtocol):
+class InnerSocket(GuardedDatagrams):
     """Takes what agents send: replies, answers to first flights and probes.
 
     :param local: inner address of this balancer.
@@ -43,10 +44,10 @@
         counts: BalancerCounts,
         log: EventLog,
     ) -> None:
+        super().__init__(log=log)
         self.local = local
         self.incarnation = incarnation
         self.drops = counts.drops
-        self.log = log
         self.placer = Placer(send=self.send, sender=local, counts=counts, log=log)
         self.keys = KeyRing(keys={})
         self.accepted: Mapping[int, DerivedKeys] = {}
@@ -80,13 +81,13 @@
         data = encode_datagram(datagram, key=key)
         self.transport.sendto(data, (receiver.host, receiver.port))
 
-    def datagram_received(self, data: bytes, sender: tuple[str, int]) -> None:
+    def take_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
         """Handle one inner datagram."""
         try:
             if is_reply(data):
                 self.pass_reply(data)
             else:
-                self.take_datagram(data, sender)
+                self.take_message(data, sender)
         except MalformedDatagramError as error:
             self.drop(sender, error.reason)
 
@@ -98,7 +99,11 @@
             raise MalformedDatagramError("unknown-service")
         outer.send_reply(reply.packet, unpack_endpoint(reply.caller))
 
-    def take_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
+    def note_defect(self) -> None:
+        """Count a datagram that met an unexpected error."""
+        self.drops["inner-defect"] += 1
+
+    def take_message(self, data: bytes, sender: tuple[str, int]) -> None:
         """Handle what is not a reply."""
         datagram = decode_datagram(data, keys=self.keys, now=time.time())
         handler = self.handlers.get(datagram.kind)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_outer.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_outer.py
@@ -21,6 +21,7 @@
     unpack_endpoint,
 )
 
+from .._datagrams import GuardedDatagrams
 from .._events import EventLog
 from . import _events as events
 from ._metrics import BalancerCounts
@@ -31,7 +32,7 @@
 """Smallest datagram that may hold a caller's Initial packet (RFC 9000, 14.1)."""
 
 
-class OuterSocket(asyncio.DatagramProtocol):
+class OuterSocket(GuardedDatagrams):
     """Passes packets of one service from callers to agents.
 
     :param inner: transport of the balancer's inner socket.
@@ -46,13 +47,13 @@
         counts: BalancerCounts,
         log: EventLog,
     ) -> None:
+        super().__init__(log=log)
         self.service = service
         self.service_part = service.number.to_bytes(2)
         self.inner = inner
         self.placer = placer
         self.drops = counts.drops
         self.packets = counts.of_service(service.id)
-        self.log = log
         self.keys: Mapping[int, DerivedKeys] = {}
         self.encoder: ForwardEncoder | None = None
         self.transport: asyncio.DatagramTransport | None = None
@@ -73,7 +74,11 @@
             address=self.service.address, sender=sender, key=newest
         )
 
-    def datagram_received(self, data: bytes, caller: tuple[str, int]) -> None:
+    def note_defect(self) -> None:
+        """Count a packet that met an unexpected error."""
+        self.drops["defect"] += 1
+
+    def take_datagram(self, data: bytes, caller: tuple[str, int]) -> None:
         """Handle one packet from a caller as the packet table says."""
         destination_id = read_destination_id(data)
         route = open_connection_id(destination_id, keys=self.keys)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_events.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_events.py
@@ -175,4 +175,23 @@
     fields=("version", "services"),
 )
 
-RUNTIME_EVENTS = (STARTED, DRAINING, STOPPED, TASK_FAILED, CONFIGURATION_READY)
+PACKET_FAILED = Event(
+    number=105,
+    name="packet-failed",
+    level=Level.ERROR,
+    text="Handling a datagram ended with an unexpected error; it was dropped. Report "
+    "the error with its traceback.",
+    fields=("sender", "error", "traceback"),
+    limited=True,
+    lines_per_second=1.0,
+    burst=10.0,
+)
+
+RUNTIME_EVENTS = (
+    STARTED,
+    DRAINING,
+    STOPPED,
+    TASK_FAILED,
+    CONFIGURATION_READY,
+    PACKET_FAILED,
+)
--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -13,6 +13,7 @@
 
 from absl import app, flags
 
+from .faults import KINDS
 from .regressions import REGRESSIONS
 from .run import Soak
 
@@ -26,7 +27,7 @@
 flags.DEFINE_string("logs", "", "Directory that keeps the logs of failed seeds.")
 
 
-def play(seed, directory, *, seconds):
+def play(seed, directory, *, seconds, kinds):
     """Play one seed and print a line for it; tells whether all promises held."""
     soak = Soak(
         directory,
@@ -34,6 +35,7 @@
         block=FLAGS.block,
         seconds=seconds,
         pause=FLAGS.pause,
+        kinds=kinds,
     )
     result = asyncio.run(soak.play())
     line = {
@@ -48,24 +50,24 @@
 
 
 def list_cases():
-    """Return the seeds to play, each with the length of its faults."""
+    """Return the seeds to play, each with the length and kinds of its faults."""
     if FLAGS.regressions:
-        return [(case.seed, case.seconds) for case in REGRESSIONS]
+        return [(case.seed, case.seconds, case.kinds) for case in REGRESSIONS]
     seeds = range(FLAGS.first, FLAGS.first + FLAGS.seeds)
-    return [(seed, FLAGS.seconds) for seed in seeds]
+    return [(seed, FLAGS.seconds, KINDS) for seed in seeds]
 
 
 def main(argv):
     """Play every seed; the exit code is 1 when a promise was broken."""
     failed = []
     cases = list_cases()
-    for seed, seconds in cases:
+    for seed, seconds, kinds in cases:
         with tempfile.TemporaryDirectory() as name:
             directory = Path(name)
             if FLAGS.logs:
                 directory = Path(FLAGS.logs) / f"seed-{seed}"
                 directory.mkdir(parents=True, exist_ok=True)
-            if not play(seed, directory, seconds=seconds):
+            if not play(seed, directory, seconds=seconds, kinds=kinds):
                 failed.append(seed)
     print(f"{len(cases) - len(failed)} passed, {len(failed)} failed: {failed}")
     return 1 if failed else 0
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -44,13 +44,17 @@
 )
 HOST_FAULTS = ("crash_host", "drain_host", "freeze_host", "reuse_address")
 OTHER_FAULTS = ("lose_packets", "change_routes")
-KINDS = (*PROCESS_FAULTS, *STORE_FAULTS, *HOST_FAULTS, *OTHER_FAULTS)
+FIRST_KINDS = (*PROCESS_FAULTS, *STORE_FAULTS, *HOST_FAULTS, *OTHER_FAULTS)
+"""What seeds up to 400 were drawn from; their cases stay what they were."""
+KINDS = (*FIRST_KINDS, "change_split", "restart_without_store")
 LONGEST_SECONDS = 2.5
 SERIES_SHARE = 0.3
 """Part of the faults that follow another within a tenth of a second."""
 
 
-def make_schedule(seed: int, *, seconds: float, pause: float) -> tuple[Fault, ...]:
+def make_schedule(
+    seed: int, *, seconds: float, pause: float, kinds: tuple[str, ...] = KINDS
+) -> tuple[Fault, ...]:
     """Draw faults, in series and overlapping.
 
     :param seconds: faults begin within this time.
@@ -63,7 +67,7 @@
         faults.append(
             Fault(
                 at=round(at, 3),
-                kind=rng.choice(KINDS),
+                kind=rng.choice(kinds),
                 target=rng.randrange(1_000),
                 seconds=round(rng.uniform(0.2, LONGEST_SECONDS), 2),
             )
--- a/testing/soak/host.py
+++ b/testing/soak/host.py
@@ -36,10 +36,12 @@
     :ivar offered: monotonic time and client of each opening packet taken.
     """
 
-    def __init__(self, *, address, service, service_end, rng, send, call_later, report):
+    def __init__(
+        self, *, address, service, service_end, split_end, rng, send, call_later, report
+    ):
         self.address = address
         self.service = service
-        self.service_end = pack_end(*service_end)
+        self.own_ends = {pack_end(*service_end), pack_end(*split_end)}
         # Address of further routes of the service, whose ports come and go.
         self.probe_host = None
         self.rng = rng
@@ -75,7 +77,7 @@
 
     def is_own(self, end):
         is_probe = self.probe_host is not None and end[:4] == inet_aton(self.probe_host)
-        return end == self.service_end or is_probe
+        return end in self.own_ends or is_probe
 
     def receive_foreign(self, data, flags):
         """A packet of another service came; an opening one would have run there."""
--- a/testing/soak/injector.py
+++ b/testing/soak/injector.py
@@ -6,6 +6,8 @@
 import signal
 import time
 
+from .world import SPLITS
+
 GRACE_SECONDS = 6.0
 """Time from SIGTERM to SIGKILL, as the settings tell it."""
 DRAIN_SECONDS = 3.0
@@ -249,6 +251,21 @@
         await asyncio.sleep(fault.seconds)
         self.fleet.fabric.loss = 0.0
 
+    async def change_split(self, fault):
+        """Let the split route name other services; open flows stay where they are."""
+        self.fleet.version += 3
+        self.fleet.split = SPLITS[fault.target % len(SPLITS)]
+        self.fleet.publish_routes(self.fleet.version)
+
+    async def restart_without_store(self, fault):
+        """Begin a balancer anew that can't reach the store for a while."""
+        address = self.balancer(fault)
+        proxy = self.fleet.proxies[address]
+        proxy.set_mode("reset")
+        await self.kill(address)
+        await asyncio.sleep(fault.seconds)
+        proxy.set_mode("pass")
+
     async def change_routes(self, fault):
         """Add one route and remove another."""
         self.fleet.version += 3
--- a/testing/soak/regressions.py
+++ b/testing/soak/regressions.py
@@ -8,17 +8,21 @@
 
 from attrs import frozen
 
+from .faults import FIRST_KINDS
+
 
 @frozen(kw_only=True)
 class Regression:
     """One seed with the fault that it showed.
 
     :param seconds: length of its faults.
+    :param kinds: what its faults are drawn from.
     """
 
     seed: int
     seconds: float
     cause: str
+    kinds: tuple[str, ...] = FIRST_KINDS
 
 
 REGRESSIONS = (
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -9,9 +9,9 @@
 
 from attrs import Factory, define
 
-from .faults import make_schedule
+from .faults import KINDS, make_schedule
 from .injector import Injector
-from .world import PROBE_HOST, SERVICES, SoakFleet
+from .world import PROBE_HOST, SERVICES, SPLIT_END, SoakFleet
 
 RECOVERY_SECONDS = 12.0
 """Time after the last fault in which service must be back, as the users' sites say."""
@@ -40,11 +40,11 @@
 class Soak:
     """Plays one seed."""
 
-    def __init__(self, directory, *, seed, block, seconds, pause):
+    def __init__(self, directory, *, seed, block, seconds, pause, kinds=KINDS):
         self.fleet = SoakFleet(directory, block=block, seed=seed)
         self.injector = None
         self.rng = random.Random(seed)
-        self.schedule = make_schedule(seed, seconds=seconds, pause=pause)
+        self.schedule = make_schedule(seed, seconds=seconds, pause=pause, kinds=kinds)
         self.result = SoakResult(seed=seed, broken=self.fleet.broken)
         self.bodies = 0
         self.is_over = False
@@ -85,7 +85,7 @@
 
     async def keep_flow(self):
         """Keep a flow open and ask on it again and again."""
-        service = self.rng.choice(list(SERVICES.values()))
+        service = self.rng.choice([*SERVICES.values(), SPLIT_END])
         while not self.is_over:
             flow = self.fleet.new_flow(service)
             if await flow.open():
@@ -100,7 +100,7 @@
     async def open_flows(self):
         """Open a flow for each request."""
         while not self.is_over:
-            await self.ask_once(self.rng.choice(list(SERVICES.values())))
+            await self.ask_once(self.rng.choice([*SERVICES.values(), SPLIT_END]))
             await asyncio.sleep(THINK_SECONDS)
 
     async def ask_once(self, service_end):
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -29,6 +29,10 @@
 SERVICES = {"order-desk": ("198.18.0.1", 443), "pattern-library": ("198.18.0.2", 443)}
 PROBE_HOST = "198.18.0.3"
 """Address of routes that come and go."""
+SPLIT_END = ("198.18.0.4", 443)
+"""Address of a route whose services change."""
+SPLITS = (tuple(SERVICES), ("order-desk",), ("pattern-library",))
+"""Services that the split route names by turns."""
 GRACE_SECONDS = 6
 LAG_SECONDS = 0.1
 """The soak's own loop is looked at this often; what it lags, bounds are moved by."""
@@ -49,6 +53,7 @@
         self.lives = Counter()
         self.version = 1
         self.probe_ports = [8_001]
+        self.split = SPLITS[0]
         self.paused = {}
         self.pauses = Counter()
         self.every_host = []
@@ -136,6 +141,9 @@
         routes += [
             self.make_route("order-desk", PROBE_HOST, port) for port in self.probe_ports
         ]
+        shares = [{"service": service, "weight": 1} for service in self.split]
+        split = self.make_route(self.split[0], *SPLIT_END)
+        routes.append(split | {"weightedServices": shares})
         self.store.put(
             "op/config",
             {"version": version, "routes": routes, "limits": {"idleTimeoutMs": 15000}},
@@ -174,6 +182,7 @@
             address=address,
             service=service,
             service_end=SERVICES[service],
+            split_end=SPLIT_END,
             rng=self.rng,
             send=lambda data: self.from_host(address, data),
             call_later=self.call_later,
