--- a/bench/capacity/fleet.py
+++ b/bench/capacity/fleet.py
@@ -16,6 +16,12 @@
 PLATFORM_PORT = 8500
 START_BATCH = 10
 ANSWER_SECONDS = 20.0
+PROBE_SECONDS = 60.0
+"""Longest wait for a change to be in force everywhere; the target is 15 s."""
+
+
+class ProbeMissingError(Exception):
+    """A change didn't come into force on some participants."""
 
 
 @frozen(kw_only=True)
@@ -199,12 +205,28 @@
         await asyncio.gather(*(process.kill() for process in killed))
 
     async def wait_for_probe(self, number: int, *, since: float) -> float:
-        """Return the seconds until a probe is in force on every participant."""
-        async with asyncio.timeout(60.0):
-            while not all(number in process.probes for process in self.processes):
-                await asyncio.sleep(0.02)
+        """Return the seconds until a probe is in force on every participant.
+
+        :raises ProbeMissingError: it isn't in force in time; names those that lack it.
+        """
+        try:
+            async with asyncio.timeout(PROBE_SECONDS):
+                while not all(number in process.probes for process in self.processes):
+                    await asyncio.sleep(0.02)
+        except TimeoutError:
+            raise ProbeMissingError(await self.describe_missing(number)) from None
         return max(process.probes[number] for process in self.processes) - since
 
+    async def describe_missing(self, number: int) -> str:
+        """Tell which participants lack a probe, and what they last knew."""
+        lacking = [p for p in self.processes if number not in p.probes]
+        lines = [
+            f"{p.id} ({p.role}, {p.failure_domain}): has {max(p.probes, default=0)}, "
+            f"{await p.ask()}"
+            for p in lacking
+        ]
+        return "\n".join([f"change {number} is missing on {len(lacking)}:", *lines])
+
     async def stop(self) -> None:
         """End everything."""
         await self.kill({process.id for process in self.processes if process.process})
