--- a/packages/daisygauge-relay/src/daisygauge_relay/_events.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_events.py
@@ -59,7 +59,7 @@
     602,
     "flow-searched",
     "A packet of a flow whose agent isn't known was sent to an agent, which asks the "
-    "others of the service.",
+    "others.",
     ("flow", "service", "agent", "agents", *BELIEF),
 )
 FLOW_FOUND = _flow_event(
