--- a/packages/daisygauge-policy/src/daisygauge_policy/_search.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_search.py
@@ -84,8 +84,8 @@
     absent: set[bytes] = field(default_factory=set)
     unanswered: set[bytes] = field(default_factory=set)
 
-    def list_unasked(self, agents: Iterable[bytes]) -> list[bytes]:
-        """Return which of the agents to ask now; their answers are waited for."""
+    def list_missing(self, agents: Iterable[bytes]) -> list[bytes]:
+        """Return those of the agents that have not answered; they are asked now."""
         asked = [agent for agent in agents if agent not in self.absent]
         self.unanswered.update(asked)
         return asked
--- a/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
@@ -68,7 +68,7 @@
         self, flow: bytes, search: PendingSearch, agents: Iterable[bytes], *, now: float
     ) -> None:
         """Ask agents that have not answered yet; this one itself comes last."""
-        asked = search.list_unasked(agents)
+        asked = search.list_missing(agents)
         for agent in asked:
             if agent != self.own:
                 self.runtime.counters.queried += 1
--- a/testing/policy/test_search.py
+++ b/testing/policy/test_search.py
@@ -13,7 +13,7 @@
     search = searches.begin(
         flow, balancer=BALANCER, service=service, packet=b"", now=now
     )
-    search.list_unasked(ask)
+    search.list_missing(ask)
     return search
 
 
@@ -52,7 +52,7 @@
 
     assert step(search, everyone=everyone) is SearchStep.WIDEN
     search.is_wide = True
-    assert search.list_unasked(everyone) == [FAR]
+    assert search.list_missing(everyone) == [FAR]
     assert step(search, everyone=everyone) is SearchStep.WAIT
 
     assert searches.note_absent(b"flow", FAR) is search
@@ -68,7 +68,7 @@
     joined = (OWN, OTHER, FAR)
 
     assert step(search, near=joined, everyone=joined) is SearchStep.WAIT
-    assert search.list_unasked(joined) == [FAR]
+    assert search.list_missing(joined) == [FAR]
 
 
 def test_a_list_without_the_asking_agent_proves_nothing():
@@ -87,7 +87,7 @@
 
     search = begin(searches, b"flow", now=0.2)
 
-    assert search.list_unasked((OWN, OTHER)) == [OWN]
+    assert search.list_missing((OWN, OTHER)) == [OWN]
     assert searches.note_absent(b"flow", OWN) is search
     assert step(search) is SearchStep.GIVE_UP
 
