Choose an upstream by the exact number that a client acknowledges

Cause, from the lines: two upstreams answered the copies of an opening packet, the client chose one. Much later a balancer that had begun anew searched the flow at the agent of the other. It claimed the flow; its upstream gave the packet back; the balancer heard 'lost at its owner' and reset a live flow.

Change: until an upstream has sent data, a client can only acknowledge its first number or the one after it; agents and balancers match exactly that. An agent that saw only a late repetition of the first answer takes the flow for open when the upstream goes on in it, and tells the balancer.

Clients in the fleet in memory acknowledge what they received, as real ones do.

--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -263,7 +263,9 @@
         flow.seen = now
         if packet.accepting:
             self.openings.note_offer(flow, packet, now=now)
-        elif packet.length:
+        else:
+            self.strays.note_open(packet.flow, flow)
+        if packet.length:
             self.requests.receive_answer(flow, packet, now=now)
         if packet.finishing or packet.resetting:
             flow.stage = FlowStage.CLOSED
--- a/packages/daisygauge-relay/src/daisygauge_relay/_packet.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_packet.py
@@ -12,8 +12,10 @@
 PORT_BYTES = 2
 END_BYTES = ADDRESS_BYTES + PORT_BYTES
 SEQUENCE_RANGE = 2**32
-OFFER_WINDOW = 2**24
-"""Sequence numbers after an upstream's first one that its flow may reach."""
+FIRST_ACKNOWLEDGED = 2
+"""Numbers that a client acknowledges while its upstream has sent no data: the
+upstream's first one or the one after it. A wider range would take in another upstream's
+flow now and then, since both choose their first numbers at random."""
 
 
 class RelayedPacket(Struct, kw_only=True):
@@ -80,8 +82,8 @@
 
 
 def acknowledges(packet: RelayedPacket, sequence: int) -> bool:
-    """Tell whether a client's packet is for the upstream that began at a sequence."""
-    return (packet.acknowledged - sequence) % SEQUENCE_RANGE < OFFER_WINDOW
+    """Tell whether a client's packet chooses the upstream that began at a sequence."""
+    return (packet.acknowledged - sequence) % SEQUENCE_RANGE < FIRST_ACKNOWLEDGED
 
 
 def client_host(flow: bytes) -> str:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_strays.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_strays.py
@@ -142,6 +142,20 @@
             self.send(balancer, OwnerFrame(flow=packet.flow))
         return entry
 
+    def note_open(self, key: bytes, flow: AgentFlow) -> None:
+        """Take a flow for open in which the upstream goes on after its first answer.
+
+        An upstream that repeats that answer to a late copy of the opening packet may
+        have opened the flow long before this agent began.
+        """
+        if flow.stage not in (FlowStage.ASKED, FlowStage.OFFERED):
+            return
+        flow.stage = FlowStage.OPEN
+        uncertain = self.uncertain.pop(key, None)
+        if uncertain is not None:
+            flow.balancer = uncertain.balancer
+            self.send(uncertain.balancer, OwnerFrame(flow=key))
+
     def note_returned(self, packet: RelayedPacket, data: bytes, *, now: float) -> None:
         """Handle a packet that the upstream doesn't take."""
         trim(self.foreign)
--- a/testing/relay/network.py
+++ b/testing/relay/network.py
@@ -245,7 +245,8 @@
     def ask(self, balancer, body=b"GET / HTTP/1.1\r\n\r\n", *, sequence=1):
         data = pack_packet(
             self.end, self.service, flags=ACK, sequence=sequence,
-            acknowledged=self.host_sequence + 1, data=body,
+            acknowledged=self.host_sequence + 1 + sum(map(len, self.received)),
+            data=body,
         )  # fmt: skip
         self.network.to_balancer(balancer, data)
 
--- a/testing/relay/test_openings.py
+++ b/testing/relay/test_openings.py
@@ -8,7 +8,7 @@
 from daisygauge_relay._flows import FlowStage
 from daisygauge_wire import StrayFrame, encode_frame
 
-from .network import SERVICE_END, Network
+from .network import ACK, SERVICE_END, SYN, HostFlow, Network, ask_all, pack_end
 
 
 @pytest.fixture
@@ -324,3 +324,23 @@
     }
 
     assert FlowStage.OPEN not in stages
+
+
+def test_an_upstream_not_chosen_never_claims_a_flow_whose_numbers_lie_near_its_own():
+    network = Network(hosts=2, balancers=2)
+    clients = network.open_clients(12)
+    assert ask_all(network, clients, balancer="10.0.0.1") == 12
+    for client in clients:
+        # The other upstream has answered a copy of the opening packet, late.
+        chosen = network.holder_of(client)
+        (other,) = (host for host in network.hosts.values() if host is not chosen)
+        ends = pack_end(*client.end), pack_end(*client.service)
+        sequence = chosen.flows[ends[0] + ends[1]].sequence - 5_000
+        other.flows[ends[0] + ends[1]] = HostFlow(sequence)
+        other.send(ends[1], ends[0], flags=SYN | ACK, sequence=sequence)
+    network.clock.run(0.05)
+
+    answered = ask_all(network, clients, balancer="10.0.0.2", sequence=100)
+
+    assert [client.resets for client in clients] == [0] * 12
+    assert answered == 12
