--- a/testing/soak/regressions.py
+++ b/testing/soak/regressions.py
@@ -8,7 +8,7 @@
 
 from attrs import frozen
 
-from .faults import FIRST_KINDS
+from .faults import FIRST_KINDS, KINDS
 
 
 @frozen(kw_only=True)
@@ -25,6 +25,11 @@
     kinds: tuple[str, ...] = FIRST_KINDS
 
 
+NUMBERS_NEAR = (
+    "two upstreams answered an opening packet; the agent of the one that the client "
+    "had not chosen took the flow for its own, as its first number was near the other's"
+)
+
 REGRESSIONS = (
     Regression(
         seed=1,
@@ -76,4 +81,10 @@
         cause="two upstreams answered an opening packet late; the agent of the one "
         "that the client had not chosen claimed the flow, which was reset",
     ),
+    Regression(
+        seed=104,
+        seconds=12.0,
+        cause="seen once, lines lost; the same sight as seed 503: " + NUMBERS_NEAR,
+    ),
+    Regression(seed=503, seconds=12.0, kinds=KINDS, cause=NUMBERS_NEAR),
 )
