--- a/testing/emulator/test_fabric.py
+++ b/testing/emulator/test_fabric.py
@@ -57,9 +57,12 @@
 
 
 async def settle(sprayer, *, datagrams):
+    """Wait until the sprayer has passed datagrams on and their receivers have them."""
     while sprayer.counters.towards_balancers < datagrams:
         await asyncio.sleep(0.001)
-    await asyncio.sleep(0.01)
+    # What was sent waits in the receivers' buffers; each turn of the loop reads one.
+    for _ in range(4 * datagrams + 10):
+        await asyncio.sleep(0)
 
 
 async def test_datagrams_of_one_caller_reach_all_balancers_from_one_address(path):
