--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/__init__.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/__init__.py
@@ -1,4 +1,4 @@
-"""The agent daemon: ends QUIC beside an upstream that speaks HTTP/1.1."""
+"""The agent daemon: terminates QUIC in front of one HTTP/1.1 upstream."""
 
 from ._agent import Agent
 
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_acceptor.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_acceptor.py
@@ -1,4 +1,4 @@
-"""Opens connections for first flights and runs their tasks."""
+"""Creation of connections for first flights, and their tasks."""
 
 from __future__ import annotations
 
@@ -28,9 +28,9 @@
 from ._streams import RequestStream
 from ._table import ConnectionTable
 
-IDLE_SECONDS = 15.0
+IDLE_TIMEOUT_SECONDS = 15.0
 QUIC_DATAGRAM_BYTES = 1_350
-"""With the inner header and IP it stays below an Ethernet frame of 1,500."""
+"""Small enough that the inner header and the IP header fit an MTU of 1,500 bytes."""
 CONNECTION_WINDOW_BYTES = 1024 * 1024
 
 ServeRequest = Callable[
@@ -41,7 +41,7 @@
 def create_quic_configuration(tls: TlsSettings) -> QuicConfiguration:
     """Build the configuration shared by all connections.
 
-    0-RTT stays off, because early data can be replayed.
+    0-RTT stays disabled, because early data can be replayed.
 
     :raises OSError: the certificate or key can't be read.
     """
@@ -49,7 +49,7 @@
         is_client=False,
         alpn_protocols=H3_ALPN,
         connection_id_length=CONNECTION_ID_BYTES,
-        idle_timeout=IDLE_SECONDS,
+        idle_timeout=IDLE_TIMEOUT_SECONDS,
         max_data=CONNECTION_WINDOW_BYTES,
         max_stream_data=STREAM_WINDOW_BYTES,
         max_datagram_size=QUIC_DATAGRAM_BYTES,
@@ -59,7 +59,7 @@
 
 
 class Acceptor:
-    """Owns the caller connections of an agent.
+    """Creates and runs the caller connections of an agent.
 
     :param send_reply: sends a packet towards a caller.
     """
@@ -81,7 +81,7 @@
         self.configuration = create_quic_configuration(node.settings.tls)
 
     def issue_id(self) -> IssuedId:
-        """Issue a connection ID that leads to this agent."""
+        """Issue a connection ID that routes packets to this agent."""
         key = self.node.newest_key()
         route = Route(
             agent=self.node.inner,
@@ -93,30 +93,32 @@
         return IssuedId(connection_id=connection_id, reset_token=token)
 
     def accept(
-        self, datagram: Datagram, flight: tuple[Endpoint, bytes]
+        self, datagram: Datagram, flight_key: tuple[Endpoint, bytes]
     ) -> CallerConnection:
         """Open a connection and start its task."""
         quic = RoutedConnection(
             issue_id=self.issue_id,
             configuration=self.configuration,
-            original_destination_connection_id=flight[1],
+            original_destination_connection_id=flight_key[1],
         )
         connection = CallerConnection(
             quic=quic, owner=self, caller=datagram.caller, address=datagram.address
         )
-        self.table.add(connection, flight=flight)
+        self.table.add(connection, flight_key=flight_key)
         self.metrics.connections.set(len(self.table))
         self.node.runtime.spawn(
-            self.run(connection, flight=flight), name=f"connection {datagram.caller}"
+            self.run(connection, flight_key=flight_key),
+            name=f"connection {datagram.caller}",
         )
         return connection
 
     async def run(
-        self, connection: CallerConnection, *, flight: tuple[Endpoint, bytes]
+        self, connection: CallerConnection, *, flight_key: tuple[Endpoint, bytes]
     ) -> None:
-        """Serve a connection and forget it at its end.
+        """Serve a connection and remove it at its end.
 
-        What one caller sends must not end the connections of the others.
+        An unexpected error ends this connection only, so that one caller's packets
+        can't end the connections of others.
         """
         try:
             await connection.run()
@@ -129,7 +131,7 @@
                 traceback="".join(traceback.format_exception(error)),
             )
         finally:
-            self.table.remove(connection, flight=flight, now=self.node.now())
+            self.table.remove(connection, flight_key=flight_key, now=self.node.now())
             self.metrics.connections.set(len(self.table))
             self.node.log.write(
                 events.CONNECTION_ENDED,
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
@@ -1,4 +1,4 @@
-"""The agent: ends callers' connections beside one upstream."""
+"""The agent: terminates callers' connections in front of one upstream."""
 
 from __future__ import annotations
 
@@ -22,18 +22,18 @@
 from ._acceptor import Acceptor
 from ._dispatch import Dispatcher
 from ._drain import Drain
-from ._fence import Fence
-from ._flights import Flights
+from ._first_flights import FirstFlightHandler
 from ._gauges import GaugeExchange
 from ._health import HealthCheck
+from ._idempotency import IdempotencyHandler
 from ._incarnation import TICK_SECONDS, incarnation_at
 from ._metrics import AgentMetrics
 from ._node import AgentNode
 from ._peer_calls import PeerCalls
+from ._peer_selection import PeerSelector
 from ._peer_server import PeerHandler
-from ._peers import Peers
+from ._replies import ReplySender
 from ._request import RequestServer
-from ._returns import Returns
 from ._routing import Router
 from ._slots import Slots
 from ._socket import open_inner_socket
@@ -42,9 +42,9 @@
 
 
 class Agent:
-    """Wires the parts of one agent together.
+    """Creates the components of one agent and connects them.
 
-    :param runtime: the daemon's surroundings; its settings are an agent's.
+    :param runtime: runtime of the daemon; its ``settings`` are ``AgentSettings``.
     """
 
     def __init__(self, *, runtime: Runtime) -> None:
@@ -54,15 +54,15 @@
         self.table = ConnectionTable()
         self.slots = Slots(node=self.node, choose_peer=self.choose_peer)
         self.gauges = GaugeExchange(node=self.node, load=self)
-        self.returns = Returns(node=self.node, gauges=self.gauges)
-        self.peers = Peers(node=self.node, gauges=self.gauges)
+        self.replies = ReplySender(node=self.node, gauges=self.gauges)
+        self.peer_selector = PeerSelector(node=self.node, gauges=self.gauges)
         self.calls = PeerCalls(node=self.node)
         self.drain_process = Drain(
             node=self.node,
             table=self.table,
             metrics=self.metrics,
             on_leaving=self.gauges.changed.set,
-            count_unseen=self.count_unseen,
+            count_detached_requests=self.count_detached_requests,
         )
         self.metrics.running.set_function(lambda: self.slots.running)
         self.metrics.waiting.set_function(lambda: self.slots.waiting)
@@ -70,7 +70,7 @@
         runtime.readiness.set("upstream", False)
 
     async def start(self) -> None:
-        """Bind every socket and begin."""
+        """Bind every socket and start the background tasks."""
         settings = self.node.settings
         self.upstream = UpstreamClient(
             endpoint=Endpoint(host=settings.upstream.host, port=settings.upstream.port),
@@ -80,7 +80,7 @@
         self.router = Router(
             node=self.node,
             slots=self.slots,
-            peers=self.peers,
+            peer_selector=self.peer_selector,
             calls=self.calls,
             upstream=self.upstream,
             metrics=self.metrics,
@@ -88,13 +88,13 @@
             may_run=self.drain_process.may_run,
         )
         await self.open_socket()
-        self.fence = Fence(
+        self.idempotency = IdempotencyHandler(
             node=self.node, run=self.router.run, ask=self.calls.ask_outcome
         )
         self.requests = RequestServer(
             node=self.node,
             router=self.router,
-            fence=self.fence,
+            idempotency=self.idempotency,
             metrics=self.metrics,
         )
         self.acceptor = Acceptor(
@@ -102,20 +102,26 @@
             table=self.table,
             metrics=self.metrics,
             serve=self.requests.serve,
-            send_reply=self.returns.send_reply,
+            send_reply=self.replies.send_reply,
         )
         self.receive_datagrams()
-        handler = PeerHandler(node=self.node, router=self.router, fence=self.fence)
+        handler = PeerHandler(
+            node=self.node, router=self.router, idempotency=self.idempotency
+        )
         self.peer_port = PeerPort(runtime=self.runtime, handlers=[handler])
         await self.peer_port.start()
         self.runtime.spawn(self.health.run(), name="health")
         self.runtime.spawn(self.slots.run(), name="slots")
         self.runtime.spawn(self.gauges.run(), name="gauges")
-        self.runtime.spawn(self.returns.run(), name="returns")
-        self.runtime.spawn(self.drain_process.watch_list(), name="leaving")
+        self.runtime.spawn(self.replies.run(), name="returns")
+        self.runtime.spawn(self.drain_process.watch_instance_list(), name="leaving")
 
     async def open_socket(self) -> None:
-        """Bind the inner socket; the incarnation begins after that."""
+        """Bind the inner socket, then set the incarnation one tick later.
+
+        The tick makes the incarnation greater than that of every earlier process
+        on this address, see :func:`incarnation_at`.
+        """
         self.node.socket = await open_inner_socket(
             local=self.node.inner, log=self.node.log
         )
@@ -123,8 +129,8 @@
         self.runtime.incarnation = incarnation_at(self.runtime.now())
 
     def receive_datagrams(self) -> None:
-        """Begin to handle inner datagrams."""
-        flights = Flights(
+        """Create the handlers of inner datagrams and attach them to the socket."""
+        first_flights = FirstFlightHandler(
             node=self.node,
             table=self.table,
             metrics=self.metrics,
@@ -134,17 +140,17 @@
         dispatcher = Dispatcher(
             node=self.node,
             table=self.table,
-            flights=flights,
+            first_flights=first_flights,
             metrics=self.metrics,
             listeners={
-                Kind.PROBE_ANSWER: self.returns.take_answer,
+                Kind.PROBE_ANSWER: self.replies.record_probe_answer,
                 Kind.GAUGE: self.gauges.take,
             },
         )
         self.node.socket.on_datagram = dispatcher.on_datagram
 
     def choose_flight(self, datagram: Datagram) -> FlightDecision:
-        """Decide about a new connection."""
+        """Decide whether a new connection is accepted, passed on or refused."""
         if self.node.newest_key() is None:
             return RefuseFlight(reason=FlightReason.FULL)
         agents = {peer.id: peer.agent for peer in self.node.peers}
@@ -153,14 +159,21 @@
             placement=self.node.service.placement,
             own=self.read_gauge(sequence=0),
             candidates=[agent for agent in datagram.candidates if agent != own],
-            gauges={agents[held.peer]: held.gauge for held in self.peers.fresh()},
+            gauges={
+                agents[held.peer]: held.gauge for held in self.peer_selector.fresh()
+            },
             hops=datagram.hops,
         )
 
     def choose_peer(self) -> HandToPeer | None:
-        """Return a better peer for a request that waits here, if any."""
+        """Return a less loaded peer for a request that waits here, if any.
+
+        The request itself is left out of this agent's own load.
+        """
         gauge = self.read_gauge(sequence=0)
-        return self.peers.choose(evolve(gauge, waiting=max(gauge.waiting - 1, 0)))
+        return self.peer_selector.choose(
+            evolve(gauge, waiting=max(gauge.waiting - 1, 0))
+        )
 
     def read_gauge(self, *, sequence: int) -> Gauge:
         """Return the load now."""
@@ -171,28 +184,33 @@
             waiting=self.slots.waiting,
             connections=len(self.table),
             max_connections=upstream.max_connections,
-            service_seconds=self.slots.times.overall_seconds,
+            service_seconds=self.slots.service_times.overall_seconds,
             leaving=self.node.leaving,
             ready=self.is_ready(),
             sequence=sequence,
-            recent=self.slots.recent.count(now=self.node.now()),
+            recent=self.slots.recent_runs.count(now=self.node.now()),
         )
 
     def is_ready(self) -> bool:
-        """Tell whether the upstream is believed to take requests."""
+        """Return whether the upstream is expected to accept requests.
+
+        Its health check has to pass, and it must be neither shedding nor silent.
+        """
         is_open = self.slots.limit.state is UpstreamState.OPEN
         return self.health.ready and is_open
 
-    def count_unseen(self) -> int:
-        """Count requests that may run without a caller's connection."""
-        return self.slots.running + self.slots.waiting + len(self.fence.detached)
+    def count_detached_requests(self) -> int:
+        """Count requests that may run without an open connection of a caller."""
+        return (
+            self.slots.running + self.slots.waiting + len(self.idempotency.first_runs)
+        )
 
     async def drain(self) -> None:
-        """Finish requests and connections; returns when the process may end."""
+        """Drain the agent; return once the process may exit."""
         await self.drain_process.run(reason="signal")
 
     async def stop(self) -> None:
-        """Close every socket."""
+        """Close every connection and socket."""
         for connection in self.table.connections():
             connection.close(reason="host stopped")
         await asyncio.sleep(0)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_answers.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_answers.py
@@ -1,4 +1,4 @@
-"""How outcomes are told to callers."""
+"""Answers and outcomes as they are sent to callers."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class CallerAnswer:
-    """An answer that names the host which the caller is connected to.
+    """Writes an answer that names the host to which the caller is connected.
 
     :param stream: the request's stream.
     """
@@ -33,7 +33,7 @@
         return self.stream.started
 
     async def send_head(self, *, status: int, headers: Headers) -> None:
-        """Send the head; an upstream can't speak for the system."""
+        """Send the head, without ``x-daisygauge-`` fields that the upstream set."""
         kept = tuple(field for field in headers if not field[0].startswith(_OWN_PREFIX))
         host = (HOST_HEADER, str(self.host).encode())
         await self.stream.send_head(status=status, headers=(*kept, host))
@@ -43,16 +43,16 @@
         await self.stream.send_body(part)
 
     async def send_end(self) -> None:
-        """Mark the answer as whole."""
+        """Mark the answer as complete."""
         await self.stream.send_end()
 
     async def finish(self, outcome: Outcome) -> None:
-        """Tell the caller the outcome of a request that was not answered whole."""
+        """Send the outcome of a request that has no complete answer."""
         match outcome:
             case Answered():
                 return
             case NotRun(reason=reason, retry_after=retry_after):
-                # Retry-After has whole seconds (RFC 9110, 10.2.3).
+                # Retry-After is in whole seconds (RFC 9110, 10.2.3).
                 seconds = str(max(math.ceil(retry_after), 1)).encode()
                 await self.refuse(
                     status=STATUS_NOT_RUN,
@@ -64,7 +64,7 @@
                 await self.finish_unknown(reason=reason, late=late)
 
     async def finish_unknown(self, *, reason: str, late: bool) -> None:
-        """Say that the outcome is unknown, or cut an answer that has begun."""
+        """Send that the outcome is unknown, or reset an answer that has begun."""
         if self.started:
             self.stream.reset(ErrorCode.H3_INTERNAL_ERROR)
             return
@@ -74,7 +74,7 @@
     async def refuse(
         self, *, status: int, outcome: bytes, reason: str, extra: Headers = ()
     ) -> None:
-        """Send a short answer of the system's own."""
+        """Send a short answer that the agent itself writes."""
         text = reason.encode()
         host = (HOST_HEADER, str(self.host).encode())
         headers = (
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_bodies.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_bodies.py
@@ -1,67 +1,69 @@
-"""Request bodies that can be read again, as long as they are small."""
+"""Request bodies that can be read again while they are small."""
 
 from __future__ import annotations
 
 from ._model import Body
 
-LARGEST_REPLAY_BYTES = 64 * 1024
+MAX_REPLAY_BYTES = 64 * 1024
 
 
 class ReplayBody:
-    """Keeps what was read, so that another host can be given the same body.
+    """Buffers a small body, so that it can be sent again to another host.
 
-    :param source: the body as the caller sends it.
+    :param source: body as the caller sends it.
+    :ivar bytes_read: bytes read from the source, buffered or not.
+    :ivar position: index of the buffered part that is read next.
     """
 
     def __init__(self, source: Body) -> None:
         self.source = source
-        self.kept: list[bytes] = []
-        self.kept_bytes = 0
+        self.buffered_parts: list[bytes] = []
+        self.bytes_read = 0
         self.position = 0
         self.complete = False
 
     @property
     def replayable(self) -> bool:
-        """True while everything that was read is kept."""
-        return self.kept_bytes <= LARGEST_REPLAY_BYTES
+        """True while everything read so far is buffered."""
+        return self.bytes_read <= MAX_REPLAY_BYTES
 
     async def read(self) -> bytes:
-        """Return the next part, or nothing at the end."""
-        if self.position < len(self.kept):
-            part = self.kept[self.position]
+        """Return the next part, or ``b""`` at the end."""
+        if self.position < len(self.buffered_parts):
+            part = self.buffered_parts[self.position]
             self.position += 1
             return part
         if self.complete:
             return b""
         part = await self.source.read()
         self.complete = not part
-        self.keep(part)
+        self.buffer(part)
         return part
 
-    def keep(self, part: bytes) -> None:
-        """Keep a part unless the whole became too large."""
-        self.kept_bytes += len(part)
+    def buffer(self, part: bytes) -> None:
+        """Buffer a part, or drop the buffer once the body is too large."""
+        self.bytes_read += len(part)
         if not self.replayable:
-            self.kept.clear()
+            self.buffered_parts.clear()
             self.position = 0
         elif part:
-            self.kept.append(part)
+            self.buffered_parts.append(part)
             self.position += 1
 
     async def read_whole(self) -> bytes:
-        """Read a small body to its end and rewind it.
+        """Read a small body to its end, rewind it and return it.
 
-        :raises ValueError: the body is too large to be kept.
+        :raises ValueError: the body is larger than ``MAX_REPLAY_BYTES``.
         """
         while await self.read():
             if not self.replayable:
                 raise ValueError(
                     f"a body with an idempotency key has at most "
-                    f"{LARGEST_REPLAY_BYTES} bytes; send a smaller one"
+                    f"{MAX_REPLAY_BYTES} bytes; send a smaller one"
                 )
         self.rewind()
-        return b"".join(self.kept)
+        return b"".join(self.buffered_parts)
 
     def rewind(self) -> None:
-        """Begin again with the first part."""
+        """Continue reading at the first part."""
         self.position = 0
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_connection.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_connection.py
@@ -1,4 +1,4 @@
-"""One caller's QUIC connection, ended by one task."""
+"""One caller's QUIC connection, served by one task."""
 
 from __future__ import annotations
 
@@ -27,12 +27,14 @@
 MAX_INBOX_DATAGRAMS = 1_024
 KEEPALIVE_SECONDS = 5.0
 IDLE_KEEPALIVE_SECONDS = 10.0
-"""Without requests nothing is lost meanwhile, and pings are the cost of idleness."""
+"""Longer, because pings are the main cost of idle connections, and without requests
+a dead caller may be detected late."""
 TIMER_SLACK_SECONDS = 0.001
+"""uvloop fires timers up to a millisecond early."""
 
 
 class ConnectionOwner(Protocol):
-    """What a connection needs from its agent."""
+    """Interface of the agent that a connection uses."""
 
     def add_connection_id(self, connection_id: bytes, owner: CallerConnection) -> None:
         """Route packets with an ID to a connection."""
@@ -50,11 +52,12 @@
 
 
 class CallerConnection:
-    """A connection from its first flight to its end.
+    """A caller's connection, from its first flight to its end.
 
     :param address: service address that the caller uses.
-    :ivar next_stream: the lowest request stream that has not been seen.
-    :ivar goaway: the lowest request stream that is refused, if any.
+    :ivar next_stream: lowest ID of a request stream that was not opened yet.
+    :ivar goaway: lowest ID of a request stream that is refused, None before GOAWAY.
+    :ivar last_received: monotonic time in seconds of the last packet.
     """
 
     def __init__(
@@ -81,7 +84,7 @@
         self.timer: asyncio.Handle | None = None
         self.timer_at = 0.0
         self.quic_timer: float | None = None
-        self.last_heard = 0.0
+        self.last_received = 0.0
         self.last_ping = 0.0
         self.handlers: dict[type[QuicEvent], Callable[[QuicEvent], None]] = {
             ConnectionIdIssued: self.on_id_issued,
@@ -93,18 +96,18 @@
         }
 
     def receive(self, packet: bytes, *, caller: Endpoint) -> None:
-        """Queue a packet of the caller for the connection's task."""
+        """Queue a packet from the caller for the connection's task."""
         self.inbox.append((packet, caller))
         self.wake.set()
 
     def wake_up(self) -> None:
-        """Send what is due in the task's next turn."""
+        """Wake the connection's task, so that it sends pending packets."""
         self.wake.set()
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
         loop = asyncio.get_running_loop()
-        self.last_heard = loop.time()
+        self.last_received = loop.time()
         try:
             while not self.ended:
                 await self.wake.wait()
@@ -118,17 +121,17 @@
                 task.cancel()
 
     def advance(self, *, now: float) -> None:
-        """Take what came, answer what is due and send it.
+        """Process received packets, due timers and events, then send packets.
 
         :param now: monotonic time in seconds.
         """
         while self.inbox:
             packet, caller = self.inbox.popleft()
             self.quic.receive_datagram(packet, (caller.host, caller.port), now)
-            self.last_heard = now
+            self.last_received = now
         if self.quic_timer is not None and self.quic_timer <= now + TIMER_SLACK_SECONDS:
             self.quic.handle_timer(max(now, self.quic_timer))
-        self.take_events()
+        self.handle_events()
         self.keep_alive(now=now)
         for packet, (host, port) in self.quic.datagrams_to_send(now):
             self.owner.send_reply(
@@ -137,8 +140,8 @@
         for stream in self.streams.values():
             stream.resume()
 
-    def take_events(self) -> None:
-        """Handle every event that the QUIC library has ready."""
+    def handle_events(self) -> None:
+        """Handle all pending events of the QUIC library."""
         while (event := self.quic.next_event()) is not None:
             handler = self.handlers.get(type(event))
             if handler is not None:
@@ -149,12 +152,12 @@
 
     @property
     def keepalive_at(self) -> float:
-        """Monotonic time in seconds at which a silent caller is asked."""
+        """Monotonic time in seconds of the next keepalive ping."""
         interval = KEEPALIVE_SECONDS if self.tasks else IDLE_KEEPALIVE_SECONDS
-        return max(self.last_heard, self.last_ping) + interval
+        return max(self.last_received, self.last_ping) + interval
 
     def keep_alive(self, *, now: float) -> None:
-        """Ask a silent caller for a sign of life."""
+        """Send a ping to a caller that was silent for the keepalive interval."""
         if now < self.keepalive_at:
             return
         self.last_ping = now
@@ -162,27 +165,28 @@
             self.quic.send_ping(0)
 
     def arm_timer(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Wake the task when the QUIC library or the keepalive needs it."""
+        """Arm a timer for the next deadline of the QUIC library or the keepalive."""
         self.quic_timer = self.quic.get_timer()
         if self.quic_timer is None:
             return
-        wanted = min(self.quic_timer, self.keepalive_at)
-        # A timer that fires too early only costs one empty turn.
-        if self.timer is not None and self.timer_at <= wanted:
+        due_at = min(self.quic_timer, self.keepalive_at)
+        # A timer that fires too early only costs one wakeup without work.
+        if self.timer is not None and self.timer_at <= due_at:
             return
         if self.timer is not None:
             self.timer.cancel()
-        # uvloop returns a handle without a time when the timer is due already.
-        self.timer = loop.call_at(wanted, self.on_timer)
-        self.timer_at = wanted
+        # timer_at holds the time, because uvloop returns a handle without one for a
+        # timer that is already due.
+        self.timer = loop.call_at(due_at, self.on_timer)
+        self.timer_at = due_at
 
     def on_timer(self) -> None:
-        """Wake the task; uvloop calls this up to a millisecond early."""
+        """Wake the task when the timer fires."""
         self.timer = None
         self.wake.set()
 
     def on_id_issued(self, event: ConnectionIdIssued) -> None:
-        """Receive packets with a new connection ID."""
+        """Start receiving packets with a new connection ID."""
         self.owner.add_connection_id(event.connection_id, self)
 
     def on_id_retired(self, event: ConnectionIdRetired) -> None:
@@ -190,7 +194,7 @@
         self.owner.remove_connection_id(event.connection_id)
 
     def on_terminated(self, event: ConnectionTerminated) -> None:
-        """End the task."""
+        """End the task of a terminated connection."""
         self.ended = True
         self.end_reason = event.reason_phrase or f"error {event.error_code:#x}"
 
@@ -202,13 +206,13 @@
             self.go_away()
 
     def on_cancelled(self, event: StreamReset | StopSendingReceived) -> None:
-        """Cancel the request of a stream that the caller gave up."""
+        """Cancel the request of a stream that the caller cancelled."""
         task = self.tasks.get(event.stream_id)
         if task is not None:
             task.cancel()
 
     def on_http_event(self, event: H3Event) -> None:
-        """Start a request, or pass on a part of its body."""
+        """Start a request, or add a part of its body."""
         match event:
             case HeadersReceived():
                 self.on_headers(event)
@@ -237,16 +241,16 @@
         self.tasks[stream_id] = task
 
     def on_served(self, stream: RequestStream) -> None:
-        """Forget a stream; an answer that was not ended is reset."""
+        """Remove a stream; reset it if its answer is not complete."""
         if not stream.ended:
             stream.reset(ErrorCode.H3_INTERNAL_ERROR)
-        stream.forget()
+        stream.discard_unread()
         self.streams.pop(stream.stream_id, None)
         self.tasks.pop(stream.stream_id, None)
         self.wake_up()
 
     def go_away(self) -> None:
-        """Tell the caller that new requests have to use another connection."""
+        """Send GOAWAY, so that the caller sends new requests on another connection."""
         if self.goaway is not None:
             return
         self.goaway = self.next_stream
@@ -254,8 +258,8 @@
             send_goaway(self.http, quic=self.quic, next_stream=self.goaway)
             self.wake_up()
 
-    def has_unsent(self) -> bool:
-        """Tell whether the caller has yet to acknowledge a part of an answer."""
+    def has_unacknowledged_data(self) -> bool:
+        """Return whether a part of an answer is not acknowledged yet."""
         return self.quic.has_unacknowledged_answers()
 
     def close(self, *, reason: str) -> None:
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_dispatch.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_dispatch.py
@@ -1,4 +1,4 @@
-"""What the agent does with each inner datagram."""
+"""Validation and dispatch of inner datagrams."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 )
 
 from . import _events as events
-from ._flights import Flights
+from ._first_flights import FirstFlightHandler
 from ._metrics import AgentMetrics
 from ._node import AgentNode
 from ._reset import RESETS_PER_SECOND, build_stateless_reset
@@ -30,9 +30,12 @@
 
 
 class Dispatcher:
-    """Checks inner datagrams and gives each to what handles its kind.
+    """Validates inner datagrams and passes each to the handler of its kind.
 
-    Service and incarnation are checked before anything else is read.
+    The service and incarnation of a caller's packet are checked before the packet
+    itself is parsed.
+
+    :param listeners: handlers of all kinds but ``FORWARD``.
     """
 
     def __init__(
@@ -40,13 +43,13 @@
         *,
         node: AgentNode,
         table: ConnectionTable,
-        flights: Flights,
+        first_flights: FirstFlightHandler,
         metrics: AgentMetrics,
         listeners: dict[Kind, Callable[[Datagram], None]],
     ) -> None:
         self.node = node
         self.table = table
-        self.flights = flights
+        self.first_flights = first_flights
         self.metrics = metrics
         self.reset_limit = TokenBucket(
             rate=RESETS_PER_SECOND, burst=RESETS_PER_SECOND, now=node.now()
@@ -64,7 +67,7 @@
         }
 
     def on_datagram(self, data: bytes, sender: Endpoint) -> None:
-        """Handle one inner datagram."""
+        """Decode one inner datagram and pass it to its handler."""
         now = self.node.now()
         try:
             datagram = decode_datagram(data, keys=self.node.keys, now=now)
@@ -78,12 +81,12 @@
         handler(datagram)
 
     def drop(self, sender: Endpoint, *, reason: str) -> None:
-        """Count a datagram that is not handled."""
+        """Count and log a datagram that is not handled."""
         self.metrics.dropped.labels(reason).inc()
         self.node.log.write(events.DATAGRAM_DROPPED, sender=str(sender), reason=reason)
 
     def on_forward(self, datagram: Datagram) -> None:
-        """Handle a caller's packet."""
+        """Pass a caller's packet to its connection, or handle an unknown one."""
         if datagram.service != self.node.service_number:
             self.refuse(datagram, status=PlacedStatus.WRONG_SERVICE)
             return
@@ -103,42 +106,45 @@
         self.packet_handlers[header.kind](datagram, header)
 
     def refuse(self, datagram: Datagram, *, status: PlacedStatus) -> None:
-        """Answer a packet that was meant for another agent."""
+        """Answer a packet for another service or another incarnation of this agent."""
         reason = status.name.lower()
         self.drop(datagram.sender, reason=reason)
         header = read_packet_header(datagram.payload)
         if header is None:
             return
         if header.kind is PacketKind.FIRST_FLIGHT:
-            self.flights.report(datagram, header.destination_id, status=status)
+            self.first_flights.report(datagram, header.destination_id, status=status)
         elif header.kind is PacketKind.SHORT:
-            self.reset(datagram, header, reason=reason)
+            self.send_stateless_reset(datagram, header, reason=reason)
 
     def on_first_flight(self, datagram: Datagram, header: PacketHeader) -> None:
-        """Place a new connection, unless the packet is late for one of ours."""
+        """Handle a first flight; drop a late packet of an ended connection."""
         if self.decode_route(header) is not None:
             self.drop(datagram.sender, reason="ended-connection")
             return
-        self.flights.receive(datagram, header)
+        self.first_flights.receive(datagram, header)
 
     def on_unknown_long(self, datagram: Datagram, header: PacketHeader) -> None:
-        """Drop a handshake packet of a connection that no longer exists."""
+        """Drop a long-header packet of a connection that no longer exists."""
         self.drop(datagram.sender, reason="unknown-connection")
 
     def on_unknown_short(self, datagram: Datagram, header: PacketHeader) -> None:
-        """Tell the caller that its connection no longer exists."""
-        self.reset(datagram, header, reason="unknown_connection")
+        """Answer a short-header packet of an unknown connection with a reset."""
+        self.send_stateless_reset(datagram, header, reason="unknown_connection")
 
     def decode_route(self, header: PacketHeader) -> object:
-        """Read the route of a packet's ID, None for one we did not issue."""
+        """Return the route in a packet's connection ID, None if no agent issued it."""
         return decode_connection_id(
             header.destination_id, keys=self.node.keys, now=self.node.now()
         )
 
-    def reset(self, datagram: Datagram, header: PacketHeader, *, reason: str) -> None:
+    def send_stateless_reset(
+        self, datagram: Datagram, header: PacketHeader, *, reason: str
+    ) -> None:
         """Send a stateless reset for an ID that names this agent's address.
 
-        The address is ours now, so no other live agent owns the connection.
+        This agent holds the address now, so no other running agent can own the
+        connection.
         """
         now = self.node.now()
         route = decode_connection_id(
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_drain.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_drain.py
@@ -1,4 +1,4 @@
-"""Leaving: no new work, and an end to what runs."""
+"""Drain of an agent: no new work, while running requests finish."""
 
 from __future__ import annotations
 
@@ -13,19 +13,20 @@
 from ._node import AgentNode
 from ._table import ConnectionTable
 
-CHECK_SECONDS = 0.1
+CHECK_INTERVAL_SECONDS = 0.1
 GRACE_SECONDS = 1.0
-"""How long an unused connection stays open after GOAWAY."""
-LONGEST_DRAIN_SECONDS = 12 * 3600.0
+"""How long an idle connection stays open after GOAWAY."""
+MAX_DRAIN_SECONDS = 12 * 3600.0
 
 
 class Drain:
-    """Makes an agent leave, and tells when it has left.
+    """Drains an agent: refuses new work and waits for running requests.
 
-    :param on_leaving: called once, so that peers hear of it at once.
-    :param count_unseen: requests that no connection shows: those of peers, and
-        keyed ones whose caller is gone.
-    :param longest_seconds: time after which open connections are cut.
+    :param on_leaving: called once at the start, to report the state to peers at once.
+    :param count_detached_requests: counts requests that may run without a connection:
+        those of peers, and those with an idempotency key whose caller is gone.
+    :param max_drain_seconds: time after which the drain ends with connections open.
+    :ivar leaving_since: Unix time in seconds, None before the drain.
     """
 
     def __init__(
@@ -35,26 +36,26 @@
         table: ConnectionTable,
         metrics: AgentMetrics,
         on_leaving: Callable[[], None],
-        count_unseen: Callable[[], int],
-        longest_seconds: float = LONGEST_DRAIN_SECONDS,
+        count_detached_requests: Callable[[], int],
+        max_drain_seconds: float = MAX_DRAIN_SECONDS,
     ) -> None:
         self.node = node
         self.table = table
         self.metrics = metrics
         self.on_leaving = on_leaving
-        self.count_unseen = count_unseen
-        self.longest_seconds = longest_seconds
+        self.count_detached_requests = count_detached_requests
+        self.max_drain_seconds = max_drain_seconds
         self.leaving_since: float | None = None
 
     def may_run(self) -> bool:
-        """Tell whether requests may still begin here."""
+        """Return whether requests may still start here."""
         stage = decide_drain_stage(
             leaving_since=self.leaving_since, open_requests=1, now=self.node.now()
         )
         return stage in (DrainStage.SERVING, DrainStage.LEAVING)
 
     def leave(self, *, reason: str) -> None:
-        """Take no new flow and no new request from now on."""
+        """Start the drain: accept no new flow and no new request."""
         if self.node.leaving:
             return
         self.node.leaving = True
@@ -72,8 +73,8 @@
         for connection in connections:
             connection.go_away()
 
-    async def watch_list(self) -> None:
-        """Leave when the instance list says so."""
+    async def watch_instance_list(self) -> None:
+        """Start the drain when the instance list marks this agent as leaving."""
         view = self.node.view
         while True:
             instance = view.instances.get(self.node.settings.id)
@@ -82,10 +83,10 @@
             view = await self.node.runtime.source.wait_for_change(after=view.version)
 
     async def run(self, *, reason: str) -> None:
-        """Leave and wait until nothing runs any more."""
+        """Start the drain and wait until no request runs, or the time limit passes."""
         self.leave(reason=reason)
         try:
-            async with asyncio.timeout(self.longest_seconds):
+            async with asyncio.timeout(self.max_drain_seconds):
                 await self.wait_until_idle()
         except TimeoutError:
             connections = self.table.connections()
@@ -96,20 +97,20 @@
             )
 
     async def wait_until_idle(self) -> None:
-        """Wait for the end of every request; close connections that have none."""
+        """Wait until every request has ended, and close connections without any."""
         idle_since: dict[CallerConnection, float] = {}
         loop = asyncio.get_running_loop()
-        while len(self.table) or self.count_unseen():
+        while len(self.table) or self.count_detached_requests():
             now = loop.time()
             for connection in self.table.connections():
                 connection.go_away()
-                if connection.tasks or connection.has_unsent():
+                if connection.tasks or connection.has_unacknowledged_data():
                     idle_since.pop(connection, None)
                 elif now - idle_since.setdefault(connection, now) >= GRACE_SECONDS:
                     connection.close(reason="host leaving")
-            await asyncio.sleep(CHECK_SECONDS)
+            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
 
 
 def count_requests(connections: tuple[CallerConnection, ...]) -> int:
-    """Count the requests that run on some connections."""
+    """Return the number of requests that run on the connections."""
     return sum(len(connection.tasks) for connection in connections)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_events.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_events.py
@@ -1,4 +1,4 @@
-"""Events of the agent."""
+"""Events that the agent logs."""
 
 from __future__ import annotations
 
@@ -8,21 +8,21 @@
     number=300,
     name="flight-accepted",
     level=Level.INFO,
-    text="A new connection is served here.",
+    text="A new connection was accepted.",
     fields=("caller", "hops", "connections"),
 )
 FLIGHT_PASSED_ON = Event(
     number=301,
     name="flight-passed-on",
     level=Level.INFO,
-    text="A new connection was offered to a peer agent.",
+    text="A new connection was passed on to a peer agent.",
     fields=("caller", "peer", "reason", "hops"),
 )
 FLIGHT_REFUSED = Event(
     number=302,
     name="flight-refused",
     level=Level.WARNING,
-    text="A new connection was refused; look for full or leaving hosts.",
+    text="A new connection was refused; check for full or leaving hosts.",
     fields=("caller", "reason"),
     limited=True,
 )
@@ -37,8 +37,9 @@
     number=304,
     name="agent-datagram-dropped",
     level=Level.WARNING,
-    text="An inner datagram was refused. Wrong keys, a reused address or an "
-    "outsider on the inner network; compare key records and addresses.",
+    text="An inner datagram was dropped. Possible causes are wrong keys, a reused "
+    "address or a foreign sender on the inner network; compare key records and "
+    "addresses.",
     fields=("sender", "reason"),
     limited=True,
 )
@@ -55,8 +56,8 @@
     number=306,
     name="connection-failed",
     level=Level.ERROR,
-    text="A connection met an unexpected error and was dropped; the agent goes on. "
-    "Report the error with its traceback.",
+    text="A connection failed with an unexpected error and was dropped; other "
+    "connections are not affected. Report the error with its traceback.",
     fields=("caller", "error", "traceback"),
     limited=True,
     lines_per_second=1.0,
@@ -66,45 +67,45 @@
     number=310,
     name="request-routed",
     level=Level.INFO,
-    text="It was decided where a request runs.",
+    text="A request was routed to a host, or refused if the target is none.",
     fields=("request", "request_class", "target", "reason"),
 )
 REQUEST_ENDED = Event(
     number=311,
     name="request-ended",
     level=Level.INFO,
-    text="A request has its outcome.",
+    text="A request ended with the given outcome.",
     fields=("request", "caller", "outcome", "status", "reason", "seconds"),
 )
 REQUEST_FAILED = Event(
     number=312,
     name="request-failed",
     level=Level.ERROR,
-    text="A request met an unexpected error; its stream was reset. Report the "
-    "error with its traceback.",
+    text="A request failed with an unexpected error and its stream was reset. Report "
+    "the error with its traceback.",
     fields=("request", "error", "traceback"),
 )
 UPSTREAM_STATE = Event(
     number=320,
     name="upstream-state",
     level=Level.WARNING,
-    text="The upstream's health check changed; look at the upstream when it says "
-    "not ready.",
+    text="The result of the upstream's health check changed; check the upstream if it "
+    "is not ready.",
     fields=("ready", "reason"),
 )
 LEAVING = Event(
     number=321,
     name="agent-leaving",
     level=Level.INFO,
-    text="The agent takes no new work and waits for what runs.",
+    text="The agent accepts no new work and waits for running requests.",
     fields=("reason", "connections", "requests"),
 )
 DRAIN_CUT = Event(
     number=322,
     name="drain-cut",
     level=Level.WARNING,
-    text="The drain limit passed with connections open; callers that stay have to "
-    "open a new connection after GOAWAY.",
+    text="The time limit of the drain passed while connections were open; their "
+    "callers have to open a new connection after GOAWAY.",
     fields=("connections", "requests"),
 )
 
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_flights.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_first_flights.py
@@ -1,4 +1,4 @@
-"""What becomes of first flights: served here, passed to a peer or refused."""
+"""Handling of first flights: accepted, passed on to a peer or refused."""
 
 from __future__ import annotations
 
@@ -48,11 +48,12 @@
 FlightKey = tuple[Endpoint, bytes]
 
 
-class Flights:
+class FirstFlightHandler:
     """Accepts, passes on and refuses new connections.
 
     :param accept: opens a connection for a first flight.
-    :param choose: decides about a first flight that was not seen before.
+    :param choose: decides what to do with a new first flight.
+    :ivar passed: decisions about flights that were passed on, for their later packets.
     """
 
     def __init__(
@@ -73,28 +74,31 @@
 
     def receive(self, datagram: Datagram, header: PacketHeader) -> None:
         """Handle an Initial or 0-RTT packet with an ID that the caller chose."""
-        flight = (datagram.caller, header.destination_id)
+        flight_key = (datagram.caller, header.destination_id)
         now = self.node.now()
-        connection = self.table.by_flight.get(flight)
+        connection = self.table.by_flight.get(flight_key)
         if connection is not None:
             connection.receive(datagram.payload, caller=datagram.caller)
-            self.report(datagram, flight[1], status=PlacedStatus.ACCEPTED)
+            self.report(datagram, flight_key[1], status=PlacedStatus.ACCEPTED)
             return
-        if self.table.has_ended(flight, now=now):
-            self.report(datagram, flight[1], status=PlacedStatus.ACCEPTED)
+        if self.table.has_ended(flight_key, now=now):
+            self.report(datagram, flight_key[1], status=PlacedStatus.ACCEPTED)
             return
-        passed = self.passed.recall(make_key(flight), now=now)
+        passed = self.passed.recall(make_memory_key(flight_key), now=now)
         if passed is not None and datagram.hops < MAX_HOPS:
-            self.pass_on(datagram, flight, decision=passed)
+            self.pass_on(datagram, flight_key, decision=passed)
             return
-        if self.opens_connection(datagram):
-            self.place(datagram, flight)
+        if self.may_open_connection(datagram):
+            self.place(datagram, flight_key)
         else:
-            # Without an answer the balancer would take this host for dead.
-            self.report(datagram, flight[1], status=PlacedStatus.IGNORED)
+            # Without an answer the balancer would consider this host dead.
+            self.report(datagram, flight_key[1], status=PlacedStatus.IGNORED)
 
-    def opens_connection(self, datagram: Datagram) -> bool:
-        """Tell whether a packet may open a connection; negotiate its version."""
+    def may_open_connection(self, datagram: Datagram) -> bool:
+        """Return whether a packet may open a connection.
+
+        A packet of an unsupported version is answered with a version negotiation.
+        """
         packet = datagram.payload
         if len(packet) < SMALLEST_MAX_DATAGRAM_SIZE:
             return False
@@ -116,7 +120,7 @@
     def negotiate_version(
         self, datagram: Datagram, *, source_id: bytes, target_id: bytes
     ) -> None:
-        """Tell the caller which versions are supported (RFC 9000, 6.1)."""
+        """Send the caller the supported versions (RFC 9000, 6.1)."""
         packet = encode_quic_version_negotiation(
             source_cid=source_id,
             destination_cid=target_id,
@@ -131,14 +135,14 @@
         )
         self.node.send(reply, receiver=datagram.sender)
 
-    def place(self, datagram: Datagram, flight: FlightKey) -> None:
-        """Decide about a new connection and act on it."""
+    def place(self, datagram: Datagram, flight_key: FlightKey) -> None:
+        """Accept, pass on or refuse a new connection."""
         match self.choose(datagram):
             case AcceptFlight():
-                connection = self.accept(datagram, flight)
+                connection = self.accept(datagram, flight_key)
                 connection.receive(datagram.payload, caller=datagram.caller)
                 self.count("accepted")
-                self.report(datagram, flight[1], status=PlacedStatus.ACCEPTED)
+                self.report(datagram, flight_key[1], status=PlacedStatus.ACCEPTED)
                 self.node.log.write(
                     events.FLIGHT_ACCEPTED,
                     caller=str(datagram.caller),
@@ -147,7 +151,7 @@
                 )
             case PassFlight() as decision:
                 self.passed.remember(
-                    make_key(flight), decision=decision, now=self.node.now()
+                    make_memory_key(flight_key), decision=decision, now=self.node.now()
                 )
                 self.count("passed-on")
                 self.node.log.write(
@@ -157,7 +161,7 @@
                     reason=decision.reason.value,
                     hops=datagram.hops + 1,
                 )
-                self.pass_on(datagram, flight, decision=decision)
+                self.pass_on(datagram, flight_key, decision=decision)
             case RefuseFlight(reason=reason):
                 self.count(f"refused-{reason.value}")
                 self.node.log.write(
@@ -166,16 +170,16 @@
                     reason=reason.value,
                 )
                 status = REFUSAL_STATUSES[reason]
-                self.report(datagram, flight[1], status=status)
+                self.report(datagram, flight_key[1], status=status)
 
     def count(self, outcome: str) -> None:
         """Count a decision."""
         self.metrics.flights.labels(outcome).inc()
 
     def pass_on(
-        self, datagram: Datagram, flight: FlightKey, *, decision: PassFlight
+        self, datagram: Datagram, flight_key: FlightKey, *, decision: PassFlight
     ) -> None:
-        """Send a first flight to a peer; the balancer's address stays in it."""
+        """Forward a first flight to a peer; the balancer remains its sender."""
         forwarded = evolve(
             datagram,
             hops=datagram.hops + 1,
@@ -183,12 +187,12 @@
             incarnation=ANY_INCARNATION,
         )
         self.node.send(forwarded, receiver=decision.target)
-        self.report(datagram, flight[1], status=PlacedStatus.PASSED_ON)
+        self.report(datagram, flight_key[1], status=PlacedStatus.PASSED_ON)
 
     def report(
         self, datagram: Datagram, caller_id: bytes, *, status: PlacedStatus
     ) -> None:
-        """Tell the balancer what became of a first flight."""
+        """Report the result of a first flight to its balancer."""
         answer = Datagram(
             kind=Kind.PLACED,
             service=datagram.service,
@@ -203,6 +207,6 @@
         self.node.send(answer, receiver=datagram.sender)
 
 
-def make_key(flight: FlightKey) -> bytes:
-    """Identify a flow for the memory of flights that were passed on."""
-    return make_flow_key(caller=flight[0], destination_id=flight[1])
+def make_memory_key(flight_key: FlightKey) -> bytes:
+    """Return the key of a flow in ``FlightMemory``."""
+    return make_flow_key(caller=flight_key[0], destination_id=flight_key[1])
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_headers.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_headers.py
@@ -1,4 +1,4 @@
-"""Header fields between HTTP/3 and HTTP/1.1."""
+"""Translation of header fields from HTTP/3 to HTTP/1.1."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 
 class MalformedRequestError(ValueError):
-    """A request whose header fields can't be used.
+    """A header field of a request is malformed.
 
     :param field: name of the field that the caller has to correct.
     """
@@ -45,7 +45,10 @@
 
 
 def drop_hop_by_hop(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
-    """Keep the fields that may cross to another connection."""
+    """Return the fields that may be forwarded, names in lower case.
+
+    Connection-specific fields and those that ``Connection`` names are dropped.
+    """
     kept = [(name.lower(), value) for name, value in headers]
     named = {
         option.strip().lower()
@@ -92,11 +95,11 @@
     fallback_id: str,
     now: float,
 ) -> Request:
-    """Read a request from its HTTP/3 header section.
+    """Build a request from its HTTP/3 header section.
 
-    :param fallback_id: request id for a request that names none.
+    :param fallback_id: request id for a request without the field ``x-request-id``.
     :param now: Unix time in seconds.
-    :raises MalformedRequestError: a field that the system reads is ill-formed.
+    :raises MalformedRequestError: a field that the agent reads is malformed.
     """
     pseudo = {name: value for name, value in fields if name.startswith(b":")}
     plain = [(name, value) for name, value in fields if not name.startswith(b":")]
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_health.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_health.py
@@ -1,4 +1,4 @@
-"""Whether the upstream takes requests, by its own health check."""
+"""Polling of the upstream's health check."""
 
 from __future__ import annotations
 
@@ -10,15 +10,16 @@
 from ._node import AgentNode
 from ._upstream import UpstreamBrokenError, UpstreamClient
 
-CHECK_SECONDS = 0.5
+CHECK_INTERVAL_SECONDS = 0.5
 CHECK_TIMEOUT_SECONDS = 1.0
 FAILURES_UNTIL_NOT_READY = 3
 
 
 class HealthCheck:
-    """Asks the upstream regularly; the answer is a hint that may be wrong.
+    """Polls the upstream's health check, which may be wrong.
 
-    :ivar ready: False until the first good answer, and after several bad ones.
+    :ivar ready: False until the first success, and after
+        ``FAILURES_UNTIL_NOT_READY`` failures in a row.
     """
 
     def __init__(self, *, node: AgentNode, upstream: UpstreamClient) -> None:
@@ -28,13 +29,13 @@
         self.failures = 0
 
     async def run(self) -> None:
-        """Check until cancelled."""
+        """Poll until cancelled."""
         while True:
             await self.check()
-            await asyncio.sleep(CHECK_SECONDS)
+            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
 
     async def check(self) -> None:
-        """Ask once and take in the answer."""
+        """Poll once and update the state."""
         path = self.node.settings.upstream.health_path
         try:
             await self.upstream.fetch_json(path, timeout_seconds=CHECK_TIMEOUT_SECONDS)
@@ -47,7 +48,7 @@
         self.set_ready(True, reason="healthy")
 
     def set_ready(self, ready: bool, *, reason: str) -> None:
-        """Note a change."""
+        """Set the state; publish and log a change."""
         if ready == self.ready:
             return
         self.ready = ready
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_fence.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_idempotency.py
@@ -1,4 +1,4 @@
-"""Runs a request with an idempotency key at most once."""
+"""At-most-once execution of requests with an idempotency key."""
 
 from __future__ import annotations
 
@@ -26,17 +26,19 @@
 from ._model import Answer, Answered, Headers, NotRun, Outcome, Request, Unknown
 from ._node import AgentNode
 
-PROGRESS_CHECK_SECONDS = 0.1
+PROGRESS_CHECK_INTERVAL_SECONDS = 0.1
 KEY_OF_OTHER_REQUEST = "idempotency key belongs to another request; use a new key"
 
 RunRequest = Callable[[Request, ReplayBody, Answer], Awaitable[Outcome]]
-AskOwnerCall = Callable[[KeyOwner, str, bytes], Awaitable[OwnerReply | None]]
+AskOwnerFunction = Callable[[KeyOwner, str, bytes], Awaitable[OwnerReply | None]]
 
 
 class RecordedAnswer:
-    """Keeps an answer for repeats, and goes on when the caller is gone.
+    """Forwards an answer to the caller and stores it for repeats.
 
-    :param answer: the caller's answer.
+    Recording continues after the caller is gone.
+
+    :param answer: destination towards the caller.
     """
 
     def __init__(self, answer: Answer) -> None:
@@ -47,7 +49,7 @@
         self.body = bytearray()
 
     async def send_head(self, *, status: int, headers: Headers) -> None:
-        """Keep and send the head."""
+        """Store and send the head."""
         self.started = True
         self.status = status
         self.headers = headers
@@ -55,30 +57,34 @@
             await self.answer.send_head(status=status, headers=headers)
 
     async def send_body(self, part: bytes) -> None:
-        """Keep a part while the whole is small enough, and send it."""
+        """Send a part; store it unless the body is too large already.
+
+        A body beyond ``LARGEST_ANSWER_BYTES`` is stored only in part, and the
+        outcome table then drops it because of its length.
+        """
         if len(self.body) <= LARGEST_ANSWER_BYTES:
             self.body += part[: LARGEST_ANSWER_BYTES + 1]
         if self.answer is not None:
             await self.answer.send_body(part)
 
     async def send_end(self) -> None:
-        """Mark the answer as whole."""
+        """Mark the answer as complete."""
         if self.answer is not None:
             await self.answer.send_end()
 
     def detach(self) -> None:
-        """Send nothing more to a caller that is gone."""
+        """Stop sending to a caller that is gone."""
         self.answer = None
 
     def stored(self) -> StoredAnswer:
-        """Return the answer for the table, which leaves out a large one."""
+        """Return the stored answer for the outcome table."""
         return StoredAnswer(
             status=self.status, headers=self.headers, body=bytes(self.body)
         )
 
 
 def fingerprint_request(request: Request, *, body: bytes) -> bytes:
-    """Identify a request, equal for a repeat of it."""
+    """Return a digest of method, path and body, equal for a repeat of a request."""
     digest = hashlib.blake2b(digest_size=16)
     for part in (request.method.encode(), request.path.encode(), body):
         digest.update(len(part).to_bytes(8, "big"))
@@ -86,24 +92,27 @@
     return digest.digest()
 
 
-class Fence:
-    """Runs keyed requests, or tells what became of their first run.
+class IdempotencyHandler:
+    """Runs requests with an idempotency key, or returns the outcome of their first run.
 
     :param run: runs a request that may run here.
-    :param ask: asks the owner of a key; None when there is no usable reply.
+    :param ask: queries the owner of a key; returns None without a usable reply.
+    :ivar first_runs: tasks of first runs, which outlive their callers.
     """
 
-    def __init__(self, *, node: AgentNode, run: RunRequest, ask: AskOwnerCall) -> None:
+    def __init__(
+        self, *, node: AgentNode, run: RunRequest, ask: AskOwnerFunction
+    ) -> None:
         self.node = node
         self.run_request = run
         self.ask = ask
         self.table = OutcomeTable(
             own=KeyOwner(agent=node.settings.id, incarnation=node.incarnation)
         )
-        self.detached: set[asyncio.Task[Outcome]] = set()
+        self.first_runs: set[asyncio.Task[Outcome]] = set()
 
     async def run(self, request: Request, body: ReplayBody, answer: Answer) -> Outcome:
-        """Run a request with a key, or give the outcome of its first run."""
+        """Run a request with a key, or return the outcome of its first run."""
         try:
             async with asyncio.timeout(request.deadline - self.node.now()):
                 content = await body.read_whole()
@@ -133,18 +142,21 @@
     async def decide(
         self, request: Request, *, key: str, fingerprint: bytes
     ) -> Decision:
-        """Find out what may be done, waiting while another copy runs."""
+        """Return what to do with a request, waiting while another copy runs.
+
+        The wait ends at the request's deadline.
+        """
         while True:
             decision = await self.decide_now(request, key=key, fingerprint=fingerprint)
-            left = request.deadline - self.node.now()
-            if not isinstance(decision, InProgress) or left <= 0.0:
+            remaining_seconds = request.deadline - self.node.now()
+            if not isinstance(decision, InProgress) or remaining_seconds <= 0.0:
                 return decision
-            await asyncio.sleep(min(PROGRESS_CHECK_SECONDS, left))
+            await asyncio.sleep(min(PROGRESS_CHECK_INTERVAL_SECONDS, remaining_seconds))
 
     async def decide_now(
         self, request: Request, *, key: str, fingerprint: bytes
     ) -> Decision:
-        """Find out what may be done, asking the owner of the key if need be."""
+        """Return what to do with a request, querying the key's owner where needed."""
         first = request.first_host
         decision = self.table.begin(
             key,
@@ -159,7 +171,7 @@
         return decision
 
     async def resolve(self, owner: KeyOwner, key: str, fingerprint: bytes) -> Decision:
-        """Ask an owner; a question that is cut short counts as unanswered."""
+        """Query an owner of the key; a cancelled query counts as unanswered."""
         reply: OwnerReply | None = None
         try:
             reply = await self.ask(owner, key, fingerprint)
@@ -170,11 +182,11 @@
     async def run_first(
         self, request: Request, *, body: ReplayBody, answer: Answer
     ) -> Outcome:
-        """Run the request to its end, even when the caller gives up meanwhile."""
+        """Run the request to its end, even when the caller cancels it."""
         recorded = RecordedAnswer(answer)
         task = asyncio.create_task(self.run_and_record(request, body, recorded))
-        self.detached.add(task)
-        task.add_done_callback(self.detached.discard)
+        self.first_runs.add(task)
+        task.add_done_callback(self.first_runs.discard)
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
@@ -184,7 +196,7 @@
     async def run_and_record(
         self, request: Request, body: ReplayBody, recorded: RecordedAnswer
     ) -> Outcome:
-        """Run the request and note its end in the table."""
+        """Run the request and record its outcome in the table."""
         key = request.idempotency_key
         outcome: Outcome = Unknown(reason="cut short")
         try:
@@ -201,7 +213,7 @@
         return outcome
 
     async def replay(self, stored: StoredAnswer, *, answer: Answer) -> Outcome:
-        """Send the answer of the first run."""
+        """Send the stored answer of the first run."""
         await answer.send_head(status=stored.status, headers=stored.headers)
         if stored.body:
             await answer.send_body(stored.body)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_messages.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_messages.py
@@ -23,21 +23,21 @@
 
 
 def make_headers(headers: Headers) -> list[peer_pb2.Header]:
-    """Build the message of header fields."""
+    """Convert header fields to protobuf messages."""
     return [peer_pb2.Header(name=name, value=value) for name, value in headers]
 
 
 def read_headers(headers: list[peer_pb2.Header]) -> Headers:
-    """Read header fields."""
+    """Convert protobuf messages to header fields."""
     return tuple((header.name, header.value) for header in headers)
 
 
 def make_head(
     request: Request, *, service: int, incarnation: int
 ) -> peer_pb2.HandOffHead:
-    """Build the start of a hand-off.
+    """Build the first message of a hand-off.
 
-    :param incarnation: the one that the receiver must have.
+    :param incarnation: incarnation that the receiving agent must have.
     """
     return peer_pb2.HandOffHead(
         service=service,
@@ -53,7 +53,10 @@
 
 
 def read_head(head: peer_pb2.HandOffHead, *, service: Service, now: float) -> Request:
-    """Read a request that a peer hands over."""
+    """Build the request that a peer hands off.
+
+    :param now: Unix time in seconds.
+    """
     classes = {entry.name: entry for entry in service.classes}
     return Request(
         id=head.request_id,
@@ -69,7 +72,7 @@
 
 
 def make_outcome_answer(reply: OwnerReply) -> peer_pb2.OutcomeAnswer:
-    """Build the reply of a key's owner."""
+    """Convert the reply of a key's owner to its message."""
     match reply:
         case Granted():
             return peer_pb2.OutcomeAnswer(state=State.GRANTED)
@@ -96,7 +99,10 @@
 
 
 def read_outcome_answer(message: peer_pb2.OutcomeAnswer) -> OwnerReply | None:
-    """Read the reply of a key's owner, None from another incarnation."""
+    """Convert a message to the reply of a key's owner.
+
+    :return: None when another incarnation of the owner answered.
+    """
     match message.state:
         case State.GRANTED:
             return Granted()
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_metrics.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_metrics.py
@@ -10,9 +10,9 @@
 
 
 class AgentMetrics:
-    """What an agent counts.
+    """Metrics of an agent.
 
-    Packets of established flows are counted, not logged.
+    Packets of established flows are counted, but not logged.
     """
 
     def __init__(self, registry: CollectorRegistry) -> None:
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_model.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_model.py
@@ -1,4 +1,4 @@
-"""Requests, their outcomes, and where bodies come from and answers go."""
+"""Requests, their outcomes, and the interfaces of bodies and answers."""
 
 from __future__ import annotations
 
@@ -14,9 +14,10 @@
 
 @frozen(kw_only=True, order=True)
 class HostIncarnation:
-    """One life of one agent.
+    """One run of an agent's process.
 
     :param agent: instance id.
+    :param incarnation: number of the start, see :func:`incarnation_at`.
     """
 
     agent: str
@@ -28,16 +29,17 @@
 
 @frozen(kw_only=True)
 class Request:
-    """A request that a caller sent.
+    """A caller's request.
 
+    :param id: request id, from the caller or generated.
     :param path: target with its query string.
     :param headers: fields without pseudo-header fields, names in lower case.
-    :param caller: the caller's address, for limits and logs.
+    :param caller: address of the caller, used for limits and logs.
     :param arrived: Unix time in seconds.
-    :param deadline: Unix time in seconds at which the answer must be whole, or
-        for a streaming class begun.
-    :param first_host: where the caller first sent the idempotency key.
-    :param handed_off: True when a peer agent ends the caller's connection.
+    :param deadline: Unix time in seconds by which the answer must be complete, or,
+        for a streaming class, must have begun.
+    :param first_host: host to which the caller first sent the idempotency key.
+    :param handed_off: True when a peer agent holds the caller's connection.
     """
 
     id: str
@@ -55,7 +57,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Answered:
-    """The caller got the whole answer."""
+    """The complete answer was sent to the caller."""
 
     status: int
 
@@ -73,7 +75,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Unknown:
-    """The request may have run; there is no whole answer.
+    """The request may have run; no complete answer was sent.
 
     :param late: True when the deadline passed.
     """
@@ -84,7 +86,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Shed:
-    """The upstream refused the request; the answer was kept back."""
+    """The upstream refused the request for overload; the answer is not sent yet."""
 
     status: int
     headers: Headers
@@ -95,14 +97,14 @@
 
 
 class Body(Protocol):
-    """Where the body of a request comes from."""
+    """Source of a request's body."""
 
     async def read(self) -> bytes:
-        """Return the next part, or nothing at the end."""
+        """Return the next part, or ``b""`` at the end."""
 
 
 class Answer(Protocol):
-    """Where the answer to a request goes.
+    """Destination of the answer to a request.
 
     :ivar started: True once the head was sent.
     """
@@ -113,7 +115,7 @@
         """Send the status and the header fields."""
 
     async def send_body(self, part: bytes) -> None:
-        """Send a part of the body, waiting while too much is unsent."""
+        """Send a part of the body; wait while too much of it is unsent."""
 
     async def send_end(self) -> None:
-        """Mark the answer as whole."""
+        """Mark the answer as complete."""
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_node.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_node.py
@@ -1,4 +1,4 @@
-"""What every part of the agent knows of itself and its surroundings."""
+"""Identity, configuration, clock and inner socket shared by an agent's components."""
 
 from __future__ import annotations
 
@@ -15,7 +15,8 @@
 from ._socket import InnerSocket
 
 SUPPORTED_VERSIONS = (QuicProtocolVersion.VERSION_1, QuicProtocolVersion.VERSION_2)
-NEWEST_KEY_SECONDS = 1.0
+NEWEST_KEY_CACHE_SECONDS = 1.0
+"""How long the choice of the newest key is cached."""
 
 
 class NotConfiguredError(RuntimeError):
@@ -31,9 +32,9 @@
     """Identity, configuration, clock and inner socket of one agent.
 
     :ivar inner: address of the inner socket, as connection IDs name it.
-    :ivar leaving: True once no new work is taken.
-    :ivar last_balancer: where the last packet came from, for replies while the
-        instance list names no balancer.
+    :ivar leaving: True once the agent accepts no new work.
+    :ivar last_balancer: balancer that sent the most recent packet; replies go to
+        it while the instance list names no balancer.
     """
 
     def __init__(self, *, runtime: Runtime, settings: AgentSettings) -> None:
@@ -44,12 +45,12 @@
         self.leaving = False
         self.last_balancer: Endpoint | None = None
         self.supported_versions = SUPPORTED_VERSIONS
-        self._newest: DerivedKeys | None = None
-        self._newest_of: KeyRing | None = None
-        self._newest_until = 0.0
+        self._newest_key: DerivedKeys | None = None
+        self._newest_key_ring: KeyRing | None = None
+        self._newest_key_until = 0.0
 
     def now(self) -> float:
-        """Unix time in seconds."""
+        """Return the Unix time in seconds."""
         return self.runtime.now()
 
     @property
@@ -64,7 +65,7 @@
 
     @property
     def host(self) -> HostIncarnation:
-        """How answers name this agent."""
+        """The agent's id and incarnation, as answers to callers name them."""
         return HostIncarnation(
             agent=self.settings.id, incarnation=self.runtime.incarnation
         )
@@ -117,14 +118,14 @@
         return tuple(host for host in hosts if host.id != self.settings.id)
 
     def newest_key(self) -> DerivedKeys | None:
-        """Return the key for new packets and IDs."""
+        """Return the key for new datagrams and connection IDs, None without one."""
         now = self.now()
         keys = self.keys
-        if keys is not self._newest_of or now >= self._newest_until:
-            self._newest = keys.newest(now=now)
-            self._newest_of = keys
-            self._newest_until = now + NEWEST_KEY_SECONDS
-        return self._newest
+        if keys is not self._newest_key_ring or now >= self._newest_key_until:
+            self._newest_key = keys.newest(now=now)
+            self._newest_key_ring = keys
+            self._newest_key_until = now + NEWEST_KEY_CACHE_SECONDS
+        return self._newest_key
 
     def send(self, datagram: Datagram, *, receiver: Endpoint) -> None:
         """Sign and send an inner datagram; without a key nothing is sent."""
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_calls.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_calls.py
@@ -1,4 +1,4 @@
-"""Calls to peer agents: handing requests over and asking for outcomes."""
+"""Calls to peer agents: hand-offs of requests and queries for outcomes."""
 
 from __future__ import annotations
 
@@ -18,25 +18,25 @@
 from ._model import Answer, Answered, Body, NotRun, Outcome, Request, Unknown
 from ._node import AgentNode
 
-ASK_SECONDS = 1.0
-CONNECT_SECONDS = 0.5
+ASK_TIMEOUT_SECONDS = 1.0
+CONNECT_TIMEOUT_SECONDS = 0.5
 MILLISECONDS_PER_SECOND = 1_000
 HAND_OFF_METHOD = "/daisygauge.Peer/HandOff"
 ASK_METHOD = "/daisygauge.Peer/AskOutcome"
-# With these the peer has refused a call before its handler saw the request.
+# Statuses with which a peer refuses a call before its handler gets the request.
 REFUSING_STATUSES = frozenset({Status.UNAUTHENTICATED, Status.UNIMPLEMENTED})
 CALL_ERRORS = (GRPCError, StreamTerminatedError, OSError)
 
 
 class PeerCalls:
-    """Keeps one channel to each peer that was called."""
+    """Calls peers over one channel each, which is opened by the first call."""
 
     def __init__(self, *, node: AgentNode) -> None:
         self.node = node
         self.channels: dict[Endpoint, Channel] = {}
 
     def open_channel(self, agent: str) -> Channel | None:
-        """Return the channel to a peer, None for one that is not published."""
+        """Return the channel to a peer, None if the peer is not published."""
         for peer in self.node.peers:
             if peer.id == agent:
                 endpoint = Endpoint(host=peer.agent.host, port=peer.peer_port)
@@ -53,7 +53,7 @@
             channel.close()
 
     def sign(self, method: str, *, receiver: str) -> dict[str, str]:
-        """Return the metadata of a call."""
+        """Return the metadata that signs a call, empty without a key."""
         call = Call(
             method=method,
             sender=self.node.settings.id,
@@ -68,7 +68,10 @@
     async def ask_outcome(
         self, owner: KeyOwner, key: str, fingerprint: bytes
     ) -> OwnerReply | None:
-        """Ask the owner of a key; None when there is no usable reply."""
+        """Query the owner of an idempotency key.
+
+        :return: None without a usable reply.
+        """
         channel = self.open_channel(owner.agent)
         if channel is None:
             return None
@@ -84,7 +87,7 @@
         metadata = self.sign(ASK_METHOD, receiver=owner.agent)
         try:
             message = await PeerStub(channel).AskOutcome(
-                question, timeout=ASK_SECONDS, metadata=metadata
+                question, timeout=ASK_TIMEOUT_SECONDS, metadata=metadata
             )
         except (*CALL_ERRORS, TimeoutError):
             return None
@@ -99,9 +102,9 @@
         body: Body,
         answer: Answer,
     ) -> Outcome:
-        """Have a peer run a request that has not run here.
+        """Hand a request that has not run here to a peer, and return its outcome.
 
-        :param incarnation: the one that the peer must have.
+        :param incarnation: incarnation that the peer must have.
         """
         channel = self.open_channel(peer)
         if channel is None:
@@ -111,16 +114,16 @@
             request, service=self.node.service.number, incarnation=incarnation
         )
         metadata = self.sign(HAND_OFF_METHOD, receiver=peer)
-        left = request.deadline - self.node.now()
+        remaining_seconds = request.deadline - self.node.now()
         try:
-            async with asyncio.timeout(left):
+            async with asyncio.timeout(remaining_seconds):
                 return await call.run(channel, head=head, body=body, metadata=metadata)
         except (*CALL_ERRORS, TimeoutError) as error:
             return call.describe_error(error)
 
 
 class HandOffCall:
-    """One request on its way through a peer.
+    """The call that hands one request to a peer.
 
     :ivar sent: True once the peer may have received the request.
     """
@@ -138,9 +141,9 @@
         body: Body,
         metadata: dict[str, str],
     ) -> Outcome:
-        """Send the request and pass the answer on as it comes."""
+        """Send the request and stream its answer."""
         async with PeerStub(channel).HandOff.open(metadata=metadata) as stream:
-            async with asyncio.timeout(CONNECT_SECONDS):
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 await stream.send_request()
             self.sent = True
             await stream.send_message(peer_pb2.HandOffRequest(head=head))
@@ -158,7 +161,7 @@
         await stream.end()
 
     async def receive(self, stream: object) -> Outcome:
-        """Pass the answer on until its end."""
+        """Forward the answer until the outcome is known."""
         status = 0
         while self.outcome is None:
             message = await stream.recv_message()
@@ -186,7 +189,11 @@
         return self.outcome
 
     def describe_error(self, error: Exception) -> Outcome:
-        """Say whether a request may have run at a peer that failed."""
+        """Return the outcome of a call that failed.
+
+        It is ``NotRun`` only when the peer can't have received the request, or refused
+        it unread.
+        """
         if self.outcome is not None:
             return self.outcome
         refused = isinstance(error, GRPCError) and error.status in REFUSING_STATUSES
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peers.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_selection.py
@@ -1,4 +1,4 @@
-"""Which peer could run a request instead, by the gauges heard lately."""
+"""Selection of the peer that runs a request, by recent load reports."""
 
 from __future__ import annotations
 
@@ -16,24 +16,24 @@
 from ._node import AgentNode
 
 
-class Peers:
+class PeerSelector:
     """Chooses peers for requests that have not run."""
 
     def __init__(self, *, node: AgentNode, gauges: GaugeExchange) -> None:
         self.node = node
         self.gauges = gauges
         self.sent = SentRequests()
-        # The seed is free to differ: agents must not all draw the same peer.
+        # Each process has its own seed, so that agents don't all pick the same peer.
         self.random = random.Random()
 
     def fresh(self) -> tuple[PeerGauge, ...]:
-        """Return the gauges young enough to decide by."""
+        """Return the load reports of published peers that are recent enough."""
         published = {peer.id for peer in self.node.peers}
         heard = self.gauges.peers.fresh(now=self.node.now())
         return tuple(held for held in heard if held.peer in published)
 
     def choose(self, own: Gauge) -> HandToPeer | None:
-        """Return the peer that one more request should go to, if any."""
+        """Return the peer that the next request should go to, None to keep it."""
         decision = choose_peer(
             hand_off=self.node.service.hand_off,
             own=own,
@@ -42,8 +42,8 @@
         )
         return decision if isinstance(decision, HandToPeer) else None
 
-    def choose_other(self, own: Gauge) -> HandToPeer | None:
-        """Return a peer for a request that this host can't run."""
+    def choose_alternative(self, own: Gauge) -> HandToPeer | None:
+        """Return a peer for a request that this host can't run, None without one."""
         decision = choose_peer(
             hand_off=LoadHandOff(),
             own=evolve(own, ready=False),
@@ -52,14 +52,14 @@
         )
         return decision if isinstance(decision, HandToPeer) else None
 
-    def incarnation(self, peer: str) -> int | None:
-        """Return the life of a peer that its gauge named."""
+    def known_incarnation(self, peer: str) -> int | None:
+        """Return the incarnation in the last load report of a peer."""
         held = self.gauges.peers.gauges.get(peer)
         return None if held is None else held.incarnation
 
     @contextmanager
     def count_sent(self, peer: str) -> Iterator[None]:
-        """Count a request at a peer while its gauges can't show it."""
+        """Count a request as sent to a peer until its load reports include it."""
         request = self.sent.add(peer, now=self.node.now())
         try:
             yield
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_server.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_server.py
@@ -1,4 +1,4 @@
-"""What the agent does for its peers."""
+"""Server of the calls that peer agents make."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from daisygauge_wire.peer_grpc import PeerBase
 
 from ._bodies import ReplayBody
-from ._fence import Fence
+from ._idempotency import IdempotencyHandler
 from ._messages import make_headers, make_outcome_answer, read_head
 from ._model import Answered, Headers, NotRun, Outcome, Unknown
 from ._node import AgentNode
@@ -21,7 +21,7 @@
 
 
 class PeerAnswer:
-    """Sends an answer to the peer that ends the caller's connection."""
+    """Sends an answer to the peer that holds the caller's connection."""
 
     def __init__(self, stream: Stream) -> None:
         self.stream = stream
@@ -40,12 +40,12 @@
             await self.stream.send_message(peer_pb2.HandOffAnswer(body=piece))
 
     async def send_end(self) -> None:
-        """Mark the answer as whole."""
+        """Mark the answer as complete."""
         end = peer_pb2.AnswerEnd()
         await self.stream.send_message(peer_pb2.HandOffAnswer(end=end))
 
     async def finish(self, outcome: Outcome) -> None:
-        """Send an outcome that is not a whole answer."""
+        """Send the outcome of a request without a complete answer."""
         match outcome:
             case Answered():
                 return
@@ -58,27 +58,32 @@
 
 
 class PeerBody:
-    """Reads the body of a request that a peer hands over."""
+    """Reads the body of a request that a peer hands off."""
 
     def __init__(self, stream: Stream) -> None:
         self.stream = stream
 
     async def read(self) -> bytes:
-        """Return the next part, or nothing at the end."""
+        """Return the next part, or ``b""`` at the end."""
         message = await self.stream.recv_message()
         return b"" if message is None else message.body
 
 
 class PeerHandler(PeerBase):
-    """Runs what peers hand over and answers for the keys owned here."""
+    """Runs requests of peers and answers their queries about idempotency keys."""
 
-    def __init__(self, *, node: AgentNode, router: Router, fence: Fence) -> None:
+    def __init__(
+        self, *, node: AgentNode, router: Router, idempotency: IdempotencyHandler
+    ) -> None:
         self.node = node
         self.router = router
-        self.fence = fence
+        self.idempotency = idempotency
 
     async def HandOff(self, stream: Stream) -> None:
-        """Run a request of a peer, unless it is late or for another agent."""
+        """Run a request of a peer, or refuse it.
+
+        :raises GRPCError: the first message is not the head of a request.
+        """
         first = await stream.recv_message()
         if first is None or first.WhichOneof("part") != "head":
             raise GRPCError(Status.INVALID_ARGUMENT, "the head comes first")
@@ -93,7 +98,7 @@
         await answer.finish(outcome)
 
     def find_refusal(self, head: peer_pb2.HandOffHead) -> str | None:
-        """Say why a request is refused before it is read, if so."""
+        """Return why a request is refused before it is parsed, or None."""
         if head.service != self.node.service_number:
             return "wrong-service"
         if head.incarnation != self.node.incarnation:
@@ -105,13 +110,13 @@
         return None
 
     async def AskOutcome(self, stream: Stream) -> None:
-        """Tell what became of a key, and give it away if it has not run."""
+        """Send the state of an idempotency key; grant the key if it has not run."""
         question = await stream.recv_message()
-        is_meant = (
+        is_for_this_incarnation = (
             question.service == self.node.service_number
             and question.incarnation == self.node.incarnation
         )
-        if not is_meant:
+        if not is_for_this_incarnation:
             await stream.send_message(
                 peer_pb2.OutcomeAnswer(state=State.OTHER_INCARNATION)
             )
@@ -119,7 +124,7 @@
         asker = KeyOwner(
             agent=question.asker.agent, incarnation=question.asker.incarnation
         )
-        reply = self.fence.table.answer_owner_question(
+        reply = self.idempotency.table.answer_owner_question(
             question.key,
             fingerprint=question.fingerprint,
             asker=asker,
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_returns.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_replies.py
@@ -1,4 +1,4 @@
-"""How packets reach callers: through balancers that answered lately."""
+"""Sending of packets to callers, through balancers that answer probes."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 from ._gauges import GaugeExchange
 from ._node import AgentNode
 
-PROBE_SECONDS = 0.3
+PROBE_INTERVAL_SECONDS = 0.3
 
 
-class Returns:
-    """Probes balancers and spreads packets over those that answer."""
+class ReplySender:
+    """Probes balancers and distributes packets over those that answer."""
 
     def __init__(self, *, node: AgentNode, gauges: GaugeExchange) -> None:
         self.node = node
@@ -23,12 +23,12 @@
         self.paths = ReturnPaths(agent=node.settings.id)
         self.known_version = -1
 
-    def take_answer(self, datagram: Datagram) -> None:
-        """Note that a balancer answered a probe."""
+    def record_probe_answer(self, datagram: Datagram) -> None:
+        """Record that a balancer answered a probe."""
         self.paths.report_answer(datagram.sender, now=self.node.now())
 
     def send_reply(self, packet: bytes, *, caller: Endpoint, via: Endpoint) -> None:
-        """Send a packet to a caller.
+        """Send a packet to a caller through a balancer; drop it if none is known.
 
         :param via: service address that the caller uses.
         """
@@ -46,15 +46,15 @@
         )
         self.node.send(reply, receiver=balancer)
 
-    def follow_instances(self) -> None:
-        """Take in a changed instance list."""
+    def update_instances(self) -> None:
+        """Update the return paths after a change of the instance list."""
         view = self.node.view
         if view.version != self.known_version:
             self.known_version = view.version
             self.paths.set_known(view.instances.values())
 
     def send_probes(self) -> None:
-        """Ask the balancers of this agent for a sign of life."""
+        """Send a probe with this agent's load to each of its balancers."""
         probe = Datagram(
             kind=Kind.PROBE,
             service=self.node.service_number or 0,
@@ -68,6 +68,6 @@
     async def run(self) -> None:
         """Probe balancers until cancelled."""
         while True:
-            self.follow_instances()
+            self.update_instances()
             self.send_probes()
-            await asyncio.sleep(PROBE_SECONDS)
+            await asyncio.sleep(PROBE_INTERVAL_SECONDS)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_request.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_request.py
@@ -1,4 +1,4 @@
-"""One task for each request of a caller."""
+"""Entry point of callers' requests."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 from . import _events as events
 from ._answers import STATUS_MALFORMED, CallerAnswer
 from ._bodies import ReplayBody
-from ._fence import Fence
 from ._headers import MalformedRequestError, read_request
+from ._idempotency import IdempotencyHandler
 from ._metrics import AgentMetrics
 from ._model import Answered, NotRun, Outcome, Request, Unknown
 from ._node import AgentNode, NotConfiguredError
@@ -22,20 +22,25 @@
 
 
 class RequestServer:
-    """Reads a request, has it run and tells the caller the outcome."""
+    """Parses a request, runs it and sends the outcome to the caller."""
 
     def __init__(
-        self, *, node: AgentNode, router: Router, fence: Fence, metrics: AgentMetrics
+        self,
+        *,
+        node: AgentNode,
+        router: Router,
+        idempotency: IdempotencyHandler,
+        metrics: AgentMetrics,
     ) -> None:
         self.node = node
         self.router = router
-        self.fence = fence
+        self.idempotency = idempotency
         self.metrics = metrics
 
     async def serve(
         self, stream: RequestStream, fields: list[tuple[bytes, bytes]], caller: str
     ) -> None:
-        """Answer one request; cancelled when the caller gives up."""
+        """Answer one request; the task is cancelled when the caller cancels it."""
         answer = CallerAnswer(stream=stream, host=self.node.host)
         try:
             request = read_request(
@@ -58,12 +63,14 @@
     async def serve_request(
         self, request: Request, *, stream: RequestStream, answer: CallerAnswer
     ) -> None:
-        """Run a request that was read and account for it."""
+        """Run a parsed request, send its outcome and record it."""
         try:
             outcome = await self.run(request, stream=stream, answer=answer)
             await answer.finish(outcome)
         except asyncio.CancelledError:
-            self.report(request, name="cancelled", status=0, reason="caller gave up")
+            self.record_end(
+                request, name="cancelled", status=0, reason="caller gave up"
+            )
             raise
         except Exception as error:
             self.node.log.write(
@@ -73,9 +80,9 @@
                 traceback="".join(traceback.format_exception(error)),
             )
             stream.reset(ErrorCode.H3_INTERNAL_ERROR)
-            self.report(request, name="unknown", status=0, reason="internal error")
+            self.record_end(request, name="unknown", status=0, reason="internal error")
             return
-        self.report(
+        self.record_end(
             request,
             name=OUTCOME_NAMES[type(outcome)],
             status=getattr(outcome, "status", 0),
@@ -85,14 +92,16 @@
     async def run(
         self, request: Request, *, stream: RequestStream, answer: CallerAnswer
     ) -> Outcome:
-        """Run the request, fenced when it carries an idempotency key."""
+        """Run the request, at most once if it has an idempotency key."""
         body = ReplayBody(stream)
         if request.idempotency_key is not None:
-            return await self.fence.run(request, body, answer)
+            return await self.idempotency.run(request, body, answer)
         return await self.router.run(request, body, answer)
 
-    def report(self, request: Request, *, name: str, status: int, reason: str) -> None:
-        """Count and log the end of a request."""
+    def record_end(
+        self, request: Request, *, name: str, status: int, reason: str
+    ) -> None:
+        """Count and log the outcome of a request."""
         class_name = request.request_class.name
         seconds = self.node.now() - request.arrived
         self.metrics.requests.labels(class_name, name).inc()
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_reset.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_reset.py
@@ -17,16 +17,16 @@
 def build_stateless_reset(
     *, connection_id: bytes, key: DerivedKeys, packet_bytes: int
 ) -> bytes | None:
-    """Build the reset that answers a short-header packet.
+    """Build the stateless reset that answers a short-header packet.
 
-    :param key: the key that issued the connection ID.
+    :param key: key with which the connection ID was issued.
     :param packet_bytes: length of the packet to answer. A reset is shorter, so
-        that two endpoints can't reset each other for ever.
+        that two endpoints can't answer each other's resets forever.
     :return: None when the packet is too short to be answered.
     """
     size = min(packet_bytes - 1, MAX_RESET_BYTES)
     if size < MIN_RESET_BYTES:
         return None
-    noise = bytearray(os.urandom(size - TOKEN_BYTES))
-    noise[0] = noise[0] & _SHORT_HEADER_MASK | _FIXED_BIT
-    return bytes(noise) + reset_token(connection_id, key=key)
+    unpredictable = bytearray(os.urandom(size - TOKEN_BYTES))
+    unpredictable[0] = unpredictable[0] & _SHORT_HEADER_MASK | _FIXED_BIT
+    return bytes(unpredictable) + reset_token(connection_id, key=key)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_routing.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_routing.py
@@ -1,4 +1,4 @@
-"""Where a request runs: here, at a peer, or nowhere."""
+"""Routing of requests to this host's upstream, to a peer, or to a refusal."""
 
 from __future__ import annotations
 
@@ -14,27 +14,27 @@
 from ._model import Answer, Answered, NotRun, Outcome, Request, Shed, Unknown
 from ._node import AgentNode
 from ._peer_calls import PeerCalls
-from ._peers import Peers
-from ._slots import Slots, Start, describe_end
+from ._peer_selection import PeerSelector
+from ._slots import SlotGranted, Slots, classify_outcome
 from ._upstream import UpstreamClient
 
 OUTCOME_LABELS = {Answered: "answered", NotRun: "not-run", Unknown: "unknown"}
 
 
 class LoadReader(Protocol):
-    """Where the agent's own load is known."""
+    """Provides the agent's own load."""
 
     def read_gauge(self, *, sequence: int) -> Gauge:
         """Return the load now."""
 
 
 class Router:
-    """Runs requests within slots, deadlines and the retry budget.
+    """Runs requests within the limits of slots, deadlines and the retry budget.
 
-    Only a request that has not run, or one of an idempotent class, is tried a
-    second time.
+    A request is tried a second time only if it has not run or its class is
+    idempotent.
 
-    :param may_run: tells whether the host may still begin requests.
+    :param may_run: returns whether the host may still start requests.
     """
 
     def __init__(
@@ -42,7 +42,7 @@
         *,
         node: AgentNode,
         slots: Slots,
-        peers: Peers,
+        peer_selector: PeerSelector,
         calls: PeerCalls,
         upstream: UpstreamClient,
         metrics: AgentMetrics,
@@ -51,37 +51,38 @@
     ) -> None:
         self.node = node
         self.slots = slots
-        self.peers = peers
+        self.peer_selector = peer_selector
         self.calls = calls
         self.upstream = upstream
         self.metrics = metrics
         self.load = load
         self.may_run = may_run
-        self.budget = RetryBudget(share=0.0, now=node.now())
+        self.retry_budget = RetryBudget(share=0.0, now=node.now())
 
     def own_gauge(self) -> Gauge:
         """Return this host's load, which no peer is sent."""
         return self.load.read_gauge(sequence=0)
 
     async def run(self, request: Request, body: ReplayBody, answer: Answer) -> Outcome:
-        """Run a request once; a second time only where that is safe."""
+        """Run a request here or at a peer, and retry it only where that is safe."""
         if request.request_class.streaming:
             return await self.run_streaming(request, body, answer)
         if request.handed_off:
             return await self.run_here(request, body, answer)
-        self.budget.share = self.node.service.retry_share
-        self.budget.record_first_try()
+        self.retry_budget.share = self.node.service.retry_share
+        self.retry_budget.record_first_try()
         if self.is_probe(request):
-            return await self.run_here(request, body, answer, fixed=True)
-        decision = self.peers.choose(self.own_gauge())
+            return await self.run_here(request, body, answer, local_only=True)
+        decision = self.peer_selector.choose(self.own_gauge())
         if decision is None:
             return await self.run_here(request, body, answer)
-        return await self.move(decision, request, body, answer, reason="load")
+        return await self.try_peer_first(decision, request, body, answer, reason="load")
 
     def is_probe(self, request: Request) -> bool:
-        """Tell whether a request tries an upstream that stopped answering.
+        """Return whether a request probes an upstream that stopped answering.
 
-        Without it all would go to peers, and a recovered upstream stay unused.
+        Without probes every request would go to peers, and a recovered upstream
+        would stay unused.
         """
         return self.slots.limit.is_probe_due(
             repeatable=request.request_class.idempotent, now=self.node.now()
@@ -90,7 +91,7 @@
     async def run_streaming(
         self, request: Request, body: ReplayBody, answer: Answer
     ) -> Outcome:
-        """Run a long answer, which needs no slot."""
+        """Run a request of a streaming class, which needs no slot."""
         if not self.may_run():
             return NotRun(reason=RefusalReason.LEAVING.value)
         self.log_route(request, target=self.node.settings.id, reason="streaming")
@@ -106,30 +107,34 @@
         body: ReplayBody,
         answer: Answer,
         *,
-        fixed: bool = False,
+        local_only: bool = False,
     ) -> Outcome:
         """Wait for a slot and run the request at the upstream.
 
-        :param fixed: True for a request that must not move to a peer again.
+        :param local_only: True for a request that must not be handed to a peer.
         """
         if not self.may_run():
             return NotRun(reason=RefusalReason.LEAVING.value)
-        fixed = fixed or request.handed_off
+        local_only = local_only or request.handed_off
         slot_id = self.slots.next_id()
-        turn = await self.slots.wait_turn(request, slot_id=slot_id, fixed=fixed)
-        match turn:
+        slot_decision = await self.slots.wait_for_slot(
+            request, slot_id=slot_id, local_only=local_only
+        )
+        match slot_decision:
             case Refuse(reason=reason, retry_after_seconds=seconds):
                 self.log_route(request, target="none", reason=reason.value)
                 return NotRun(reason=reason.value, retry_after=seconds)
             case HandToPeer():
-                return await self.move(turn, request, body, answer, reason="waited")
-            case Start():
+                return await self.try_peer_first(
+                    slot_decision, request, body, answer, reason="waited"
+                )
+            case SlotGranted():
                 outcome = await self.run_in_slot(request, body, answer, slot_id=slot_id)
-        if fixed or isinstance(outcome, Answered):
-            return await self.conclude(outcome, answer)
-        return await self.try_elsewhere(outcome, request, body, answer)
+        if local_only or isinstance(outcome, Answered):
+            return await self.send_withheld_shed(outcome, answer)
+        return await self.retry_at_peer(outcome, request, body, answer)
 
-    async def move(
+    async def try_peer_first(
         self,
         decision: HandToPeer,
         request: Request,
@@ -138,21 +143,21 @@
         *,
         reason: str,
     ) -> Outcome:
-        """Hand a request over, and run it here when that fails and may be done."""
+        """Hand a request to a peer; run it here if that fails and a retry is safe."""
         outcome = await self.hand_off(decision, request, body, answer, reason=reason)
         if not self.is_repeatable(outcome, request, body, answer):
             return outcome
         if isinstance(outcome, Unknown):
-            if not self.budget.try_retry(now=self.node.now()):
+            if not self.retry_budget.try_retry(now=self.node.now()):
                 return outcome
-        second = await self.run_here(request, body, answer, fixed=True)
-        return combine(outcome, second)
+        second = await self.run_here(request, body, answer, local_only=True)
+        return combine_outcomes(outcome, second)
 
     async def run_in_slot(
         self, request: Request, body: ReplayBody, answer: Answer, *, slot_id: str
     ) -> Outcome | Shed:
-        """Run a request that has a slot, and learn from how it ended."""
-        how = RunEnd.CANCELLED
+        """Run a request that holds a slot, and record how it ended."""
+        run_end = RunEnd.CANCELLED
         started = self.node.now()
         try:
             # The process may have been paused while the request waited.
@@ -164,32 +169,34 @@
                 request,
                 body=body,
                 answer=answer,
-                keep_back_shed=idempotent and not request.handed_off,
+                withhold_shed=idempotent and not request.handed_off,
+            )
+            run_end = (
+                RunEnd.SHED if isinstance(outcome, Shed) else classify_outcome(outcome)
             )
-            how = RunEnd.SHED if isinstance(outcome, Shed) else describe_end(outcome)
         finally:
-            self.slots.end(slot_id, how=how)
-        if how is RunEnd.COMPLETED:
-            self.slots.observe(request, seconds=self.node.now() - started)
+            self.slots.release(slot_id, run_end=run_end)
+        if run_end is RunEnd.COMPLETED:
+            self.slots.record_run(request, seconds=self.node.now() - started)
         return outcome
 
-    async def try_elsewhere(
+    async def retry_at_peer(
         self,
         outcome: Outcome | Shed,
         request: Request,
         body: ReplayBody,
         answer: Answer,
     ) -> Outcome:
-        """Give a failed request to a peer when that is safe and affordable."""
+        """Retry a failed request at a peer if that is safe and within the budget."""
         decision = None
         if self.is_repeatable(outcome, request, body, answer):
-            decision = self.peers.choose_other(self.own_gauge())
-        if decision is not None and self.budget.try_retry(now=self.node.now()):
+            decision = self.peer_selector.choose_alternative(self.own_gauge())
+        if decision is not None and self.retry_budget.try_retry(now=self.node.now()):
             second = await self.hand_off(
                 decision, request, body, answer, reason="retry"
             )
-            outcome = combine(outcome, second)
-        return await self.conclude(outcome, answer)
+            outcome = combine_outcomes(outcome, second)
+        return await self.send_withheld_shed(outcome, answer)
 
     def is_repeatable(
         self,
@@ -198,7 +205,10 @@
         body: ReplayBody,
         answer: Answer,
     ) -> bool:
-        """Tell whether another try can't run a request twice against its class."""
+        """Return whether a retry is safe.
+
+        A request that may have run is repeatable only in an idempotent class.
+        """
         if request.handed_off or answer.started:
             return False
         match outcome:
@@ -210,11 +220,13 @@
         return False
 
     def can_repeat(self, request: Request, body: ReplayBody) -> bool:
-        """Tell whether there is time, and the body is at hand."""
+        """Return whether the deadline is ahead and the whole body can be resent."""
         return body.replayable and self.node.now() < request.deadline
 
-    async def conclude(self, outcome: Outcome | Shed, answer: Answer) -> Outcome:
-        """Give the caller a refusal of the upstream that was kept back."""
+    async def send_withheld_shed(
+        self, outcome: Outcome | Shed, answer: Answer
+    ) -> Outcome:
+        """Send the caller an overload refusal that was withheld."""
         if not isinstance(outcome, Shed):
             return outcome
         shed = outcome
@@ -233,13 +245,13 @@
         *,
         reason: str,
     ) -> Outcome:
-        """Have a peer run the request."""
-        incarnation = self.peers.incarnation(decision.peer)
+        """Hand the request to a peer and return its outcome."""
+        incarnation = self.peer_selector.known_incarnation(decision.peer)
         if incarnation is None:
             return NotRun(reason="peer-unknown")
         self.log_route(request, target=decision.peer, reason=reason)
         body.rewind()
-        with self.peers.count_sent(decision.peer):
+        with self.peer_selector.count_sent(decision.peer):
             outcome = await self.calls.hand_off(
                 decision.peer,
                 incarnation=incarnation,
@@ -262,8 +274,12 @@
         )
 
 
-def combine(first: Outcome | Shed, second: Outcome) -> Outcome | Shed:
-    """Return the outcome of two tries; a refused second try undoes no first."""
+def combine_outcomes(first: Outcome | Shed, second: Outcome) -> Outcome | Shed:
+    """Return the outcome of two tries.
+
+    If the second try was not run, the first try still determines whether the request
+    may have run.
+    """
     if isinstance(second, NotRun) and not isinstance(first, NotRun):
         return first
     return second
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_slots.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_slots.py
@@ -23,22 +23,27 @@
 from ._model import Answered, NotRun, Outcome, Request, Unknown
 from ._node import AgentNode
 
-TICK_SECONDS = 0.05
+ADVANCE_INTERVAL_SECONDS = 0.05
+"""How often the queue is advanced while nothing else advances it."""
 STATUS_SHED = 503
 
 
 @dataclass(frozen=True, kw_only=True)
-class Start:
-    """The request may run now; its end must be reported."""
+class SlotGranted:
+    """The request may run now; its slot must be released afterwards."""
 
 
-Turn = Start | HandToPeer | Refuse
+SlotDecision = SlotGranted | HandToPeer | Refuse
 
 
 class Slots:
-    """Lets requests run in the queue's order, as many as the upstream bears.
+    """Admits requests in the queue's order, within the upstream's concurrency limit.
 
-    :param choose_peer: decides whether a waiting request moves to a peer.
+    :param choose_peer: returns the peer that a waiting request should go to, if any.
+    :ivar streaming: number of streaming requests, which need no slot.
+    :ivar pending: decisions that requests wait for, by slot id.
+    :ivar local_only: slot ids of requests that must not be handed to a peer.
+    :ivar started: Unix time in seconds at which each running request started.
     """
 
     def __init__(
@@ -49,11 +54,11 @@
     ) -> None:
         self.node = node
         self.choose_peer = choose_peer
-        self.times = ServiceTimes()
-        self.recent = RecentRuns()
+        self.service_times = ServiceTimes()
+        self.recent_runs = RecentRuns()
         self.streaming = 0
-        self.turns: dict[str, asyncio.Future[Turn]] = {}
-        self.fixed: set[str] = set()
+        self.pending: dict[str, asyncio.Future[SlotDecision]] = {}
+        self.local_only: set[str] = set()
         self.started: dict[str, float] = {}
         self.numbers = itertools.count()
         self.queue: AdmissionQueue | None = None
@@ -62,20 +67,20 @@
 
     @property
     def running(self) -> int:
-        """Short requests at the upstream."""
+        """Number of non-streaming requests that run at the upstream."""
         return len(self.started)
 
     @property
     def waiting(self) -> int:
-        """Short requests that wait for a slot."""
+        """Number of non-streaming requests that wait for a slot."""
         return len(self.queue) if self.queue is not None else 0
 
     def next_id(self) -> str:
-        """Number a request; callers' own ids need not be unique."""
+        """Return a unique slot id; request ids of callers need not be unique."""
         return str(next(self.numbers))
 
-    def follow_records(self) -> AdmissionQueue:
-        """Return the queue under the records in force."""
+    def update_queue(self) -> AdmissionQueue:
+        """Return the queue, rebuilt if the records changed its parameters."""
         service: Service = self.node.service
         upstream: Upstream = self.node.upstream
         policy = (service.queue, upstream.slots, service.caller_share)
@@ -90,59 +95,65 @@
             self.limit.limit = upstream.slots
         return self.queue
 
-    def use(self, *, now: float) -> SlotUse:
-        """Describe the slots for the queue's decisions."""
+    def slot_use(self, *, now: float) -> SlotUse:
+        """Return the limit and the expected ends of running requests for the queue."""
         ends = tuple(
             run.started + run.expected_seconds for run in self.limit.running.values()
         )
         return SlotUse(limit=self.limit.allowed(now=now), expected_ends=ends)
 
-    async def wait_turn(self, request: Request, *, slot_id: str, fixed: bool) -> Turn:
-        """Wait until it is decided where a short request runs.
+    async def wait_for_slot(
+        self, request: Request, *, slot_id: str, local_only: bool
+    ) -> SlotDecision:
+        """Queue a request until it may run, is handed to a peer or is refused.
 
-        :param fixed: True for a request that must not move to a peer (again).
+        :param local_only: True for a request that must not be handed to a peer.
         """
-        queue = self.follow_records()
+        queue = self.update_queue()
         now = self.node.now()
         waiting = WaitingRequest(
             id=slot_id,
             caller=request.caller.rpartition(":")[0],
             worth=request.request_class.worth,
-            expected_seconds=self.times.expected_seconds(request.request_class.name),
+            expected_seconds=self.service_times.expected_seconds(
+                request.request_class.name
+            ),
             arrived=now,
             deadline=request.deadline,
         )
-        decision = queue.offer(waiting, slots=self.use(now=now), now=now)
+        decision = queue.offer(waiting, slots=self.slot_use(now=now), now=now)
         if isinstance(decision, Refuse):
             return decision
-        turn: asyncio.Future[Turn] = asyncio.get_running_loop().create_future()
-        self.turns[slot_id] = turn
-        if fixed:
-            self.fixed.add(slot_id)
+        future: asyncio.Future[SlotDecision] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.pending[slot_id] = future
+        if local_only:
+            self.local_only.add(slot_id)
         for refusal in decision.refused:
             self.resolve(refusal.request.id, refusal)
         self.advance(now=now)
         try:
-            return await turn
+            return await future
         except asyncio.CancelledError:
             queue.remove(slot_id)
             if slot_id in self.started:
-                self.end(slot_id, how=RunEnd.CANCELLED)
+                self.release(slot_id, run_end=RunEnd.CANCELLED)
             raise
         finally:
-            self.turns.pop(slot_id, None)
-            self.fixed.discard(slot_id)
+            self.pending.pop(slot_id, None)
+            self.local_only.discard(slot_id)
 
-    def resolve(self, slot_id: str, turn: Turn) -> None:
-        """Tell a waiting request what was decided."""
-        future = self.turns.get(slot_id)
+    def resolve(self, slot_id: str, slot_decision: SlotDecision) -> None:
+        """Pass a decision to the request that waits for it."""
+        future = self.pending.get(slot_id)
         if future is not None and not future.done():
-            future.set_result(turn)
+            future.set_result(slot_decision)
 
     def advance(self, *, now: float) -> None:
-        """Refuse what is late, start what may start, move what waits too long."""
-        queue = self.follow_records()
-        for refusal in queue.refuse_late(slots=self.use(now=now), now=now):
+        """Refuse requests that would miss their deadline; start those that may run."""
+        queue = self.update_queue()
+        for refusal in queue.refuse_late(slots=self.slot_use(now=now), now=now):
             self.resolve(refusal.request.id, refusal)
         while queue.waiting and self.limit.may_start(now=now):
             self.start(queue.take_next(now=now), now=now)
@@ -153,14 +164,14 @@
             return
         self.limit.start(waiting.id, expected_seconds=waiting.expected_seconds, now=now)
         self.started[waiting.id] = now
-        self.resolve(waiting.id, Start())
+        self.resolve(waiting.id, SlotGranted())
 
-    def move_waiting(self) -> None:
-        """Hand the request that would wait longest to a better peer."""
+    def hand_off_waiting(self) -> None:
+        """Hand the request with the longest wait ahead to a peer, if one is better."""
         if self.queue is None:
             return
         for waiting in reversed(self.queue.waiting):
-            if waiting.id in self.fixed:
+            if waiting.id in self.local_only:
                 continue
             decision = self.choose_peer()
             if decision is not None:
@@ -168,30 +179,33 @@
                 self.resolve(waiting.id, decision)
             return
 
-    def end(self, slot_id: str, *, how: RunEnd) -> None:
-        """Free the slot of a request."""
+    def release(self, slot_id: str, *, run_end: RunEnd) -> None:
+        """Free the slot of a request and admit waiting ones.
+
+        :param run_end: how the request ended.
+        """
         now = self.node.now()
         self.started.pop(slot_id, None)
-        self.limit.end(slot_id, how=how, now=now)
+        self.limit.end(slot_id, how=run_end, now=now)
         if self.queue is not None:
             self.advance(now=now)
 
-    def observe(self, request: Request, *, seconds: float) -> None:
-        """Learn from a completed run how long its class takes."""
-        self.times.observe(request.request_class.name, seconds=seconds)
-        self.recent.add(now=self.node.now())
+    def record_run(self, request: Request, *, seconds: float) -> None:
+        """Record a completed run in the estimate of its class's service time."""
+        self.service_times.observe(request.request_class.name, seconds=seconds)
+        self.recent_runs.add(now=self.node.now())
 
     async def run(self) -> None:
-        """Advance the queue when time alone changes it."""
+        """Advance the queue periodically, for changes that only time brings."""
         while True:
-            await asyncio.sleep(TICK_SECONDS)
+            await asyncio.sleep(ADVANCE_INTERVAL_SECONDS)
             if self.queue is not None and self.queue.waiting:
                 self.advance(now=self.node.now())
-                self.move_waiting()
+                self.hand_off_waiting()
 
 
-def describe_end(outcome: Outcome) -> RunEnd:
-    """Say what a run's outcome tells of the upstream."""
+def classify_outcome(outcome: Outcome) -> RunEnd:
+    """Map the outcome of a run to its effect on the concurrency limit."""
     match outcome:
         case Answered(status=status) if status == STATUS_SHED:
             return RunEnd.SHED
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_socket.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_socket.py
@@ -1,4 +1,4 @@
-"""The socket for inner datagrams."""
+"""UDP socket for inner datagrams."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class InnerSocket(GuardedDatagrams):
-    """Hands every datagram to ``on_datagram``, drops it while there is none.
+    """Passes datagrams to ``on_datagram``, and drops them while it is None.
 
     :ivar on_datagram: called with the datagram and its sender.
     """
@@ -28,16 +28,19 @@
         self.transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: Any) -> None:
-        """Keep the transport for sending."""
+        """Store the transport for sending."""
         self.transport = transport
 
     def take_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
-        """Pass a datagram on."""
+        """Pass a datagram to ``on_datagram``."""
         if self.on_datagram is not None:
             self.on_datagram(data, Endpoint(host=sender[0], port=sender[1]))
 
     def send(self, data: bytes, receiver: Endpoint) -> None:
-        """Send a datagram; a full socket buffer drops it, as a network does."""
+        """Send a datagram, without a guarantee of delivery.
+
+        A full socket buffer drops it, as a network may.
+        """
         if self.transport is not None and not self.transport.is_closing():
             self.transport.sendto(data, (receiver.host, receiver.port))
 
@@ -50,7 +53,7 @@
 async def open_inner_socket(*, local: Endpoint, log: EventLog) -> InnerSocket:
     """Bind the inner socket.
 
-    :raises OSError: the address is taken or is not one of this machine.
+    :raises OSError: the address is in use or not assigned to this machine.
     """
     inner = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     inner.setblocking(False)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_table.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_table.py
@@ -1,4 +1,4 @@
-"""The agent's connections, by connection ID and by first flight."""
+"""Lookup of the agent's connections by connection ID and by first flight."""
 
 from __future__ import annotations
 
@@ -6,14 +6,15 @@
 
 from ._connection import CallerConnection
 
-ENDED_MEMORY_SECONDS = 10.0
+ENDED_FLIGHT_TTL_SECONDS = 10.0
+"""How long late copies of an ended connection's first flight are recognized."""
 
 
 class ConnectionTable:
-    """Finds the connection of a packet.
+    """Finds the connection that a packet belongs to.
 
-    First flights carry an ID that the caller chose, so they are told apart by the
-    caller's address as well.
+    A first flight carries a connection ID that the caller chose, and two callers may
+    choose the same one. Its key therefore includes the caller's address.
     """
 
     def __init__(self) -> None:
@@ -25,10 +26,10 @@
         return len(self.by_flight)
 
     def add(
-        self, connection: CallerConnection, *, flight: tuple[Endpoint, bytes]
+        self, connection: CallerConnection, *, flight_key: tuple[Endpoint, bytes]
     ) -> None:
-        """Take in a connection that was just accepted."""
-        self.by_flight[flight] = connection
+        """Add a connection that was just accepted."""
+        self.by_flight[flight_key] = connection
         for connection_id in connection.quic.issued_ids:
             self.by_id[connection_id] = connection
 
@@ -36,31 +37,31 @@
         self,
         connection: CallerConnection,
         *,
-        flight: tuple[Endpoint, bytes],
+        flight_key: tuple[Endpoint, bytes],
         now: float,
     ) -> None:
-        """Forget a connection, but not at once that its first flight was served.
+        """Remove a connection, and remember its first flight for a while.
 
         :param now: Unix time in seconds.
         """
         for connection_id in connection.quic.issued_ids:
             self.by_id.pop(connection_id, None)
-        self.by_flight.pop(flight, None)
-        self.ended_flights[flight] = now + ENDED_MEMORY_SECONDS
+        self.by_flight.pop(flight_key, None)
+        self.ended_flights[flight_key] = now + ENDED_FLIGHT_TTL_SECONDS
         self._forget_ended(now=now)
 
-    def has_ended(self, flight: tuple[Endpoint, bytes], *, now: float) -> bool:
-        """Tell whether a first flight is a late copy for an ended connection."""
-        return self.ended_flights.get(flight, 0.0) > now
+    def has_ended(self, flight_key: tuple[Endpoint, bytes], *, now: float) -> bool:
+        """Return whether a first flight belongs to a connection that has ended."""
+        return self.ended_flights.get(flight_key, 0.0) > now
 
     def connections(self) -> tuple[CallerConnection, ...]:
         """Return every open connection."""
         return tuple(self.by_flight.values())
 
     def _forget_ended(self, *, now: float) -> None:
-        # Entries are in order of their expiry.
+        # Entries are ordered by expiry.
         while self.ended_flights:
-            flight = next(iter(self.ended_flights))
-            if self.ended_flights[flight] > now:
+            flight_key = next(iter(self.ended_flights))
+            if self.ended_flights[flight_key] > now:
                 return
-            del self.ended_flights[flight]
+            del self.ended_flights[flight_key]
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_upstream.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_upstream.py
@@ -1,4 +1,4 @@
-"""The HTTP/1.1 client of the upstream beside the agent."""
+"""HTTP/1.1 client of the agent's upstream."""
 
 from __future__ import annotations
 
@@ -26,16 +26,16 @@
     Unknown,
 )
 
-CONNECT_SECONDS = 2.0
+CONNECT_TIMEOUT_SECONDS = 2.0
 READ_BYTES = 64 * 1024
-LINE_BYTES = 64 * 1024
-LARGEST_SHED_BYTES = 64 * 1024
+MAX_HEADER_LINE_BYTES = 64 * 1024
+MAX_SHED_BYTES = 64 * 1024
 STATUS_SHED = 503
 BODYLESS_STATUSES = frozenset({204, 304})
 
 
 class UpstreamBrokenError(Exception):
-    """The upstream ended a connection on which a request was sent."""
+    """The upstream closed a connection on which a request was sent."""
 
 
 class DeadlinePassedError(Exception):
@@ -44,35 +44,35 @@
 
 @define(kw_only=True)
 class Attempt:
-    """How far the sending of one request came.
+    """Progress of sending one request.
 
     :param deadline: Unix time in seconds.
-    :param now: the clock, Unix time in seconds.
-    :param keep_back_shed: True when an overload refusal is not passed on.
+    :param now: clock that returns the Unix time in seconds.
+    :param withhold_shed: True when an overload refusal is not sent to the caller.
     :ivar sent: True once a byte may have reached the upstream.
     """
 
     deadline: float
     now: Callable[[], float]
-    keep_back_shed: bool = False
+    withhold_shed: bool = False
     sent: bool = False
 
 
-async def _before_first_byte(
+async def _check_deadline_and_mark_sent(
     session: aiohttp.ClientSession, context: SimpleNamespace, params: Any
 ) -> None:
-    # A process that was paused while it connected must not run a late request.
+    # The process may have been paused while it connected; a late request must not run.
     attempt: Attempt = context.trace_request_ctx
     if attempt.now() >= attempt.deadline:
         raise DeadlinePassedError
     attempt.sent = True
 
 
-async def _send_once(
+async def _prevent_library_retry(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
-    # The client library repeats idempotent methods by itself on these errors; a
-    # type of our own keeps retries within the budget.
+    # aiohttp retries idempotent methods on these errors, outside the retry budget.
+    # It doesn't retry on an exception type that it doesn't know.
     try:
         return await handler(request)
     except aiohttp.ClientConnectorError:
@@ -81,13 +81,13 @@
         raise UpstreamBrokenError(str(error)) from error
 
 
-def _tracing() -> aiohttp.TraceConfig:
+def _create_trace_config() -> aiohttp.TraceConfig:
     tracing = aiohttp.TraceConfig()
-    tracing.on_connection_create_end.append(_before_first_byte)
+    tracing.on_connection_create_end.append(_check_deadline_and_mark_sent)
     return tracing
 
 
-async def _parts(body: Body) -> AsyncIterator[bytes]:
+async def _iterate_body(body: Body) -> AsyncIterator[bytes]:
     while part := await body.read():
         yield part
 
@@ -98,7 +98,7 @@
 
 
 def _is_framed(request: Request, response: aiohttp.ClientResponse) -> bool:
-    # A body that ends with the connection can't be told from a truncated one.
+    # A body delimited by the end of the connection looks the same when truncated.
     if request.method == "HEAD" or response.status in BODYLESS_STATUSES:
         return True
     names = response.headers
@@ -109,26 +109,28 @@
     """Runs requests at the upstream.
 
     :param endpoint: address of the upstream's HTTP server.
-    :param now: the clock, Unix time in seconds.
+    :param now: clock that returns the Unix time in seconds.
     """
 
     def __init__(self, *, endpoint: Endpoint, now: Callable[[], float]) -> None:
         self.now = now
         self.base = f"http://{endpoint.host}:{endpoint.port}"
         self.session = aiohttp.ClientSession(
-            # One request a connection: on one in use again, a second copy of an
-            # answer that comes late would pass for the answer to the next request.
+            # Each request uses its own connection. On a reused connection, a late
+            # duplicate of an answer would be taken for the next request's answer.
             connector=aiohttp.TCPConnector(
                 limit=0, ttl_dns_cache=None, force_close=True
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
+            ),
             auto_decompress=False,
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-            trace_configs=[_tracing()],
-            middlewares=(_send_once,),
-            max_line_size=LINE_BYTES,
-            max_field_size=LINE_BYTES,
+            trace_configs=[_create_trace_config()],
+            middlewares=(_prevent_library_retry,),
+            max_line_size=MAX_HEADER_LINE_BYTES,
+            max_field_size=MAX_HEADER_LINE_BYTES,
         )
 
     async def close(self) -> None:
@@ -136,9 +138,9 @@
         await self.session.close()
 
     async def fetch_json(self, path: str, *, timeout_seconds: float) -> Any:
-        """Read one of the upstream's own endpoints.
+        """Fetch a JSON document from the upstream itself.
 
-        :raises aiohttp.ClientError: there is no usable answer.
+        :raises aiohttp.ClientError: the upstream gave no usable answer.
         """
         attempt = Attempt(deadline=self.now() + timeout_seconds, now=self.now)
         timeout = aiohttp.ClientTimeout(total=timeout_seconds)
@@ -154,17 +156,17 @@
         *,
         body: Body,
         answer: Answer,
-        keep_back_shed: bool = False,
+        withhold_shed: bool = False,
     ) -> Outcome | Shed:
-        """Run a request and pass its answer on as it comes.
+        """Run a request and stream its answer.
 
         Cancelling this call closes the connection to the upstream.
 
-        :param keep_back_shed: True when a refusal for overload is not passed on,
-            because the request may be tried elsewhere.
+        :param withhold_shed: True when an overload refusal is returned instead of
+            sent, because the request may be retried at a peer.
         """
         attempt = Attempt(
-            deadline=request.deadline, now=self.now, keep_back_shed=keep_back_shed
+            deadline=request.deadline, now=self.now, withhold_shed=withhold_shed
         )
         try:
             async with asyncio.timeout(request.deadline - self.now()) as limit:
@@ -193,7 +195,7 @@
             request.method,
             URL(self.base + request.path, encoded=True),
             headers=_request_headers(request, now=self.now()),
-            data=_parts(body) if _has_body(request) else None,
+            data=_iterate_body(body) if _has_body(request) else None,
             allow_redirects=False,
             trace_request_ctx=attempt,
         ) as response:
@@ -202,8 +204,8 @@
             if request.request_class.streaming:
                 limit.reschedule(None)
             headers = drop_hop_by_hop(response.raw_headers)
-            if attempt.keep_back_shed and response.status == STATUS_SHED:
-                content = await response.content.read(LARGEST_SHED_BYTES)
+            if attempt.withhold_shed and response.status == STATUS_SHED:
+                content = await response.content.read(MAX_SHED_BYTES)
                 return Shed(status=STATUS_SHED, headers=headers, body=content)
             await answer.send_head(status=response.status, headers=headers)
             while part := await response.content.readany():
@@ -217,6 +219,6 @@
     for name, value in request.headers:
         if name != DEADLINE_HEADER:
             headers.add(name.decode("latin-1"), value.decode("latin-1"))
-    left = max(request.deadline - now, 0.0)
-    headers["X-Deadline-Ms"] = str(int(left * 1000))
+    remaining_seconds = max(request.deadline - now, 0.0)
+    headers["X-Deadline-Ms"] = str(int(remaining_seconds * 1000))
     return headers
--- a/testing/proof/mutations.py
+++ b/testing/proof/mutations.py
@@ -59,7 +59,7 @@
         name="replies leave through one fixed balancer",
         edits=(
             Edit(
-                file=f"{AGENT}/_returns.py",
+                file=f"{AGENT}/_replies.py",
                 old="self.paths.choose(now=self.node.now()) or self.node.last_balancer",
                 new="min(self.paths.probe_targets(now=self.node.now()), default=None)",
             ),
