Name the agent's tests after what they check

Assertions are unchanged; the label "whole" of test_outcomes became "complete" on both sides of the comparison. The variables balancer and flights that are renamed here are local to a test.

--- a/testing/agent/conftest.py
+++ b/testing/agent/conftest.py
@@ -6,7 +6,7 @@
 
 @pytest.fixture(scope="session", autouse=True)
 def discarded_events():
-    """Eliot keeps events for the first destination; here nobody reads them."""
+    """Discards events, which Eliot would buffer until it has a destination."""
     eliot.add_destinations(discard)
     yield
     eliot.remove_destination(discard)
--- a/testing/agent/fakes.py
+++ b/testing/agent/fakes.py
@@ -1,4 +1,4 @@
-"""Small stand-ins at the agent's interfaces: source, balancers, upstream, caller."""
+"""Fakes for the agent's tests: balancers, fabric, upstream, caller and fleet."""
 
 import asyncio
 import datetime
@@ -59,9 +59,9 @@
 
 
 class FakeBalancer(asyncio.DatagramProtocol):
-    """One outer and one inner socket; routes by connection ID.
+    """A balancer with one outer and one inner socket that routes by connection ID.
 
-    ``alive`` False makes it deaf and mute, as after SIGKILL.
+    While ``alive`` is False it ignores every packet, as after SIGKILL.
     """
 
     def __init__(self, *, service, agents):
@@ -123,14 +123,14 @@
             case Kind.REPLY:
                 self.replies += 1
                 caller = datagram.caller
-                self.fabric_send(datagram.payload, (caller.host, caller.port))
+                self.send_to_caller(datagram.payload, (caller.host, caller.port))
             case Kind.PLACED:
                 self.statuses.append(datagram.status)
             case Kind.PROBE:
                 answer = Datagram(kind=Kind.PROBE_ANSWER, sender=self.inner_endpoint)
                 self.send(answer, datagram.sender)
 
-    def fabric_send(self, packet, caller):
+    def send_to_caller(self, packet, caller):
         self.outer.sendto(packet, caller)
 
     def close(self):
@@ -147,13 +147,13 @@
 
 
 class FakeFabric(asyncio.DatagramProtocol):
-    """The service address: deals packets out over balancers that are alive."""
+    """Distributes packets to the service address over the balancers in turn."""
 
     def __init__(self, balancers):
         self.balancers = balancers
-        self.turn = 0
+        self.packet_count = 0
         for balancer in balancers:
-            balancer.fabric_send = self.send_to_caller
+            balancer.send_to_caller = self.send_to_caller
 
     async def open(self):
         loop = asyncio.get_running_loop()
@@ -167,8 +167,8 @@
         return self.transport.get_extra_info("sockname")
 
     def datagram_received(self, data, addr):
-        self.turn += 1
-        self.balancers[self.turn % len(self.balancers)].on_packet(data, addr)
+        self.packet_count += 1
+        self.balancers[self.packet_count % len(self.balancers)].on_packet(data, addr)
 
     def send_to_caller(self, packet, caller):
         self.transport.sendto(packet, caller)
@@ -178,7 +178,7 @@
 
 
 class FakeUpstream:
-    """An HTTP/1.1 server that keeps a ledger of its runs."""
+    """An HTTP/1.1 server that records the requests that it started and ended."""
 
     def __init__(self):
         self.started = []
@@ -255,7 +255,7 @@
         return web.Response()
 
     async def drip(self, request):
-        """Send half an answer and hold the rest back."""
+        """Send half of an answer, and the rest once released."""
         self.started.append(request.headers.get("X-Request-Id", ""))
         response = web.StreamResponse(headers={"Content-Length": "1000"})
         await response.prepare(request)
@@ -270,12 +270,12 @@
 
 
 class Answer:
-    """What a caller got on one stream."""
+    """The answer that a caller received on one stream."""
 
     def __init__(self):
         self.headers = {}
         self.body = bytearray()
-        self.whole = False
+        self.complete = False
         self.reset = None
         self.progress = asyncio.Event()
         self.done = asyncio.Event()
@@ -350,7 +350,7 @@
                 answer.body += event.data
         answer.progress.set()
         if event.stream_ended:
-            answer.whole = True
+            answer.complete = True
             answer.done.set()
 
 
--- a/testing/agent/test_packets.py
+++ b/testing/agent/test_datagrams.py
@@ -1,4 +1,4 @@
-"""Packets that should not have come, and paths that die silently."""
+"""Unexpected datagrams, and balancers and callers that fail silently."""
 
 import asyncio
 import os
@@ -29,7 +29,7 @@
 
 def collect_replies(balancer):
     replies = []
-    balancer.fabric_send = lambda packet, caller: replies.append(packet)
+    balancer.send_to_caller = lambda packet, caller: replies.append(packet)
     return replies
 
 
@@ -46,7 +46,7 @@
     balancer.send(datagram, agent.node.inner)
 
 
-async def test_a_packet_for_an_earlier_life_is_answered_with_a_stateless_reset(fleet):
+async def test_a_packet_for_an_earlier_incarnation_gets_a_stateless_reset(fleet):
     await fleet.open()
     (agent,), balancer = fleet.agents, fleet.balancers[0]
     replies = collect_replies(balancer)
@@ -60,7 +60,7 @@
     assert len(replies[0]) < len(packet)
 
 
-async def test_an_id_of_another_address_is_never_reset(fleet):
+async def test_a_connection_id_of_another_agent_is_not_reset(fleet):
     await fleet.open(agents=2)
     balancer = fleet.balancers[0]
     replies = collect_replies(balancer)
@@ -73,7 +73,7 @@
     assert replies == []
 
 
-async def test_a_first_flight_for_another_service_opens_nothing(fleet):
+async def test_a_first_flight_for_another_service_opens_no_connection(fleet):
     await fleet.open()
     (agent,), balancer = fleet.agents, fleet.balancers[0]
     flight = b"\xc0\x00\x00\x00\x01\x08" + b"12345678" + bytes(1200)
@@ -98,28 +98,28 @@
     assert b"\x00\x00\x00\x01" in replies[0]
 
 
-async def test_garbage_leaves_the_flows_beside_it_untouched(fleet):
+async def test_malformed_datagrams_do_not_affect_open_connections(fleet):
     await fleet.open()
     (agent,), balancer = fleet.agents, fleet.balancers[0]
     target = (agent.node.inner.host, agent.node.inner.port)
-    noise = random.Random(7)
+    rng = random.Random(7)
 
     async with fleet.caller() as caller:
         feed = caller.start("GET", "/feed?interval_ms=5&count=60")
         await feed.progress.wait()
         for _ in range(300):
-            data = noise.randbytes(noise.randrange(0, 200))
+            data = rng.randbytes(rng.randrange(0, 200))
             balancer.inner.sendto(data, target)
             forward(balancer, agent, data)
             forward(balancer, agent, b"\xc0\x00\x00\x00\x01" + data)
         await asyncio.wait_for(feed.done.wait(), 10)
 
-    assert feed.whole
+    assert feed.complete
     assert len(feed.body) == 60 * 9
     assert agent.runtime.exit_code == 0
 
 
-async def test_a_feed_goes_on_when_a_return_balancer_dies_while_its_caller_is_silent(
+async def test_a_feed_continues_when_return_balancers_die_while_its_caller_is_silent(
     fleet,
 ):
     await fleet.open(balancers=3)
@@ -138,7 +138,7 @@
     assert numbers == list(range(len(numbers)))
 
 
-async def test_a_silent_caller_is_found_and_its_feed_closed(fleet):
+async def test_the_feed_of_an_unreachable_caller_is_closed(fleet):
     await fleet.open()
     (agent,) = fleet.agents
     agent.acceptor.configuration.idle_timeout = 1.0
@@ -147,7 +147,7 @@
         feed = caller.start("GET", "/feed")
         await feed.progress.wait()
         for balancer in fleet.balancers:
-            balancer.fabric_send = lambda packet, caller: None
+            balancer.send_to_caller = lambda packet, caller: None
             balancer.on_packet = lambda data, addr: None
         await wait_until(lambda: fleet.upstreams[0].ended)
 
@@ -157,19 +157,19 @@
 async def test_a_late_copy_of_a_first_flight_opens_no_second_connection(fleet):
     await fleet.open()
     (agent,) = fleet.agents
-    flights = []
+    packets = []
     balancer = fleet.balancers[1]
     on_packet = balancer.on_packet
 
-    def keep_first(data, addr):
-        flights.append((data, addr))
+    def record_packet(data, addr):
+        packets.append((data, addr))
         on_packet(data, addr)
 
-    balancer.on_packet = keep_first
+    balancer.on_packet = record_packet
     async with fleet.caller() as caller:
         await caller.request("GET", "/run")
     await wait_until(lambda: not len(agent.table))
-    on_packet(*flights[0])
+    on_packet(*packets[0])
     await asyncio.sleep(0.2)
 
     assert len(agent.table) == 0
--- a/testing/agent/test_drain.py
+++ b/testing/agent/test_drain.py
@@ -7,7 +7,7 @@
             await asyncio.sleep(0.01)
 
 
-async def test_a_planned_stop_ends_after_the_running_request(fleet):
+async def test_a_drain_waits_for_the_running_request(fleet):
     await fleet.open()
     (agent,) = fleet.agents
 
@@ -16,10 +16,10 @@
         await wait_until(lambda: fleet.upstreams[0].started)
         await agent.drain()
 
-    assert (running.status, running.whole) == (200, True)
+    assert (running.status, running.complete) == (200, True)
 
 
-async def test_requests_after_goaway_are_rejected_as_not_run(fleet):
+async def test_requests_after_goaway_are_rejected(fleet):
     await fleet.open()
     (agent,) = fleet.agents
 
@@ -34,11 +34,11 @@
         await drain
 
     assert late.reset == 0x10B
-    assert (held.whole, bytes(held.body)) == (True, b"held")
+    assert (held.complete, bytes(held.body)) == (True, b"held")
     assert fleet.upstreams[0].started == ["held"]
 
 
-async def test_the_instance_list_makes_an_agent_leave_and_pass_new_flows_on(fleet):
+async def test_an_agent_listed_as_leaving_passes_new_connections_on(fleet):
     await fleet.open(agents=2)
     fleet.leaving.add("host-0")
     await fleet.publish()
@@ -51,7 +51,7 @@
     assert (answer.status, answer.headers["x-daisygauge-host"]) == (200, host)
 
 
-async def test_a_feed_outlives_the_drain_until_its_caller_leaves(fleet):
+async def test_a_drain_waits_for_a_feed_until_its_caller_cancels_it(fleet):
     await fleet.open()
     (agent,) = fleet.agents
 
--- a/testing/agent/test_hand_off.py
+++ b/testing/agent/test_hand_off.py
@@ -3,7 +3,7 @@
 from .test_drain import wait_until
 
 
-async def test_a_request_moves_to_an_idle_peer_and_returns_through_the_first(fleet):
+async def test_a_request_is_handed_to_an_idle_peer_and_answered_by_its_host(fleet):
     await fleet.open(agents=2, slots=1)
 
     async with fleet.caller() as caller:
@@ -14,12 +14,12 @@
         fleet.upstreams[0].release.set()
         await held.done.wait()
 
-    assert (answer.status, bytes(answer.body), answer.whole) == (200, b"ran", True)
+    assert (answer.status, bytes(answer.body), answer.complete) == (200, b"ran", True)
     assert answer.headers["x-daisygauge-host"] == str(fleet.agents[0].node.host)
     assert fleet.upstreams[1].started == ["p"]
 
 
-async def test_a_body_is_handed_over_whole(fleet):
+async def test_a_large_body_is_handed_off_unchanged(fleet):
     await fleet.open(agents=2, slots=1)
     body = bytes(range(256)) * 2048
 
--- a/testing/agent/test_fence.py
+++ b/testing/agent/test_idempotency.py
@@ -3,7 +3,7 @@
 from .test_drain import wait_until
 
 
-def keyed(request_id, key="k-1", first=None):
+def key_headers(request_id, key="k-1", first=None):
     headers = [("x-request-id", request_id), ("idempotency-key", key)]
     if first is not None:
         headers.append(("x-daisygauge-first", first))
@@ -17,9 +17,9 @@
 
 async def test_a_repeat_on_the_first_host_gets_the_first_answer(fleet):
     await fleet.open()
-    await post(fleet, keyed("a"))
+    await post(fleet, key_headers("a"))
 
-    repeat = await post(fleet, keyed("b"))
+    repeat = await post(fleet, key_headers("b"))
 
     assert (repeat.status, bytes(repeat.body)) == (200, b"ran")
     assert fleet.upstreams[0].started == ["a"]
@@ -27,27 +27,31 @@
 
 async def test_a_repeat_on_another_host_gets_the_first_hosts_answer(fleet):
     await fleet.open(agents=2)
-    first = await post(fleet, keyed("a"))
+    first = await post(fleet, key_headers("a"))
     fleet.leaving.add("host-0")
     await fleet.publish()
 
-    repeat = await post(fleet, keyed("b", first=first.headers["x-daisygauge-host"]))
+    repeat = await post(
+        fleet, key_headers("b", first=first.headers["x-daisygauge-host"])
+    )
 
     assert (repeat.status, bytes(repeat.body)) == (200, b"ran")
     assert repeat.headers["x-daisygauge-host"] != first.headers["x-daisygauge-host"]
     assert [upstream.started for upstream in fleet.upstreams] == [["a"], []]
 
 
-async def test_a_repeat_of_a_key_that_never_arrived_runs_and_fences_the_first(fleet):
+async def test_a_repeat_of_an_undelivered_request_runs_instead_of_the_late_original(
+    fleet,
+):
     await fleet.open(agents=2)
     first = str(fleet.agents[0].node.host)
     fleet.leaving.add("host-0")
     await fleet.publish()
 
-    repeat = await post(fleet, keyed("b", first=first))
+    repeat = await post(fleet, key_headers("b", first=first))
     fleet.leaving.clear()
     fleet.agents[0].node.leaving = False
-    late = await post(fleet, keyed("a"))
+    late = await post(fleet, key_headers("a"))
 
     assert (repeat.status, late.status) == (200, 200)
     assert bytes(late.body) == b"ran"
@@ -57,9 +61,9 @@
 async def test_a_repeat_is_unknown_when_the_first_host_has_restarted(fleet):
     await fleet.open(agents=2)
     host = fleet.agents[1].node.host
-    other_life = f"{host.agent};{host.incarnation - 1}"
+    earlier_start = f"{host.agent};{host.incarnation - 1}"
 
-    repeat = await post(fleet, keyed("b", first=other_life))
+    repeat = await post(fleet, key_headers("b", first=earlier_start))
 
     assert repeat.headers["x-daisygauge-outcome"] == "unknown"
     assert [upstream.started for upstream in fleet.upstreams] == [[], []]
@@ -67,23 +71,23 @@
 
 async def test_a_key_with_another_body_is_not_run(fleet):
     await fleet.open()
-    await post(fleet, keyed("a"))
+    await post(fleet, key_headers("a"))
 
-    other = await post(fleet, keyed("b"), body=b"two hundred hats")
+    other = await post(fleet, key_headers("b"), body=b"two hundred hats")
 
     assert other.headers["x-daisygauge-outcome"] == "not-run"
     assert fleet.upstreams[0].started == ["a"]
 
 
-async def test_a_keyed_request_ends_although_its_caller_is_gone(fleet):
+async def test_a_request_with_a_key_finishes_after_its_caller_is_gone(fleet):
     await fleet.open()
     async with fleet.caller() as caller:
-        caller.start("POST", "/hold", headers=keyed("a"), body=b"two hats")
+        caller.start("POST", "/hold", headers=key_headers("a"), body=b"two hats")
         await wait_until(lambda: fleet.upstreams[0].started)
     await wait_until(lambda: not len(fleet.agents[0].table))
     fleet.upstreams[0].release.set()
 
-    repeat = await post(fleet, keyed("b"), path="/hold")
+    repeat = await post(fleet, key_headers("b"), path="/hold")
 
     assert (repeat.status, bytes(repeat.body)) == (200, b"held")
     assert fleet.upstreams[0].started == ["a"]
@@ -95,10 +99,10 @@
     async with fleet.caller() as one, fleet.caller() as two:
         answers = await asyncio.gather(
             one.request(
-                "POST", "/run?work_ms=200", headers=keyed("a"), body=b"two hats"
+                "POST", "/run?work_ms=200", headers=key_headers("a"), body=b"two hats"
             ),
             two.request(
-                "POST", "/run?work_ms=200", headers=keyed("b"), body=b"two hats"
+                "POST", "/run?work_ms=200", headers=key_headers("b"), body=b"two hats"
             ),
         )
 
--- a/testing/agent/test_late_answers.py
+++ b/testing/agent/test_late_answers.py
@@ -1,4 +1,4 @@
-"""An upstream that answers twice: the second answer reaches nobody."""
+"""A duplicate answer of the upstream must not reach the next caller."""
 
 import asyncio
 
@@ -11,8 +11,8 @@
 LATE_SECONDS = 0.05
 
 
-class TwiceAnsweringServer:
-    """Sends each answer, and the same one again a little later."""
+class DuplicatingServer:
+    """Sends each answer twice, the second time ``late_seconds`` later."""
 
     def __init__(self, *, late_seconds):
         self.late_seconds = late_seconds
@@ -76,14 +76,14 @@
 
 @pytest.fixture(params=[0.0, LATE_SECONDS])
 async def server(request):
-    server = TwiceAnsweringServer(late_seconds=request.param)
+    server = DuplicatingServer(late_seconds=request.param)
     server.endpoint = await server.start()
     yield server
     server.server.close()
 
 
 @pytest.mark.parametrize("pause_seconds", [0.0, 2 * LATE_SECONDS])
-async def test_a_late_second_answer_never_reaches_the_next_caller(
+async def test_a_late_duplicate_answer_never_reaches_the_next_caller(
     server, pause_seconds
 ):
     loop = asyncio.get_running_loop()
--- a/testing/agent/test_truth.py
+++ b/testing/agent/test_outcomes.py
@@ -1,4 +1,4 @@
-"""What callers are told, compared with the upstreams' ledgers."""
+"""Outcomes that callers receive, compared with what the upstreams ran."""
 
 import asyncio
 
@@ -10,23 +10,23 @@
 NOT_RUN = "not-run"
 
 
-async def fill(fleet, caller):
-    """Occupy the only slot of the caller's host, so that requests move."""
+async def occupy_slot(fleet, caller):
+    """Occupy the only slot of the caller's host, so that requests are handed off."""
     held = caller.start("GET", "/hold")
     await wait_until(lambda: fleet.upstreams[0].started)
     await asyncio.sleep(0.4)
     return held
 
 
-def outcome_of(answer):
-    if answer.whole and answer.status == 200:
-        return "whole"
+def get_outcome(answer):
+    if answer.complete and answer.status == 200:
+        return "complete"
     if answer.reset is not None:
         return "cut"
     return answer.headers["x-daisygauge-outcome"]
 
 
-def runs_of(fleet, request_id):
+def count_runs(fleet, request_id):
     return sum(upstream.started.count(request_id) for upstream in fleet.upstreams)
 
 
@@ -37,12 +37,14 @@
     async with fleet.caller() as caller:
         answer = await caller.request("POST", "/run", headers=[("x-request-id", "r")])
 
-    assert outcome_of(answer) == NOT_RUN
+    assert get_outcome(answer) == NOT_RUN
     assert int(answer.headers["retry-after"]) >= 1
-    assert runs_of(fleet, "r") == 0
+    assert count_runs(fleet, "r") == 0
 
 
-async def test_a_lookup_that_may_have_run_is_not_called_not_run(fleet, monkeypatch):
+async def test_a_lookup_that_may_have_run_is_not_reported_as_not_run(
+    fleet, monkeypatch
+):
     await fleet.open(agents=2)
     monkeypatch.setattr(fleet.agents[0].calls, "sign", lambda method, receiver: {})
 
@@ -52,11 +54,11 @@
             "GET", "/break-off", headers=[("x-request-id", "r")]
         )
 
-    assert runs_of(fleet, "r") == 1
-    assert outcome_of(answer) == UNKNOWN
+    assert count_runs(fleet, "r") == 1
+    assert get_outcome(answer) == UNKNOWN
 
 
-async def test_a_post_is_never_tried_twice(fleet):
+async def test_a_post_is_never_retried(fleet):
     await fleet.open(agents=2)
 
     async with fleet.caller() as caller:
@@ -65,48 +67,48 @@
             "POST", "/break-off", headers=[("x-request-id", "r")]
         )
 
-    assert runs_of(fleet, "r") == 1
-    assert outcome_of(answer) == UNKNOWN
+    assert count_runs(fleet, "r") == 1
+    assert get_outcome(answer) == UNKNOWN
 
 
-async def test_an_idempotent_lookup_is_tried_at_a_peer(fleet):
+async def test_an_idempotent_lookup_is_retried_at_a_peer(fleet):
     await fleet.open(agents=2)
 
     async with fleet.caller() as caller:
         await asyncio.sleep(0.4)
         await caller.request("GET", "/break-off", headers=[("x-request-id", "r")])
 
-    assert runs_of(fleet, "r") == 2
+    assert count_runs(fleet, "r") == 2
 
 
 @pytest.mark.parametrize(
     ("path", "outcome"),
-    [("/hold", UNKNOWN), ("/drip", "cut"), ("/run", "whole")],
+    [("/hold", UNKNOWN), ("/drip", "cut"), ("/run", "complete")],
     ids=["while-it-runs", "mid-body", "after-the-answer"],
 )
-async def test_a_peer_that_dies_during_a_hand_over(fleet, path, outcome):
+async def test_the_outcome_when_a_peer_dies_during_a_hand_off(fleet, path, outcome):
     await fleet.open(agents=2, slots=1)
 
     async with fleet.caller() as caller:
-        held = await fill(fleet, caller)
+        held = await occupy_slot(fleet, caller)
         moved = caller.start("POST", path, headers=[("x-request-id", "r")])
-        await wait_until(lambda: runs_of(fleet, "r"))
+        await wait_until(lambda: count_runs(fleet, "r"))
         await wait_until(lambda: path != "/drip" or moved.body)
-        await wait_until(lambda: path != "/run" or moved.whole)
+        await wait_until(lambda: path != "/run" or moved.complete)
         fleet.agents[1].peer_port.server.close()
         await asyncio.wait_for(moved.done.wait(), 10)
         fleet.upstreams[0].release.set()
         await held.done.wait()
 
-    assert outcome_of(moved) == outcome
-    assert runs_of(fleet, "r") == 1
+    assert get_outcome(moved) == outcome
+    assert count_runs(fleet, "r") == 1
 
 
-async def test_a_peer_that_is_gone_before_the_hand_over_costs_nothing(fleet):
+async def test_a_request_runs_once_when_its_peer_is_gone_before_the_hand_off(fleet):
     await fleet.open(agents=2, slots=1)
 
     async with fleet.caller() as caller:
-        held = await fill(fleet, caller)
+        held = await occupy_slot(fleet, caller)
         fleet.agents[1].peer_port.server.close()
         waiting = caller.start("POST", "/run", headers=[("x-request-id", "r")])
         await asyncio.sleep(0.2)
@@ -114,17 +116,19 @@
         await asyncio.wait_for(waiting.done.wait(), 10)
         await held.done.wait()
 
-    assert outcome_of(waiting) == "whole"
-    assert runs_of(fleet, "r") == 1
+    assert get_outcome(waiting) == "complete"
+    assert count_runs(fleet, "r") == 1
 
 
-async def test_a_host_that_wakes_after_the_deadline_does_not_run(fleet, monkeypatch):
+async def test_a_host_paused_past_the_deadline_does_not_run_a_request(
+    fleet, monkeypatch
+):
     await fleet.open(slots=1)
     (agent,) = fleet.agents
     clock = agent.runtime.now
 
     async with fleet.caller() as caller:
-        held = await fill(fleet, caller)
+        held = await occupy_slot(fleet, caller)
         late = caller.start("POST", "/run", headers=[("x-request-id", "r")])
         await wait_until(lambda: agent.slots.waiting)
         monkeypatch.setattr(agent.runtime, "now", lambda: clock() + 60)
@@ -132,11 +136,13 @@
         await asyncio.wait_for(late.done.wait(), 10)
         await held.done.wait()
 
-    assert outcome_of(late) == NOT_RUN
-    assert runs_of(fleet, "r") == 0
+    assert get_outcome(late) == NOT_RUN
+    assert count_runs(fleet, "r") == 0
 
 
-async def test_a_host_paused_while_it_connects_does_not_run(fleet, monkeypatch):
+async def test_a_host_paused_while_it_connects_does_not_run_a_request(
+    fleet, monkeypatch
+):
     await fleet.open()
     (agent,) = fleet.agents
     connect = agent.upstream.session.connector.connect
@@ -151,5 +157,5 @@
         monkeypatch.setattr(agent.upstream.session.connector, "connect", connect_slowly)
         late = await caller.request("POST", "/run", headers=[("x-request-id", "r")])
 
-    assert outcome_of(late) == NOT_RUN
-    assert runs_of(fleet, "r") == 0
+    assert get_outcome(late) == NOT_RUN
+    assert count_runs(fleet, "r") == 0
--- a/testing/agent/test_useless_flights.py
+++ b/testing/agent/test_unusable_first_flights.py
@@ -1,4 +1,7 @@
-"""Outsiders must not be able to make an agent look silent to balancers."""
+"""An agent answers first flights that it can't use.
+
+Otherwise anyone could make an agent look silent to balancers by sending such packets.
+"""
 
 import asyncio
 
@@ -18,8 +21,8 @@
 NOW = 1_000.0
 
 
-class Balancer(asyncio.DatagramProtocol):
-    """Keeps what the agent says about first flights."""
+class ReportRecorder(asyncio.DatagramProtocol):
+    """Records the agent's reports about first flights."""
 
     def __init__(self):
         self.placed = asyncio.Queue()
@@ -40,11 +43,11 @@
     ],
     ids=["other version", "version negotiation", "0-RTT", "bad header"],
 )
-async def test_a_first_flight_that_opens_nothing_is_still_answered(fleet, start):
+async def test_a_first_flight_that_opens_no_connection_is_answered(fleet, start):
     await fleet.open()
     loop = asyncio.get_running_loop()
-    transport, balancer = await loop.create_datagram_endpoint(
-        Balancer, local_addr=(HOST, 0)
+    transport, recorder = await loop.create_datagram_endpoint(
+        ReportRecorder, local_addr=(HOST, 0)
     )
     host, port = transport.get_extra_info("sockname")
     offer = Datagram(
@@ -59,7 +62,7 @@
         encode_datagram(offer, key=KEYS.newest(now=NOW)), (agent.host, agent.port)
     )
     async with asyncio.timeout(5):
-        answer = await balancer.placed.get()
+        answer = await recorder.placed.get()
     transport.close()
 
     assert answer.payload == b"callerid"
