Rename the datagram protocol base class and the fake configuration source

GuardedDatagrams, take_datagram and note_defect didn't say in the terms of asyncio what they are, and FixedSource, whose configuration a test changes, isn't fixed. They are now ResilientDatagramProtocol, handle_datagram, record_defect and FakeConfigurationSource.

--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_socket.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_socket.py
@@ -9,14 +9,14 @@
 
 from daisygauge_records import Endpoint
 
-from .._datagrams import GuardedDatagrams
+from .._datagrams import ResilientDatagramProtocol
 from .._events import EventLog
 
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 SEND_BUFFER_BYTES = 2 * 1024 * 1024
 
 
-class InnerSocket(GuardedDatagrams):
+class InnerSocket(ResilientDatagramProtocol):
     """Hands every datagram to ``on_datagram``, drops it while there is none.
 
     :ivar on_datagram: called with the datagram and its sender.
@@ -31,7 +31,7 @@
         """Keep the transport for sending."""
         self.transport = transport
 
-    def take_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
+    def handle_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
         """Pass a datagram on."""
         if self.on_datagram is not None:
             self.on_datagram(data, Endpoint(host=sender[0], port=sender[1]))
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
@@ -21,7 +21,7 @@
     unpack_endpoint,
 )
 
-from .._datagrams import GuardedDatagrams
+from .._datagrams import ResilientDatagramProtocol
 from .._events import EventLog
 from . import _events as events
 from ._metrics import BalancerCounts
@@ -29,7 +29,7 @@
 from ._placer import Placer
 
 
-class InnerSocket(GuardedDatagrams):
+class InnerSocket(ResilientDatagramProtocol):
     """Takes what agents send: replies, answers to first flights and probes.
 
     :param local: inner address of this balancer.
@@ -81,7 +81,7 @@
         data = encode_datagram(datagram, key=key)
         self.transport.sendto(data, (receiver.host, receiver.port))
 
-    def take_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
+    def handle_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
         """Handle one inner datagram."""
         try:
             if is_reply(data):
@@ -99,7 +99,7 @@
             raise MalformedDatagramError("unknown-service")
         outer.send_reply(reply.packet, unpack_endpoint(reply.caller))
 
-    def note_defect(self) -> None:
+    def record_defect(self) -> None:
         """Count a datagram that met an unexpected error."""
         self.drops["inner-defect"] += 1
 
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_outer.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_outer.py
@@ -21,7 +21,7 @@
     unpack_endpoint,
 )
 
-from .._datagrams import GuardedDatagrams
+from .._datagrams import ResilientDatagramProtocol
 from .._events import EventLog
 from . import _events as events
 from ._metrics import BalancerCounts
@@ -32,7 +32,7 @@
 """Smallest datagram that may hold a caller's Initial packet (RFC 9000, 14.1)."""
 
 
-class OuterSocket(GuardedDatagrams):
+class OuterSocket(ResilientDatagramProtocol):
     """Passes packets of one service from callers to agents.
 
     :param inner: transport of the balancer's inner socket.
@@ -74,11 +74,11 @@
             address=self.service.address, sender=sender, key=newest
         )
 
-    def note_defect(self) -> None:
+    def record_defect(self) -> None:
         """Count a packet that met an unexpected error."""
         self.drops["defect"] += 1
 
-    def take_datagram(self, data: bytes, caller: tuple[str, int]) -> None:
+    def handle_datagram(self, data: bytes, caller: tuple[str, int]) -> None:
         """Handle one packet from a caller as the packet table says."""
         destination_id = read_destination_id(data)
         route = open_connection_id(destination_id, keys=self.keys)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_datagrams.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_datagrams.py
@@ -8,8 +8,8 @@
 from ._events import PACKET_FAILED, EventLog
 
 
-class GuardedDatagrams(asyncio.DatagramProtocol):
-    """Hands datagrams to ``take_datagram``, and goes on after an unexpected error.
+class ResilientDatagramProtocol(asyncio.DatagramProtocol):
+    """Hands datagrams to ``handle_datagram``, and goes on after an unexpected error.
 
     The event loop closes a socket whose protocol raises; one datagram must not make a
     process deaf.
@@ -21,9 +21,9 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Handle a datagram."""
         try:
-            self.take_datagram(data, addr)
+            self.handle_datagram(data, addr)
         except Exception as error:
-            self.note_defect()
+            self.record_defect()
             self.log.write(
                 PACKET_FAILED,
                 sender=f"{addr[0]}:{addr[1]}",
@@ -31,9 +31,9 @@
                 traceback="".join(traceback.format_exception(error)),
             )
 
-    def take_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
+    def handle_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
         """Handle a datagram; may raise anything."""
         raise NotImplementedError
 
-    def note_defect(self) -> None:
+    def record_defect(self) -> None:
         """Count a datagram that met an unexpected error."""
--- a/testing/agent/fakes.py
+++ b/testing/agent/fakes.py
@@ -18,7 +18,7 @@
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
-from daemon.fakes import FixedSource
+from daemon.fakes import FakeConfigurationSource
 
 from daisygauge_control import ConfigurationView
 from daisygauge_daemon._agent import Agent
@@ -390,7 +390,7 @@
         self.upstreams = []
         self.balancers = []
         self.version = 0
-        self.source = FixedSource(ConfigurationView())
+        self.source = FakeConfigurationSource(ConfigurationView())
         self.service = Service(
             id="orders",
             number=3,
--- a/testing/daemon/conftest.py
+++ b/testing/daemon/conftest.py
@@ -9,7 +9,7 @@
 from daisygauge_records import Endpoint
 
 from .datapath import make_service, make_upstream, make_view, open_peer
-from .fakes import FixedSource, unused_port
+from .fakes import FakeConfigurationSource, unused_port
 
 HOST = "127.40.1.2"
 OUTER = "127.40.2.2"
@@ -63,7 +63,7 @@
         platform=(),
         outer_host=OUTER,
     )
-    source = FixedSource(make_view(*services, upstreams=[upstream]))
+    source = FakeConfigurationSource(make_view(*services, upstreams=[upstream]))
     runtime = Runtime(settings=settings, source=source, incarnation=9)
     balancer = Balancer(runtime=runtime)
     await balancer.start()
--- a/testing/daemon/fakes.py
+++ b/testing/daemon/fakes.py
@@ -14,7 +14,7 @@
         return probe.getsockname()[1]
 
 
-class FixedSource:
+class FakeConfigurationSource:
     """A configuration source whose view the test sets."""
 
     def __init__(self, view: ConfigurationView | None = None) -> None:
--- a/testing/daemon/test_runtime.py
+++ b/testing/daemon/test_runtime.py
@@ -16,7 +16,7 @@
 )
 from daisygauge_daemon._settings import BalancerSettings
 
-from .fakes import FixedSource, unused_port
+from .fakes import FakeConfigurationSource, unused_port
 
 HOST = "127.40.1.1"
 
@@ -53,7 +53,7 @@
         metrics_port=unused_port(HOST),
         platform=(),
     )
-    return Runtime(settings=settings, source=FixedSource(), incarnation=1)
+    return Runtime(settings=settings, source=FakeConfigurationSource(), incarnation=1)
 
 
 async def get(runtime, path):
