Name the frames of relayed flows in the terms of the field

Stray, carry and nowhere are private words, and 'given' doesn't say what was given to whom. StrayFrame becomes UnknownFlowFrame, CarryFrame ForwardFrame, NowhereFrame NotFoundFrame, LoadOffer AgentLoad; OpenFrame.given becomes unanswered, and PacketCodec.clean becomes restore. OwnerFrame stays: flow owner is a term of the field. The frames' bytes are as before: the kind numbers and layouts are untouched.

--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_relayed.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_relayed.py
@@ -27,7 +27,7 @@
     pack_items,
 )
 from daisygauge_relay._candidates import CandidateLists, service_tag
-from daisygauge_wire import CarryFrame, OpenFrame, decode_frame, encode_frame
+from daisygauge_wire import ForwardFrame, OpenFrame, decode_frame, encode_frame
 
 from ._experiment import Experiment, Options, Report, Target
 
@@ -145,7 +145,7 @@
 def measure_packets() -> PacketCost:
     """Measure single steps of the packet path."""
     address, service = b"\x0a\x00\x00\x01", service_tag("service-0")
-    carry = CarryFrame(balancer=address, service=service, packet=PACKET)
+    forward = ForwardFrame(balancer=address, service=service, packet=PACKET)
     opening = OpenFrame(balancer=address, service=service, packet=PACKET)
     directory = Directory()
     directory.replace(make_items(HOSTS_FOR_SERVICE), as_of=1, now=0.0)
@@ -153,7 +153,7 @@
     lists.update(directory.view)
     flows = [number.to_bytes(12, "big") for number in range(FLOWS)]
     return PacketCost(
-        carry=time_each(lambda: decode_frame(encode_frame(carry)), FRAMES),
+        carry=time_each(lambda: decode_frame(encode_frame(forward)), FRAMES),
         opening=time_each(lambda: decode_frame(encode_frame(opening)), FRAMES),
         order=time_each(lambda: lists.order(service, flows.pop()), FLOWS),
     )
--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -7,7 +7,7 @@
 from daisygauge_policy import RequestGate
 from daisygauge_wire import (
     AbsentFrame,
-    CarryFrame,
+    ForwardFrame,
     Frame,
     MalformedFrameError,
     OpenFrame,
@@ -179,7 +179,7 @@
         try:
             frame = decode_frame(data)
             match frame:
-                case CarryFrame():
+                case ForwardFrame():
                     packet = self.codec.read_from_client(frame.packet)
                     self.receive_packet(frame, packet, searcher=None, now=now)
                 case SearchFrame():
@@ -216,7 +216,7 @@
 
     def receive_packet(
         self,
-        frame: CarryFrame | SearchFrame | QueryFrame,
+        frame: ForwardFrame | SearchFrame | QueryFrame,
         packet: RelayedPacket,
         *,
         searcher: bytes | None,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
@@ -11,14 +11,14 @@
     SearchBudget,
 )
 from daisygauge_wire import (
-    CarryFrame,
+    ForwardFrame,
     Frame,
     MalformedFrameError,
-    NowhereFrame,
+    NotFoundFrame,
     OfferFrame,
     OwnerFrame,
     SearchFrame,
-    StrayFrame,
+    UnknownFlowFrame,
     decode_frame,
     encode_frame,
 )
@@ -157,7 +157,7 @@
         if flow.owner is None:
             self.search(flow, packet, data, now=now)
             return
-        frame = CarryFrame(
+        frame = ForwardFrame(
             balancer=self.own, service=service_tag(flow.service), packet=data
         )
         self.send(flow.owner, frame)
@@ -234,9 +234,9 @@
                 self.note_offer(frame, agent=agent)
             case OwnerFrame():
                 self.note_owner(frame, agent=agent)
-            case StrayFrame():
+            case UnknownFlowFrame():
                 self.take_back(frame, agent=agent)
-            case NowhereFrame():
+            case NotFoundFrame():
                 self.note_nowhere(frame)
             case _:
                 self.runtime.counters.drop("unexpected-frame")
@@ -259,7 +259,7 @@
             events.FLOW_FOUND, flow=flow_name(frame.flow), agent=inet_ntoa(agent)
         )
 
-    def take_back(self, frame: StrayFrame, *, agent: bytes) -> None:
+    def take_back(self, frame: UnknownFlowFrame, *, agent: bytes) -> None:
         """Handle a packet that the agent thought to hold its flow gives back."""
         now = self.runtime.now()
         packet = self.codec.read_from_client(frame.packet)
@@ -276,7 +276,7 @@
         self.placement.refresh()
         self.search(flow, packet, frame.packet, now=now)
 
-    def note_nowhere(self, frame: NowhereFrame) -> None:
+    def note_nowhere(self, frame: NotFoundFrame) -> None:
         """End a flow that no upstream holds."""
         flow = self.flows.get(frame.flow)
         if flow is None or flow.owner is not None:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
@@ -18,7 +18,7 @@
     TakeOpening,
     decide_opening,
 )
-from daisygauge_wire import MAX_TRIED, Frame, LoadOffer, OfferFrame, OpenFrame
+from daisygauge_wire import MAX_TRIED, AgentLoad, Frame, OfferFrame, OpenFrame
 
 from . import _events as events
 from ._candidates import CandidateLists
@@ -164,7 +164,7 @@
         now = self.runtime.now()
         # The flow stays known: an answer that comes late must reach its balancer.
         self.upstream.note_silence(now=now)
-        asked.frame = replace(asked.frame, given=True)
+        asked.frame = replace(asked.frame, unanswered=True)
         self.decide_again(asked, OpeningReason.SILENT, now=now)
 
     def note_returned(self, flow: bytes, *, now: float) -> None:
@@ -188,7 +188,7 @@
         if not self.upstream.begin_trial(now=now):
             return frame
         self.deliver(frame.packet)
-        return replace(frame, given=True)
+        return replace(frame, unanswered=True)
 
     def pass_on(
         self,
@@ -210,7 +210,7 @@
         )
         best = frame.best
         if own.inability is None and (best is None or own.load < best.load):
-            best = LoadOffer(agent=self.own, load=own.load)
+            best = AgentLoad(agent=self.own, load=own.load)
         passed = replace(
             frame,
             tried=decision.tried[-MAX_TRIED:],
@@ -228,7 +228,7 @@
         An upstream that was given this packet, or an earlier copy, may still answer;
         a reset would then cut an open flow.
         """
-        is_uncertain = frame.given or packet.copy > 0
+        is_uncertain = frame.unanswered or packet.copy > 0
         event = events.OPENING_UNCERTAIN if is_uncertain else events.OPENING_REFUSED
         self.runtime.log.write(
             event,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_packet.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_packet.py
@@ -65,7 +65,7 @@
         """
         ...
 
-    def clean(self, data: bytes) -> bytes:
+    def restore(self, data: bytes) -> bytes:
         """Return a returned packet as its sender wrote it."""
         ...
 
--- a/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
@@ -13,7 +13,7 @@
 from socket import inet_aton
 
 from daisygauge_policy import PendingSearch, PendingSearches, SearchStep
-from daisygauge_wire import Frame, NowhereFrame, QueryFrame, SearchFrame
+from daisygauge_wire import Frame, NotFoundFrame, QueryFrame, SearchFrame
 
 from ._candidates import CandidateLists, find_route, service_tag
 from ._packet import RelayedPacket
@@ -113,4 +113,4 @@
             return
         self.pending.end(flow)
         agents = len(self.candidates.tags)
-        self.send(search.balancer, NowhereFrame(flow=flow, agents=agents))
+        self.send(search.balancer, NotFoundFrame(flow=flow, agents=agents))
--- a/packages/daisygauge-relay/src/daisygauge_relay/_strays.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_strays.py
@@ -9,12 +9,12 @@
 
 from daisygauge_wire import (
     AbsentFrame,
-    CarryFrame,
+    ForwardFrame,
     Frame,
     OwnerFrame,
     QueryFrame,
     SearchFrame,
-    StrayFrame,
+    UnknownFlowFrame,
 )
 
 from . import _events as events
@@ -73,7 +73,7 @@
 
     def receive(
         self,
-        frame: CarryFrame | SearchFrame | QueryFrame,
+        frame: ForwardFrame | SearchFrame | QueryFrame,
         packet: RelayedPacket,
         *,
         searcher: bytes | None,
@@ -122,7 +122,9 @@
         :param lost: True when the upstream doesn't hold the flow any more.
         """
         self.runtime.counters.strays += 1
-        frame = StrayFrame(balancer=balancer, service=service, packet=data, lost=lost)
+        frame = UnknownFlowFrame(
+            balancer=balancer, service=service, packet=data, lost=lost
+        )
         self.send(balancer, frame)
 
     def discover(self, packet: RelayedPacket, *, now: float) -> AgentFlow:
@@ -170,11 +172,11 @@
         )
         tag = service_tag(self.upstream.service)
         if flow is not None:
-            self.give_back(flow.balancer, tag, self.codec.clean(data), lost=True)
+            self.give_back(flow.balancer, tag, self.codec.restore(data), lost=True)
         elif uncertain is None:
             return
         elif uncertain.searcher is None:
-            self.give_back(uncertain.balancer, tag, self.codec.clean(data), lost=True)
+            self.give_back(uncertain.balancer, tag, self.codec.restore(data), lost=True)
         else:
             self.report_absent(packet.flow, uncertain.searcher, now=now)
 
--- a/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
@@ -20,20 +20,20 @@
 """Agents named in one opening packet; a bound on its size."""
 NO_ADDRESS = bytes(ADDRESS_BYTES)
 
-_CARRY = struct.Struct("!B4sI")
+_PACKET_HEADER = struct.Struct("!B4sI")
 _OPEN = struct.Struct("!B4sI4sHBBB")
 _FINAL_BIT = 1
-_GIVEN_BIT = 2
+_UNANSWERED_BIT = 2
 _OFFER = struct.Struct("!B12sIHH")
 _FLOW = struct.Struct("!B12s")
-_NOWHERE = struct.Struct("!B12sH")
+_NOT_FOUND = struct.Struct("!B12sH")
 
 
 class MalformedFrameError(ValueError):
     """A datagram on the inner port is no frame; it is dropped and counted."""
 
 
-class LoadOffer(Struct, kw_only=True, frozen=True):
+class AgentLoad(Struct, kw_only=True, frozen=True):
     """An agent that could take a flow, and how busy its upstream was.
 
     :param load: requests running or expected there.
@@ -53,8 +53,8 @@
     :param best: the least busy of the agents asked, or None.
     :param final: True when a free slot is no longer looked for: the first agent that
         can takes the flow.
-    :param given: True when an upstream that was given the packet has neither answered
-        nor returned it: the flow may still open there.
+    :param unanswered: True when an upstream that received the packet has neither
+        answered nor returned it: the flow may still open there.
     """
 
     balancer: bytes
@@ -62,12 +62,12 @@
     packet: bytes
     tried: tuple[bytes, ...] = ()
     hops: int = 0
-    best: LoadOffer | None = None
+    best: AgentLoad | None = None
     final: bool = False
-    given: bool = False
+    unanswered: bool = False
 
 
-class CarryFrame(Struct, kw_only=True, frozen=True):
+class ForwardFrame(Struct, kw_only=True, frozen=True):
     """A later packet of a flow that the receiving agent holds."""
 
     balancer: bytes
@@ -97,8 +97,8 @@
     packet: bytes
 
 
-class StrayFrame(Struct, kw_only=True, frozen=True):
-    """A carried packet comes back: the agent doesn't hold its flow.
+class UnknownFlowFrame(Struct, kw_only=True, frozen=True):
+    """An agent returns a forwarded packet, because it doesn't hold the flow.
 
     :param lost: True when the flow isn't at the upstream any more; False when it may
         never have been there.
@@ -137,10 +137,10 @@
     flow: bytes
 
 
-class NowhereFrame(Struct, kw_only=True, frozen=True):
-    """Every agent has said that it doesn't hold a flow.
+class NotFoundFrame(Struct, kw_only=True, frozen=True):
+    """Every agent has reported that it doesn't hold a flow.
 
-    :param agents: how many they were.
+    :param agents: number of agents that reported it.
     """
 
     flow: bytes
@@ -149,41 +149,41 @@
 
 Frame = (
     OpenFrame
-    | CarryFrame
+    | ForwardFrame
     | SearchFrame
     | QueryFrame
-    | StrayFrame
+    | UnknownFlowFrame
     | OfferFrame
     | OwnerFrame
     | AbsentFrame
-    | NowhereFrame
+    | NotFoundFrame
 )
 
 (
     _OPEN_KIND,
-    _CARRY_KIND,
+    _FORWARD_KIND,
     _SEARCH_KIND,
-    _STRAY_KIND,
+    _UNKNOWN_FLOW_KIND,
     _LOST_KIND,
     _OFFER_KIND,
     _OWNER_KIND,
     _ABSENT_KIND,
     _QUERY_KIND,
-    _NOWHERE_KIND,
+    _NOT_FOUND_KIND,
 ) = range(0x51, 0x5B)
 
 
 def encode_frame(frame: Frame) -> bytes:
     """Return the bytes of a frame."""
     match frame:
-        case CarryFrame():
-            return encode_packet_frame(_CARRY_KIND, frame)
+        case ForwardFrame():
+            return encode_packet_frame(_FORWARD_KIND, frame)
         case SearchFrame():
             return encode_packet_frame(_SEARCH_KIND, frame)
         case QueryFrame():
             return encode_packet_frame(_QUERY_KIND, frame)
-        case StrayFrame():
-            kind = _LOST_KIND if frame.lost else _STRAY_KIND
+        case UnknownFlowFrame():
+            kind = _LOST_KIND if frame.lost else _UNKNOWN_FLOW_KIND
             return encode_packet_frame(kind, frame)
         case OfferFrame():
             return _OFFER.pack(
@@ -193,28 +193,28 @@
             return _FLOW.pack(_OWNER_KIND, frame.flow)
         case AbsentFrame():
             return _FLOW.pack(_ABSENT_KIND, frame.flow)
-        case NowhereFrame():
-            return _NOWHERE.pack(_NOWHERE_KIND, frame.flow, frame.agents)
+        case NotFoundFrame():
+            return _NOT_FOUND.pack(_NOT_FOUND_KIND, frame.flow, frame.agents)
         case OpenFrame():
             return _encode_open(frame)
 
 
 def encode_packet_frame(
-    kind: int, frame: CarryFrame | SearchFrame | QueryFrame | StrayFrame
+    kind: int, frame: ForwardFrame | SearchFrame | QueryFrame | UnknownFlowFrame
 ) -> bytes:
     """Return the bytes of a frame that is only a packet and its service."""
-    return _CARRY.pack(kind, frame.balancer, frame.service) + frame.packet
+    return _PACKET_HEADER.pack(kind, frame.balancer, frame.service) + frame.packet
 
 
 def _encode_open(frame: OpenFrame) -> bytes:
-    best = frame.best or LoadOffer(agent=NO_ADDRESS, load=0)
+    best = frame.best or AgentLoad(agent=NO_ADDRESS, load=0)
     head = _OPEN.pack(
         _OPEN_KIND,
         frame.balancer,
         frame.service,
         best.agent,
         best.load,
-        frame.final * _FINAL_BIT | frame.given * _GIVEN_BIT,
+        frame.final * _FINAL_BIT | frame.unanswered * _UNANSWERED_BIT,
         frame.hops,
         len(frame.tried),
     )
@@ -250,33 +250,39 @@
         packet=data[end:],
         tried=tried,
         hops=hops,
-        best=None if agent == NO_ADDRESS else LoadOffer(agent=agent, load=load),
+        best=None if agent == NO_ADDRESS else AgentLoad(agent=agent, load=load),
         final=bool(flags & _FINAL_BIT),
-        given=bool(flags & _GIVEN_BIT),
+        unanswered=bool(flags & _UNANSWERED_BIT),
     )
 
 
-def _decode_carry(data: bytes) -> CarryFrame:
-    _, balancer, service = _CARRY.unpack_from(data)
-    return CarryFrame(balancer=balancer, service=service, packet=data[_CARRY.size :])
+def _decode_forward(data: bytes) -> ForwardFrame:
+    _, balancer, service = _PACKET_HEADER.unpack_from(data)
+    return ForwardFrame(
+        balancer=balancer, service=service, packet=data[_PACKET_HEADER.size :]
+    )
 
 
 def _decode_search(data: bytes) -> SearchFrame:
-    _, balancer, service = _CARRY.unpack_from(data)
-    return SearchFrame(balancer=balancer, service=service, packet=data[_CARRY.size :])
+    _, balancer, service = _PACKET_HEADER.unpack_from(data)
+    return SearchFrame(
+        balancer=balancer, service=service, packet=data[_PACKET_HEADER.size :]
+    )
 
 
 def _decode_query(data: bytes) -> QueryFrame:
-    _, balancer, service = _CARRY.unpack_from(data)
-    return QueryFrame(balancer=balancer, service=service, packet=data[_CARRY.size :])
+    _, balancer, service = _PACKET_HEADER.unpack_from(data)
+    return QueryFrame(
+        balancer=balancer, service=service, packet=data[_PACKET_HEADER.size :]
+    )
 
 
-def _decode_stray(data: bytes) -> StrayFrame:
-    kind, balancer, service = _CARRY.unpack_from(data)
-    return StrayFrame(
+def _decode_unknown_flow(data: bytes) -> UnknownFlowFrame:
+    kind, balancer, service = _PACKET_HEADER.unpack_from(data)
+    return UnknownFlowFrame(
         balancer=balancer,
         service=service,
-        packet=data[_CARRY.size :],
+        packet=data[_PACKET_HEADER.size :],
         lost=kind == _LOST_KIND,
     )
 
@@ -296,20 +302,20 @@
     return AbsentFrame(flow=flow)
 
 
-def _decode_nowhere(data: bytes) -> NowhereFrame:
-    _, flow, agents = _NOWHERE.unpack(data)
-    return NowhereFrame(flow=flow, agents=agents)
+def _decode_not_found(data: bytes) -> NotFoundFrame:
+    _, flow, agents = _NOT_FOUND.unpack(data)
+    return NotFoundFrame(flow=flow, agents=agents)
 
 
 _DECODERS: dict[int, Callable[[bytes], Frame]] = {
     _OPEN_KIND: _decode_open,
-    _CARRY_KIND: _decode_carry,
+    _FORWARD_KIND: _decode_forward,
     _SEARCH_KIND: _decode_search,
-    _STRAY_KIND: _decode_stray,
-    _LOST_KIND: _decode_stray,
+    _UNKNOWN_FLOW_KIND: _decode_unknown_flow,
+    _LOST_KIND: _decode_unknown_flow,
     _OFFER_KIND: _decode_offer,
     _OWNER_KIND: _decode_owner,
     _ABSENT_KIND: _decode_absent,
     _QUERY_KIND: _decode_query,
-    _NOWHERE_KIND: _decode_nowhere,
+    _NOT_FOUND_KIND: _decode_not_found,
 }
--- a/testing/adapter/test_packets.py
+++ b/testing/adapter/test_packets.py
@@ -66,7 +66,7 @@
     marked[10] |= BOUNCED
     marked[11:15] = b"echo"
 
-    assert CODEC.clean(bytes(marked)) == sent
+    assert CODEC.restore(bytes(marked)) == sent
 
 
 @given(st.binary(max_size=200))
--- a/testing/relay/test_openings.py
+++ b/testing/relay/test_openings.py
@@ -6,7 +6,7 @@
 
 from daisygauge_control import HostState
 from daisygauge_relay._flows import FlowStage
-from daisygauge_wire import StrayFrame, encode_frame
+from daisygauge_wire import UnknownFlowFrame, encode_frame
 
 from .network import ACK, SERVICE_END, SYN, HostFlow, Network, ask_all, pack_end
 
@@ -222,7 +222,7 @@
 
 def test_a_frame_with_a_garbled_packet_is_dropped(network):
     balancer = network.balancers["10.0.0.1"]
-    frame = StrayFrame(balancer=bytes(4), service=1, packet=b"short")
+    frame = UnknownFlowFrame(balancer=bytes(4), service=1, packet=b"short")
 
     balancer.receive_frame(encode_frame(frame), ("10.0.1.1", 1))
 
--- a/testing/wire/test_relayed.py
+++ b/testing/wire/test_relayed.py
@@ -4,16 +4,16 @@
 from daisygauge_wire import (
     MAX_TRIED,
     AbsentFrame,
-    CarryFrame,
-    LoadOffer,
+    AgentLoad,
+    ForwardFrame,
     MalformedFrameError,
-    NowhereFrame,
+    NotFoundFrame,
     OfferFrame,
     OpenFrame,
     OwnerFrame,
     QueryFrame,
     SearchFrame,
-    StrayFrame,
+    UnknownFlowFrame,
     decode_frame,
     encode_frame,
 )
@@ -25,11 +25,11 @@
 SMALL = st.integers(0, 65_535)
 COMMON = {"balancer": ADDRESSES, "service": SERVICES, "packet": PACKETS}
 FRAMES = st.one_of(
-    st.builds(CarryFrame, **COMMON),
+    st.builds(ForwardFrame, **COMMON),
     st.builds(SearchFrame, **COMMON),
     st.builds(QueryFrame, **COMMON),
-    st.builds(NowhereFrame, flow=FLOWS, agents=SMALL),
-    st.builds(StrayFrame, **COMMON, lost=st.booleans()),
+    st.builds(NotFoundFrame, flow=FLOWS, agents=SMALL),
+    st.builds(UnknownFlowFrame, **COMMON, lost=st.booleans()),
     st.builds(OwnerFrame, flow=FLOWS),
     st.builds(AbsentFrame, flow=FLOWS),
     st.builds(OfferFrame, flow=FLOWS, sequence=SERVICES, load=SMALL, slots=SMALL),
@@ -38,9 +38,9 @@
         **COMMON,
         tried=st.lists(ADDRESSES, max_size=MAX_TRIED).map(tuple),
         hops=st.integers(0, 255),
-        best=st.none() | st.builds(LoadOffer, agent=ADDRESSES, load=SMALL),
+        best=st.none() | st.builds(AgentLoad, agent=ADDRESSES, load=SMALL),
         final=st.booleans(),
-        given=st.booleans(),
+        unanswered=st.booleans(),
     ),
 )
 
