--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
@@ -15,7 +15,7 @@
     decide_first_flight,
 )
 from daisygauge_records import Endpoint
-from daisygauge_wire import Datagram, Gauge, Kind
+from daisygauge_wire import Datagram, Kind, LoadReport
 
 from .._peer_port import PeerPort
 from .._runtime import Runtime
@@ -24,9 +24,9 @@
 from ._drain import Drain
 from ._fence import Fence
 from ._flights import Flights
-from ._gauges import GaugeExchange
 from ._health import HealthCheck
 from ._incarnation import TICK_SECONDS, incarnation_at
+from ._load_reports import LoadReportExchange
 from ._metrics import AgentMetrics
 from ._node import AgentNode
 from ._peer_calls import PeerCalls
@@ -53,15 +53,15 @@
         self.metrics = AgentMetrics(runtime.registry)
         self.table = ConnectionTable()
         self.slots = Slots(node=self.node, choose_peer=self.choose_peer)
-        self.gauges = GaugeExchange(node=self.node, load=self)
-        self.returns = Returns(node=self.node, gauges=self.gauges)
-        self.peers = Peers(node=self.node, gauges=self.gauges)
+        self.load_reports = LoadReportExchange(node=self.node, load=self)
+        self.returns = Returns(node=self.node, load_reports=self.load_reports)
+        self.peers = Peers(node=self.node, load_reports=self.load_reports)
         self.calls = PeerCalls(node=self.node)
         self.drain_process = Drain(
             node=self.node,
             table=self.table,
             metrics=self.metrics,
-            on_leaving=self.gauges.changed.set,
+            on_leaving=self.load_reports.changed.set,
             count_unseen=self.count_unseen,
         )
         self.metrics.running.set_function(lambda: self.slots.running)
@@ -110,7 +110,7 @@
         await self.peer_port.start()
         self.runtime.spawn(self.health.run(), name="health")
         self.runtime.spawn(self.slots.run(), name="slots")
-        self.runtime.spawn(self.gauges.run(), name="gauges")
+        self.runtime.spawn(self.load_reports.run(), name="gauges")
         self.runtime.spawn(self.returns.run(), name="returns")
         self.runtime.spawn(self.drain_process.watch_list(), name="leaving")
 
@@ -138,7 +138,7 @@
             metrics=self.metrics,
             listeners={
                 Kind.PROBE_ANSWER: self.returns.take_answer,
-                Kind.GAUGE: self.gauges.take,
+                Kind.LOAD_REPORT: self.load_reports.handle,
             },
         )
         self.node.socket.on_datagram = dispatcher.on_datagram
@@ -151,21 +151,21 @@
         own = self.node.inner
         return decide_first_flight(
             placement=self.node.service.placement,
-            own=self.read_gauge(sequence=0),
+            own=self.build_load_report(sequence=0),
             candidates=[agent for agent in datagram.candidates if agent != own],
-            gauges={agents[held.peer]: held.gauge for held in self.peers.fresh()},
+            reports={agents[held.peer]: held.report for held in self.peers.fresh()},
             hops=datagram.hops,
         )
 
     def choose_peer(self) -> HandToPeer | None:
         """Return a better peer for a request that waits here, if any."""
-        gauge = self.read_gauge(sequence=0)
-        return self.peers.choose(evolve(gauge, waiting=max(gauge.waiting - 1, 0)))
+        report = self.build_load_report(sequence=0)
+        return self.peers.choose(evolve(report, waiting=max(report.waiting - 1, 0)))
 
-    def read_gauge(self, *, sequence: int) -> Gauge:
+    def build_load_report(self, *, sequence: int) -> LoadReport:
         """Return the load now."""
         upstream = self.node.upstream
-        return Gauge(
+        return LoadReport(
             slots=upstream.slots,
             running=self.slots.running,
             waiting=self.slots.waiting,
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_fence.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_fence.py
@@ -17,7 +17,7 @@
     OutcomeTable,
     OwnerReply,
     Replay,
-    RunFirst,
+    StartRun,
     StoredAnswer,
     TableFull,
 )
@@ -115,7 +115,7 @@
         fingerprint = fingerprint_request(request, body=content)
         decision = await self.decide(request, key=key, fingerprint=fingerprint)
         match decision:
-            case RunFirst():
+            case StartRun():
                 return await self.run_first(request, body=body, answer=answer)
             case Replay(answer=StoredAnswer() as stored):
                 return await self.replay(stored, answer=answer)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_flights.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_flights.py
@@ -16,8 +16,8 @@
 from daisygauge_policy import (
     AcceptFlight,
     FlightDecision,
-    FlightMemory,
     FlightReason,
+    PassedFlights,
     PassFlight,
     RefuseFlight,
     make_flow_key,
@@ -69,7 +69,7 @@
         self.metrics = metrics
         self.accept = accept
         self.choose = choose
-        self.passed = FlightMemory()
+        self.passed = PassedFlights()
 
     def receive(self, datagram: Datagram, header: PacketHeader) -> None:
         """Handle an Initial or 0-RTT packet with an ID that the caller chose."""
@@ -83,7 +83,7 @@
         if self.table.has_ended(flight, now=now):
             self.report(datagram, flight[1], status=PlacedStatus.ACCEPTED)
             return
-        passed = self.passed.recall(make_key(flight), now=now)
+        passed = self.passed.find(make_key(flight), now=now)
         if passed is not None and datagram.hops < MAX_HOPS:
             self.pass_on(datagram, flight, decision=passed)
             return
@@ -146,7 +146,7 @@
                     connections=len(self.table),
                 )
             case PassFlight() as decision:
-                self.passed.remember(
+                self.passed.record(
                     make_key(flight), decision=decision, now=self.node.now()
                 )
                 self.count("passed-on")
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_gauges.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_load_reports.py
@@ -1,29 +1,35 @@
-"""The agent's own gauge, and the gauges of its peers."""
+"""The agent's own load report, and the load reports of its peers."""
 
 from __future__ import annotations
 
 import asyncio
 from typing import Protocol
 
-from daisygauge_policy import PeerGauges
+from daisygauge_policy import PeerLoadReports
 from daisygauge_records import Endpoint, Upstream
-from daisygauge_wire import Datagram, Gauge, Kind, decode_gauge, encode_gauge
+from daisygauge_wire import (
+    Datagram,
+    Kind,
+    LoadReport,
+    decode_load_report,
+    encode_load_report,
+)
 
 from ._node import AgentNode
 
-GAUGE_SECONDS = 0.2
-GAUGE_PEERS = 8
+LOAD_REPORT_INTERVAL_SECONDS = 0.2
+LOAD_REPORT_PEERS = 8
 
 
 class LoadReader(Protocol):
     """Where the agent's own load is known."""
 
-    def read_gauge(self, *, sequence: int) -> Gauge:
+    def build_load_report(self, *, sequence: int) -> LoadReport:
         """Return the load now."""
 
 
-class GaugeExchange:
-    """Sends this agent's gauge to some peers and keeps theirs.
+class LoadReportExchange:
+    """Sends this agent's load report to some peers and keeps theirs.
 
     :param load: reads this agent's own load.
     """
@@ -31,25 +37,25 @@
     def __init__(self, *, node: AgentNode, load: LoadReader) -> None:
         self.node = node
         self.load = load
-        self.peers = PeerGauges()
+        self.peers = PeerLoadReports()
         self.sequence = 0
         self.changed = asyncio.Event()
 
-    def take(self, datagram: Datagram) -> None:
-        """Keep a peer's gauge; other services and malformed ones are ignored."""
+    def handle(self, datagram: Datagram) -> None:
+        """Keep a peer's load report; other services and malformed ones are ignored."""
         if datagram.service != self.node.service_number:
             return
         peer = self.find_peer(datagram.sender)
         if peer is None:
             return
         try:
-            gauge = decode_gauge(datagram.payload)
+            report = decode_load_report(datagram.payload)
         except ValueError:
             return
         self.peers.update(
             peer.id,
             incarnation=datagram.incarnation,
-            gauge=gauge,
+            report=report,
             now=self.node.now(),
         )
 
@@ -60,10 +66,10 @@
                 return peer
         return None
 
-    def own_gauge(self) -> Gauge:
-        """Return this agent's gauge, newer than every earlier one."""
+    def own_load_report(self) -> LoadReport:
+        """Return this agent's load report, newer than every earlier one."""
         self.sequence += 1
-        return self.load.read_gauge(sequence=self.sequence)
+        return self.load.build_load_report(sequence=self.sequence)
 
     def receivers(self) -> tuple[Upstream, ...]:
         """Return the peers that follow this agent in the ring of ids.
@@ -72,30 +78,30 @@
         """
         own = self.node.settings.id
         peers = sorted(self.node.peers, key=lambda peer: (peer.id < own, peer.id))
-        return tuple(peers[:GAUGE_PEERS])
+        return tuple(peers[:LOAD_REPORT_PEERS])
 
     def send_round(self) -> None:
-        """Send the own gauge to some peers."""
+        """Send the own load report to some peers."""
         number = self.node.service_number
         if number is None:
             return
         datagram = Datagram(
-            kind=Kind.GAUGE,
+            kind=Kind.LOAD_REPORT,
             service=number,
             incarnation=self.node.incarnation,
             sender=self.node.inner,
-            payload=encode_gauge(self.own_gauge()),
+            payload=encode_load_report(self.own_load_report()),
         )
         for peer in self.receivers():
             self.node.send(datagram, receiver=peer.agent)
 
     async def run(self) -> None:
-        """Send the own gauge often, and at once when it changed much."""
+        """Send the own load report often, and at once when it changed much."""
         while True:
             self.send_round()
             self.changed.clear()
             try:
-                async with asyncio.timeout(GAUGE_SECONDS):
+                async with asyncio.timeout(LOAD_REPORT_INTERVAL_SECONDS):
                     await self.changed.wait()
             except TimeoutError:
                 continue
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peers.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peers.py
@@ -1,4 +1,4 @@
-"""Which peer could run a request instead, by the gauges heard lately."""
+"""Which peer could run a request instead, by the load reports heard lately."""
 
 from __future__ import annotations
 
@@ -8,31 +8,31 @@
 
 from attrs import evolve
 
-from daisygauge_policy import HandToPeer, PeerGauge, SentRequests, choose_peer
+from daisygauge_policy import HandToPeer, PeerLoadReport, SentRequests, choose_peer
 from daisygauge_records import LoadHandOff
-from daisygauge_wire import Gauge
+from daisygauge_wire import LoadReport
 
-from ._gauges import GaugeExchange
+from ._load_reports import LoadReportExchange
 from ._node import AgentNode
 
 
 class Peers:
     """Chooses peers for requests that have not run."""
 
-    def __init__(self, *, node: AgentNode, gauges: GaugeExchange) -> None:
+    def __init__(self, *, node: AgentNode, load_reports: LoadReportExchange) -> None:
         self.node = node
-        self.gauges = gauges
+        self.load_reports = load_reports
         self.sent = SentRequests()
         # The seed is free to differ: agents must not all draw the same peer.
         self.random = random.Random()
 
-    def fresh(self) -> tuple[PeerGauge, ...]:
-        """Return the gauges young enough to decide by."""
+    def fresh(self) -> tuple[PeerLoadReport, ...]:
+        """Return the load reports young enough to decide by."""
         published = {peer.id for peer in self.node.peers}
-        heard = self.gauges.peers.fresh(now=self.node.now())
+        heard = self.load_reports.peers.fresh(now=self.node.now())
         return tuple(held for held in heard if held.peer in published)
 
-    def choose(self, own: Gauge) -> HandToPeer | None:
+    def choose(self, own: LoadReport) -> HandToPeer | None:
         """Return the peer that one more request should go to, if any."""
         decision = choose_peer(
             hand_off=self.node.service.hand_off,
@@ -42,7 +42,7 @@
         )
         return decision if isinstance(decision, HandToPeer) else None
 
-    def choose_other(self, own: Gauge) -> HandToPeer | None:
+    def choose_other(self, own: LoadReport) -> HandToPeer | None:
         """Return a peer for a request that this host can't run."""
         decision = choose_peer(
             hand_off=LoadHandOff(),
@@ -53,13 +53,13 @@
         return decision if isinstance(decision, HandToPeer) else None
 
     def incarnation(self, peer: str) -> int | None:
-        """Return the life of a peer that its gauge named."""
-        held = self.gauges.peers.gauges.get(peer)
+        """Return the life of a peer that its load report named."""
+        held = self.load_reports.peers.reports.get(peer)
         return None if held is None else held.incarnation
 
     @contextmanager
     def count_sent(self, peer: str) -> Iterator[None]:
-        """Count a request at a peer while its gauges can't show it."""
+        """Count a request at a peer while its load reports can't show it."""
         request = self.sent.add(peer, now=self.node.now())
         try:
             yield
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_returns.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_returns.py
@@ -6,9 +6,9 @@
 
 from daisygauge_policy import ReturnPaths
 from daisygauge_records import Endpoint
-from daisygauge_wire import Datagram, Kind, encode_gauge
+from daisygauge_wire import Datagram, Kind, encode_load_report
 
-from ._gauges import GaugeExchange
+from ._load_reports import LoadReportExchange
 from ._node import AgentNode
 
 PROBE_SECONDS = 0.3
@@ -17,9 +17,9 @@
 class Returns:
     """Probes balancers and spreads packets over those that answer."""
 
-    def __init__(self, *, node: AgentNode, gauges: GaugeExchange) -> None:
+    def __init__(self, *, node: AgentNode, load_reports: LoadReportExchange) -> None:
         self.node = node
-        self.gauges = gauges
+        self.load_reports = load_reports
         self.paths = ReturnPaths(agent=node.settings.id)
         self.known_version = -1
 
@@ -51,7 +51,7 @@
         view = self.node.view
         if view.version != self.known_version:
             self.known_version = view.version
-            self.paths.set_known(view.instances.values())
+            self.paths.update_balancers(view.instances.values())
 
     def send_probes(self) -> None:
         """Ask the balancers of this agent for a sign of life."""
@@ -60,7 +60,7 @@
             service=self.node.service_number or 0,
             incarnation=self.node.incarnation,
             sender=self.node.inner,
-            payload=encode_gauge(self.gauges.own_gauge()),
+            payload=encode_load_report(self.load_reports.own_load_report()),
         )
         for balancer in self.paths.probe_targets(now=self.node.now()):
             self.node.send(probe, receiver=balancer)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_routing.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_routing.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from daisygauge_policy import HandToPeer, RefusalReason, Refuse, RetryBudget, RunEnd
-from daisygauge_wire import Gauge
+from daisygauge_wire import LoadReport
 
 from . import _events as events
 from ._bodies import ReplayBody
@@ -24,7 +24,7 @@
 class LoadReader(Protocol):
     """Where the agent's own load is known."""
 
-    def read_gauge(self, *, sequence: int) -> Gauge:
+    def build_load_report(self, *, sequence: int) -> LoadReport:
         """Return the load now."""
 
 
@@ -59,9 +59,9 @@
         self.may_run = may_run
         self.budget = RetryBudget(share=0.0, now=node.now())
 
-    def own_gauge(self) -> Gauge:
+    def own_load_report(self) -> LoadReport:
         """Return this host's load, which no peer is sent."""
-        return self.load.read_gauge(sequence=0)
+        return self.load.build_load_report(sequence=0)
 
     async def run(self, request: Request, body: ReplayBody, answer: Answer) -> Outcome:
         """Run a request once; a second time only where that is safe."""
@@ -73,7 +73,7 @@
         self.budget.record_first_try()
         if self.is_probe(request):
             return await self.run_here(request, body, answer, fixed=True)
-        decision = self.peers.choose(self.own_gauge())
+        decision = self.peers.choose(self.own_load_report())
         if decision is None:
             return await self.run_here(request, body, answer)
         return await self.move(decision, request, body, answer, reason="load")
@@ -183,7 +183,7 @@
         """Give a failed request to a peer when that is safe and affordable."""
         decision = None
         if self.is_repeatable(outcome, request, body, answer):
-            decision = self.peers.choose_other(self.own_gauge())
+            decision = self.peers.choose_other(self.own_load_report())
         if decision is not None and self.budget.try_retry(now=self.node.now()):
             second = await self.hand_off(
                 decision, request, body, answer, reason="retry"
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_hosts.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_hosts.py
@@ -8,7 +8,7 @@
 
 from daisygauge_control import ConfigurationView
 from daisygauge_policy import (
-    PeerGauges,
+    PeerLoadReports,
     PlacementTable,
     SlowStart,
     SuspectList,
@@ -17,9 +17,9 @@
     slow_start_share,
 )
 from daisygauge_records import RendezvousPlacement, Service, Upstream
-from daisygauge_wire import Gauge
+from daisygauge_wire import LoadReport
 
-GAUGE_AGE_SECONDS = 2.0
+MAX_LOAD_REPORT_AGE_SECONDS = 2.0
 LONGEST_RAMP_SECONDS = 600.0
 
 
@@ -41,7 +41,7 @@
     """
 
     def __init__(self) -> None:
-        self.gauges = PeerGauges()
+        self.load_reports = PeerLoadReports()
         self.suspects = SuspectList()
         self.slow_start = SlowStart()
         self.loads: dict[str, float] = {}
@@ -52,7 +52,7 @@
         hosts = frozenset(
             upstream.id for group in view.upstreams.values() for upstream in group
         )
-        self.gauges.retain(hosts)
+        self.load_reports.retain(hosts)
         self.suspects.retain(hosts)
         self.slow_start.observe_hosts(hosts, now=now)
         self.ramping = {
@@ -60,14 +60,16 @@
         }
         self.loads = {host: load for host, load in self.loads.items() if host in hosts}
 
-    def take_gauge(
-        self, host: str, *, incarnation: int, gauge: Gauge, now: float
+    def record_load_report(
+        self, host: str, *, incarnation: int, report: LoadReport, now: float
     ) -> None:
         """Take in what an agent says about itself."""
-        held = self.gauges.gauges.get(host)
-        if not self.gauges.update(host, incarnation=incarnation, gauge=gauge, now=now):
+        held = self.load_reports.reports.get(host)
+        if not self.load_reports.update(
+            host, incarnation=incarnation, report=report, now=now
+        ):
             return
-        self.loads[host] = gauge.backlog
+        self.loads[host] = report.backlog
         if held is not None and incarnation > held.incarnation:
             self.slow_start.observe_restart(host, now=now)
             self.ramping.add(host)
@@ -99,18 +101,18 @@
     ) -> tuple[frozenset[str], frozenset[str]]:
         """Return which hosts said lately that they leave, or are not ready."""
         said = {
-            host: self.gauges.gauges[host]
+            host: self.load_reports.reports[host]
             for host in hosts
-            if host in self.gauges.gauges
+            if host in self.load_reports.reports
         }
         fresh = {
-            host: held.gauge
+            host: held.report
             for host, held in said.items()
-            if held.age_seconds(now=now) <= GAUGE_AGE_SECONDS
+            if held.age_seconds(now=now) <= MAX_LOAD_REPORT_AGE_SECONDS
         }
         return (
-            frozenset(host for host, held in said.items() if held.gauge.leaving),
-            frozenset(host for host, gauge in fresh.items() if not gauge.ready),
+            frozenset(host for host, held in said.items() if held.report.leaving),
+            frozenset(host for host, report in fresh.items() if not report.ready),
         )
 
     def ramp(
@@ -140,8 +142,8 @@
         }
         said = (
             host
-            for host, held in self.gauges.gauges.items()
-            if held.gauge.leaving or not held.gauge.ready
+            for host, held in self.load_reports.reports.items()
+            if held.report.leaving or not held.report.ready
         )
         return frozenset((*self.suspects.suspicions, *self.ramping, *said))
 
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
@@ -14,7 +14,7 @@
     Kind,
     MalformedDatagramError,
     decode_datagram,
-    decode_gauge,
+    decode_load_report,
     encode_datagram,
     is_reply,
     read_reply,
@@ -118,10 +118,10 @@
         )
 
     def take_probe(self, datagram: Datagram, sender: Endpoint) -> None:
-        """Answer a probe and learn the agent's gauge."""
+        """Answer a probe and learn the agent's load report."""
         host = self.hosts.get((datagram.service, sender))
         if host is not None and datagram.payload:
-            self.take_gauge(host.id, datagram)
+            self.handle_load_report(host.id, datagram)
         if not self.answers_probes:
             return
         answer = Datagram(
@@ -132,14 +132,14 @@
         )
         self.send(answer, sender)
 
-    def take_gauge(self, host: str, datagram: Datagram) -> None:
+    def handle_load_report(self, host: str, datagram: Datagram) -> None:
         """Learn the load of an agent."""
         try:
-            gauge = decode_gauge(datagram.payload)
+            report = decode_load_report(datagram.payload)
         except ValueError as error:
             raise MalformedDatagramError("gauge") from error
-        self.placer.hosts.take_gauge(
-            host, incarnation=datagram.incarnation, gauge=gauge, now=time.time()
+        self.placer.hosts.record_load_report(
+            host, incarnation=datagram.incarnation, report=report, now=time.time()
         )
 
     def drop(self, sender: tuple[str, int], reason: str) -> None:
--- a/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
@@ -35,7 +35,7 @@
             "DrainStage",
             "decide_drain_stage",
         ],
-        "_fence": [
+        "_idempotency": [
             "LARGEST_ANSWER_BYTES",
             "REPEAT_WINDOW_SECONDS",
             "AskOwner",
@@ -49,13 +49,13 @@
             "OutcomeTable",
             "OwnerReply",
             "Replay",
-            "RunFirst",
+            "StartRun",
             "StoredAnswer",
             "TableFull",
         ],
-        "_gauges": [
-            "PeerGauge",
-            "PeerGauges",
+        "_load_reports": [
+            "PeerLoadReport",
+            "PeerLoadReports",
         ],
         "_hand_off": [
             "HandOffDecision",
@@ -66,7 +66,7 @@
             "choose_peer",
             "expected_seconds",
         ],
-        "_gate": ["GateChange", "GatedRequest", "RequestGate"],
+        "_scheduler": ["SchedulerChange", "ScheduledRequest", "RequestScheduler"],
         "_opening": [
             "AskedAgent",
             "BusyAgent",
@@ -86,10 +86,10 @@
             "SearchBudget",
             "SearchStep",
         ],
-        "_passing": [
+        "_first_flight": [
             "AcceptFlight",
             "FlightDecision",
-            "FlightMemory",
+            "PassedFlights",
             "FlightReason",
             "PassFlight",
             "RefuseFlight",
@@ -104,7 +104,7 @@
             "make_flow_key",
             "select_eligible",
         ],
-        "_ramp": [
+        "_slow_start": [
             "SlowStart",
             "slow_start_share",
         ],
--- a/packages/daisygauge-policy/src/daisygauge_policy/_hand_off.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_hand_off.py
@@ -9,11 +9,11 @@
 from attrs import define, frozen
 
 from daisygauge_records import HandOff, LoadHandOff
-from daisygauge_wire import Gauge
+from daisygauge_wire import LoadReport
 
-from ._gauges import PeerGauge
+from ._load_reports import PeerLoadReport
 
-# A gauge heard this soon after a hand-off can't count the handed request yet.
+# A load report heard this soon after a hand-off can't count the handed request yet.
 TRANSIT_SECONDS = 0.01
 # Cost of the detour, so that equal hosts never exchange requests.
 DETOUR_SECONDS = 0.005
@@ -27,14 +27,14 @@
 
 @frozen(kw_only=True)
 class PeerLoad:
-    """A peer's gauge with the requests handed to it since.
+    """A peer's load report with the requests handed to it since.
 
     :param unseen: change of its requests since then that is known here.
-    :param sent: requests sent to the peer that its gauge does not count.
+    :param sent: requests sent to the peer that its load report does not count.
     """
 
     peer: str
-    gauge: Gauge
+    report: LoadReport
     unseen: int = 0
     sent: int = 0
 
@@ -71,7 +71,7 @@
 
 
 class SentRequests:
-    """Requests handed to each peer, until its gauges tell their state."""
+    """Requests handed to each peer, until its load reports tell their state."""
 
     def __init__(self) -> None:
         self._sent: dict[str, list[SentRequest]] = {}
@@ -86,12 +86,12 @@
         """Note that a peer is done with a request."""
         request.ended = now
 
-    def loads(self, gauges: Sequence[PeerGauge]) -> tuple[PeerLoad, ...]:
-        """Return the peers' loads corrected by what happened since their gauges."""
-        return tuple(self._correct(held) for held in gauges)
+    def loads(self, reports: Sequence[PeerLoadReport]) -> tuple[PeerLoad, ...]:
+        """Return the peers' loads, corrected for hand-offs since their reports."""
+        return tuple(self._correct(held) for held in reports)
 
-    def _correct(self, held: PeerGauge) -> PeerLoad:
-        counted_until = held.heard - TRANSIT_SECONDS
+    def _correct(self, held: PeerLoadReport) -> PeerLoad:
+        counted_until = held.received_at - TRANSIT_SECONDS
         kept = [
             request
             for request in self._sent.get(held.peer, [])
@@ -102,27 +102,27 @@
         ended = sum(request.ended is not None for request in kept)
         return PeerLoad(
             peer=held.peer,
-            gauge=held.gauge,
+            report=held.report,
             unseen=len(later) - ended,
             sent=len(later),
         )
 
 
-def expected_seconds(gauge: Gauge, *, unseen: int = 0) -> float:
+def expected_seconds(report: LoadReport, *, unseen: int = 0) -> float:
     """Return when one more request would finish at a host.
 
     :param unseen: requests under way to the host.
     """
-    slots = max(gauge.slots, 1)
-    ahead = max(0, gauge.running + gauge.waiting + unseen)
+    slots = max(report.slots, 1)
+    ahead = max(0, report.running + report.waiting + unseen)
     waiting = max(0.0, ahead + 1 - slots) / slots
-    return (1.0 + waiting) * gauge.service_seconds
+    return (1.0 + waiting) * report.service_seconds
 
 
 def choose_peer(
     *,
     hand_off: HandOff,
-    own: Gauge,
+    own: LoadReport,
     peers: Sequence[PeerLoad],
     rng: random.Random,
 ) -> HandOffDecision:
@@ -131,9 +131,9 @@
     A request moves when a peer is cheaper by the margin: by its expected end,
     and by the work it did lately compared with the mean. Of the cheaper peers
     two are drawn at random and the better one is taken: agents that hold the
-    same gauges must not all choose the same peer.
+    same load reports must not all choose the same peer.
 
-    :param own: the agent's present gauge without the request itself.
+    :param own: the agent's present load report without the request itself.
     :param peers: fresh loads of peers of the same service.
     """
     match hand_off:
@@ -155,9 +155,9 @@
 
 
 def _choose_better(
-    margin: float, *, own: Gauge, peers: Sequence[PeerLoad], rng: random.Random
+    margin: float, *, own: LoadReport, peers: Sequence[PeerLoad], rng: random.Random
 ) -> HandOffDecision:
-    usable = [load for load in peers if load.gauge.ready and not load.gauge.leaving]
+    usable = [load for load in peers if load.report.ready and not load.report.leaving]
     fleet = _describe_fleet(own, usable)
     gains = {
         load.peer: _gain_seconds(load, own=own, margin=margin, fleet=fleet)
@@ -171,13 +171,13 @@
     return HandToPeer(peer=best, gain_seconds=gains[best])
 
 
-def _share(gauge: Gauge, *, sent: int = 0) -> float:
-    return (gauge.recent + gauge.running + sent) / max(gauge.slots, 1)
+def _share(report: LoadReport, *, sent: int = 0) -> float:
+    return (report.recent + report.running + sent) / max(report.slots, 1)
 
 
-def _describe_fleet(own: Gauge, peers: Sequence[PeerLoad]) -> Fleet:
-    shares = [_share(load.gauge, sent=load.sent) for load in peers]
-    times = [load.gauge.service_seconds for load in peers]
+def _describe_fleet(own: LoadReport, peers: Sequence[PeerLoad]) -> Fleet:
+    shares = [_share(load.report, sent=load.sent) for load in peers]
+    times = [load.report.service_seconds for load in peers]
     return Fleet(
         mean_share=(_share(own) + sum(shares)) / (len(shares) + 1),
         unit_seconds=min([own.service_seconds, *times]),
@@ -185,7 +185,7 @@
 
 
 def _cost_seconds(
-    gauge: Gauge, *, fleet: Fleet, unseen: int = 0, sent: int = 0
+    report: LoadReport, *, fleet: Fleet, unseen: int = 0, sent: int = 0
 ) -> float:
     """Return the expected end of one more request, dearer at a host that has
     done more than its share lately.
@@ -195,16 +195,18 @@
     """
     excess = 0.0
     if fleet.mean_share >= FEWEST_REQUESTS:
-        excess = _share(gauge, sent=sent) / fleet.mean_share - 1.0
+        excess = _share(report, sent=sent) / fleet.mean_share - 1.0
     bounded = min(max(excess, -LARGEST_CREDIT), LARGEST_CHARGE)
     balance = BALANCE_FACTOR * bounded * fleet.unit_seconds
-    return expected_seconds(gauge, unseen=unseen) + balance
+    return expected_seconds(report, unseen=unseen) + balance
 
 
-def _gain_seconds(load: PeerLoad, *, own: Gauge, margin: float, fleet: Fleet) -> float:
+def _gain_seconds(
+    load: PeerLoad, *, own: LoadReport, margin: float, fleet: Fleet
+) -> float:
     """Return how much cheaper than here a peer is, less the margin."""
-    there = _cost_seconds(load.gauge, fleet=fleet, unseen=load.unseen, sent=load.sent)
+    there = _cost_seconds(load.report, fleet=fleet, unseen=load.unseen, sent=load.sent)
     if own.leaving or not own.ready:
         return 1.0 / (1.0 + max(there, 0.0))
-    hysteresis = margin * min(own.service_seconds, load.gauge.service_seconds)
+    hysteresis = margin * min(own.service_seconds, load.report.service_seconds)
     return _cost_seconds(own, fleet=fleet) - there - hysteresis - DETOUR_SECONDS
--- a/packages/daisygauge-policy/src/daisygauge_policy/_fence.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_idempotency.py
@@ -87,7 +87,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class RunFirst:
+class StartRun:
     """The request runs here; its end must be recorded."""
 
 
@@ -138,7 +138,7 @@
 
 
 Decision = (
-    RunFirst | AskOwner | Replay | InProgress | OtherRequest | OutcomeLost | TableFull
+    StartRun | AskOwner | Replay | InProgress | OtherRequest | OutcomeLost | TableFull
 )
 OwnerReply = Granted | Moved | Replay | InProgress | OtherRequest | OutcomeLost
 
@@ -180,7 +180,7 @@
         match entry.state:
             case KeyState.NOT_RUN:
                 entry.state = KeyState.RUNNING
-                return RunFirst()
+                return StartRun()
             case KeyState.ELSEWHERE:
                 entry.state, entry.asked = KeyState.ASKING, 1
                 return AskOwner(owner=entry.owner)
@@ -197,7 +197,7 @@
         owner = None if is_own else first
         if not self._add(key, fingerprint, state=state, owner=owner, now=now):
             return TableFull()
-        return RunFirst() if is_own else AskOwner(owner=owner)
+        return StartRun() if is_own else AskOwner(owner=owner)
 
     def resolve(self, key: str, *, reply: OwnerReply | None, now: float) -> Decision:
         """Decide after the owner was asked.
@@ -211,7 +211,7 @@
         match reply:
             case Granted():
                 entry.state, entry.owner = KeyState.RUNNING, None
-                return RunFirst()
+                return StartRun()
             case Moved(owner=owner) if entry.asked < LONGEST_OWNER_CHAIN:
                 entry.owner = owner
                 entry.asked += 1
--- /dev/null
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_load_reports.py
@@ -0,0 +1,68 @@
+"""The load of peer agents, as lately heard."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from daisygauge_wire import LoadReport
+
+LOAD_REPORT_INTERVAL_SECONDS = 0.2
+LONGEST_AGE_SECONDS = 1.0
+
+
+@frozen(kw_only=True)
+class PeerLoadReport:
+    """One peer's load report with its origin.
+
+    :param received_at: Unix time in seconds at which it arrived.
+    """
+
+    peer: str
+    incarnation: int
+    report: LoadReport
+    received_at: float
+
+    def age_seconds(self, *, now: float) -> float:
+        """Return the time since the load report arrived."""
+        return now - self.received_at
+
+
+class PeerLoadReports:
+    """The newest load report of each peer, by agent id."""
+
+    def __init__(self) -> None:
+        self.reports: dict[str, PeerLoadReport] = {}
+
+    def update(
+        self, peer: str, *, incarnation: int, report: LoadReport, now: float
+    ) -> bool:
+        """Take in a load report unless a newer one is held.
+
+        :return: False for a load report of an older incarnation or sequence.
+        """
+        held = self.reports.get(peer)
+        if held is not None and (incarnation, report.sequence) <= (
+            held.incarnation,
+            held.report.sequence,
+        ):
+            return False
+        self.reports[peer] = PeerLoadReport(
+            peer=peer, incarnation=incarnation, report=report, received_at=now
+        )
+        return True
+
+    def fresh(
+        self, *, now: float, longest_age_seconds: float = LONGEST_AGE_SECONDS
+    ) -> tuple[PeerLoadReport, ...]:
+        """Return the load reports young enough to decide by, ordered by peer."""
+        return tuple(
+            held
+            for _, held in sorted(self.reports.items())
+            if held.age_seconds(now=now) <= longest_age_seconds
+        )
+
+    def retain(self, peers: frozenset[str]) -> None:
+        """Forget every peer but the published ones."""
+        self.reports = {
+            peer: held for peer, held in self.reports.items() if peer in peers
+        }
--- a/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
@@ -3,7 +3,7 @@
 The decision is made where the load is known best: at the agent whose upstream
 would run the flow's requests. An agent without a free slot passes the packet on
 and notes its own load in it, so that the last agent asked can send it back to the
-least busy one. Gauges need not travel, however many upstreams a service has.
+least busy one. Load reports need not travel, however many upstreams a service has.
 """
 
 from __future__ import annotations
--- a/packages/daisygauge-policy/src/daisygauge_policy/_return_paths.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_return_paths.py
@@ -35,7 +35,7 @@
         self.heard: dict[Endpoint, float] = {}
         self._turn = 0
 
-    def set_known(self, instances: Iterable[Instance]) -> None:
+    def update_balancers(self, instances: Iterable[Instance]) -> None:
         """Take in the instance list; entries of other roles are ignored."""
         balancers = [entry for entry in instances if entry.role is Role.BALANCER]
         staying = self._spread([entry for entry in balancers if not entry.leaving])
--- a/packages/daisygauge-policy/src/daisygauge_policy/_gate.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_scheduler.py
@@ -32,17 +32,17 @@
 LONGEST_STUCK_SECONDS = 2.0
 
 
-class GatedRequest(Struct, kw_only=True):
-    """A request at the gate.
+class ScheduledRequest(Struct, kw_only=True):
+    """A request at the scheduler.
 
     :param priority: 0 is the most important.
-    :param aim_at: monotonic time until which an answer is on time.
+    :param target_at: monotonic time until which an answer is on time.
     :param deadline_at: monotonic time at which the client gives up.
     """
 
     flow: bytes
     priority: int
-    aim_at: float = math.inf
+    target_at: float = math.inf
     deadline_at: float = math.inf
 
 
@@ -56,8 +56,8 @@
     the service time may be shorter than before."""
 
 
-class GateChange(Struct, kw_only=True):
-    """What the gate lets go.
+class SchedulerChange(Struct, kw_only=True):
+    """What the scheduler lets go.
 
     :param sent: flows whose request goes to the upstream now, in order.
     :param expired: flows whose request has not run and whose client has given up.
@@ -67,7 +67,7 @@
     expired: list[bytes] = field(default_factory=list)
 
 
-class RequestGate:
+class RequestScheduler:
     """Keeps as many requests at the upstream as it runs at a time.
 
     :param slots: tells how many that is; None lets everything through.
@@ -76,7 +76,7 @@
     def __init__(self, *, slots: Callable[[], int | None]) -> None:
         self.slots = slots
         self.running: dict[bytes, float] = {}
-        self.waiting: dict[bytes, GatedRequest] = {}
+        self.waiting: dict[bytes, ScheduledRequest] = {}
         self.service_seconds = FIRST_SERVICE_SECONDS
 
     def load(self, *, now: float) -> int:
@@ -91,24 +91,24 @@
         )
         return sum(1 for began in self.running.values() if now - began < stuck_seconds)
 
-    def arrive(self, request: GatedRequest, *, now: float) -> GateChange:
+    def submit(self, request: ScheduledRequest, *, now: float) -> SchedulerChange:
         """Take a request in."""
         self.waiting[request.flow] = request
-        return self.release(now=now)
+        return self.dispatch(now=now)
 
-    def end(self, flow: bytes, *, now: float) -> GateChange:
+    def end(self, flow: bytes, *, now: float) -> SchedulerChange:
         """Note that the upstream answers, or that the flow is over."""
         began = self.running.pop(flow, None)
         self.waiting.pop(flow, None)
-        return GateChange() if began is None else self.release(now=now)
+        return SchedulerChange() if began is None else self.dispatch(now=now)
 
-    def note_service(self, seconds: float) -> None:
+    def record_service_time(self, seconds: float) -> None:
         """Learn how long the upstream takes."""
         self.service_seconds += SERVICE_WEIGHT * (seconds - self.service_seconds)
 
-    def release(self, *, now: float) -> GateChange:
+    def dispatch(self, *, now: float) -> SchedulerChange:
         """Send on what the upstream has room for, and drop what is too late."""
-        change = GateChange(expired=self._expire(now=now))
+        change = SchedulerChange(expired=self._expire(now=now))
         room = self._room(now=now)
         while self.waiting and room > 0:
             flow = min(self.waiting, key=lambda flow: self._rank(flow, now=now))
@@ -135,10 +135,10 @@
     def _rank(self, flow: bytes, *, now: float) -> tuple[Prospect, int, float]:
         """Order requests by what their client may still get, then by priority."""
         request = self.waiting[flow]
-        if now + self.service_seconds <= request.aim_at:
+        if now + self.service_seconds <= request.target_at:
             prospect = Prospect.IN_TIME
         elif now + DEADLINE_MARGIN * self.service_seconds <= request.deadline_at:
             prospect = Prospect.LATE
         else:
             prospect = Prospect.UNLIKELY
-        return prospect, request.priority, request.aim_at
+        return prospect, request.priority, request.target_at
--- a/packages/daisygauge-policy/src/daisygauge_policy/_search.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_search.py
@@ -40,7 +40,7 @@
     rounds: int = 0
     pause_seconds: float = FIRST_PAUSE_SECONDS
 
-    def take(self, *, now: float) -> bool:
+    def try_take(self, *, now: float) -> bool:
         """Use one search, if one is left."""
         if now - self.since >= self.pause_seconds:
             self.since = now
@@ -84,24 +84,28 @@
     absent: set[bytes] = field(default_factory=set)
     unanswered: set[bytes] = field(default_factory=set)
 
-    def list_missing(self, agents: Iterable[bytes]) -> list[bytes]:
+    def select_unanswered(self, agents: Iterable[bytes]) -> list[bytes]:
         """Return those of the agents that have not answered; they are asked now."""
         asked = [agent for agent in agents if agent not in self.absent]
         self.unanswered.update(asked)
         return asked
 
     def next_step(
-        self, *, near: Collection[bytes], everyone: Collection[bytes], own: bytes
+        self,
+        *,
+        route_agents: Collection[bytes],
+        all_agents: Collection[bytes],
+        own: bytes,
     ) -> SearchStep:
         """Return what follows from the answers so far.
 
-        :param near: agents of the services that the flow's route names.
-        :param everyone: every agent of the fleet, as the asking agent knows them. A
+        :param route_agents: agents of the services that the flow's route names.
+        :param all_agents: every agent of the fleet, as the asking agent knows them. A
             list without the asking agent itself is not to be trusted.
         """
-        if own not in everyone or not self.absent.issuperset(near):
+        if own not in all_agents or not self.absent.issuperset(route_agents):
             return SearchStep.WAIT
-        if self.absent.issuperset(everyone):
+        if self.absent.issuperset(all_agents):
             return SearchStep.GIVE_UP
         return SearchStep.WAIT if self.is_wide else SearchStep.WIDEN
 
@@ -131,7 +135,7 @@
         """Forget a search that is over."""
         self.searches.pop(flow, None)
 
-    def note_absent(self, flow: bytes, agent: bytes) -> PendingSearch | None:
+    def record_absent(self, flow: bytes, agent: bytes) -> PendingSearch | None:
         """Note an agent that doesn't hold a flow.
 
         :return: the search, once no answer is missing.
--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -4,7 +4,7 @@
 
 from socket import inet_aton, inet_ntoa
 
-from daisygauge_policy import RequestGate
+from daisygauge_policy import RequestScheduler
 from daisygauge_wire import (
     AbsentFrame,
     CarryFrame,
@@ -59,16 +59,16 @@
         self.flows: FlowTable[AgentFlow] = FlowTable(
             is_over=self.is_over, forgotten=self.forget
         )
-        self.gate = RequestGate(slots=lambda: self.upstream.slots)
+        self.scheduler = RequestScheduler(slots=lambda: self.upstream.slots)
         self.requests = Requests(
-            runtime=runtime, codec=codec, gate=self.gate, deliver=self.deliver
+            runtime=runtime, codec=codec, scheduler=self.scheduler, deliver=self.deliver
         )
         self.openings = Openings(
             runtime=runtime,
             codec=codec,
             upstream=self.upstream,
             flows=self.flows,
-            running=lambda now: self.gate.load(now=now),
+            running=lambda now: self.scheduler.load(now=now),
             deliver=self.deliver,
             send=self.send,
             reset=self.reset,
@@ -128,17 +128,17 @@
             Gauge(
                 name="requests_running",
                 text="Requests at the upstream.",
-                read=lambda: len(self.gate.running),
+                read=lambda: len(self.scheduler.running),
             ),
             Gauge(
                 name="requests_waiting",
                 text="Requests that wait for the upstream.",
-                read=lambda: len(self.gate.waiting),
+                read=lambda: len(self.scheduler.waiting),
             ),
             Gauge(
                 name="service_seconds",
                 text="Mean time of the upstream's latest answers.",
-                read=lambda: self.gate.service_seconds,
+                read=lambda: self.scheduler.service_seconds,
             ),
             Gauge(
                 name="upstream_silent",
@@ -190,7 +190,9 @@
                     searcher = inet_aton(sender[0])
                     self.receive_packet(frame, packet, searcher=searcher, now=now)
                 case AbsentFrame():
-                    self.searches.note_absent(frame.flow, inet_aton(sender[0]), now=now)
+                    self.searches.record_absent(
+                        frame.flow, inet_aton(sender[0]), now=now
+                    )
                 case OpenFrame():
                     packet = self.codec.read_from_client(frame.packet)
                     self.openings.receive(frame, packet, now=now)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
@@ -178,7 +178,7 @@
         """Have the agent that holds a flow found, as the flow's budget allows."""
         if flow.budget is None:
             flow.budget = SearchBudget(since=now)
-        if not flow.budget.take(now=now):
+        if not flow.budget.try_take(now=now):
             self.runtime.counters.drop("search-budget")
             return
         flow.acknowledged = packet.acknowledged
--- a/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct, field
 
-from daisygauge_policy import GateChange, GatedRequest, RequestGate
+from daisygauge_policy import RequestScheduler, ScheduledRequest, SchedulerChange
 
 from . import _events as events
 from ._candidates import find_route
@@ -20,8 +20,8 @@
 from ._runtime import RelayRuntime
 
 TICK_SECONDS = 0.05
-"""How often the gate is looked at without an answer; a tenth of the shortest time in
-which a held request can become too late."""
+"""Time between dispatches without an answer: a tenth of the shortest time in which a
+held request can become too late."""
 LONGEST_OPENING_SECONDS = 2.0
 """Clients give an opening up after 1.4 s; the rest is for a repeated first packet."""
 MAX_HELD_PACKETS = 16
@@ -49,21 +49,21 @@
         *,
         runtime: RelayRuntime,
         codec: PacketCodec,
-        gate: RequestGate,
+        scheduler: RequestScheduler,
         deliver: Callable[[bytes], None],
     ) -> None:
         self.runtime = runtime
         self.codec = codec
-        self.gate = gate
+        self.scheduler = scheduler
         self.deliver = deliver
         self.held: dict[bytes, HeldRequest] = {}
 
     async def run(self) -> None:
-        """Look at the gate now and then."""
+        """Dispatch and expire waiting requests every ``TICK_SECONDS``."""
         while True:
             await self.runtime.sleep(TICK_SECONDS)
-            if self.gate.waiting:
-                self.apply(self.gate.release(now=self.runtime.now()))
+            if self.scheduler.waiting:
+                self.apply(self.scheduler.dispatch(now=self.runtime.now()))
 
     def receive(
         self, flow: AgentFlow, packet: RelayedPacket, data: bytes, *, now: float
@@ -83,40 +83,40 @@
     def begin(
         self, flow: AgentFlow, packet: RelayedPacket, data: bytes, *, now: float
     ) -> None:
-        """Take a new request to the gate."""
+        """Submit a new request to the scheduler."""
         flow.asked_at = now
         flow.request = self.codec.find_request_id(data)
         self.runtime.counters.requests += 1
         held = self.held[packet.flow] = HeldRequest()
         hold_packet(held, packet, data)
-        change = self.gate.arrive(self.describe(flow, packet, now=now), now=now)
+        change = self.scheduler.submit(self.describe(flow, packet, now=now), now=now)
         self.runtime.log.write(
             events.REQUEST_BEGUN,
             flow=flow_name(packet.flow),
             request=flow.request,
-            running=len(self.gate.running),
-            waiting=len(self.gate.waiting),
+            running=len(self.scheduler.running),
+            waiting=len(self.scheduler.waiting),
         )
         self.apply(change)
 
     def describe(
         self, flow: AgentFlow, packet: RelayedPacket, *, now: float
-    ) -> GatedRequest:
-        """Return what the gate orders a request by."""
+    ) -> ScheduledRequest:
+        """Return the values by which the scheduler orders a request."""
         route = find_route(self.runtime.directory.view, packet.flow)
         began = find_start(flow, now=now)
-        request = GatedRequest(flow=packet.flow, priority=0)
+        request = ScheduledRequest(flow=packet.flow, priority=0)
         if route is None:
             return request
         request.priority = route.priority
         if route.target_seconds:
-            request.aim_at = began + route.target_seconds
+            request.target_at = began + route.target_seconds
         if route.timeout_seconds:
             request.deadline_at = began + route.timeout_seconds
         return request
 
-    def apply(self, change: GateChange) -> None:
-        """Send on and drop what the gate says."""
+    def apply(self, change: SchedulerChange) -> None:
+        """Forward the dispatched requests and drop the expired ones."""
         for flow in change.sent:
             held = self.held.pop(flow, None)
             for data in held.packets if held is not None else ():
@@ -127,9 +127,9 @@
             self.runtime.log.write(
                 events.REQUEST_EXPIRED,
                 flow=flow_name(flow),
-                service_seconds=round(self.gate.service_seconds, 4),
-                running=len(self.gate.running),
-                waiting=len(self.gate.waiting),
+                service_seconds=round(self.scheduler.service_seconds, 4),
+                running=len(self.scheduler.running),
+                waiting=len(self.scheduler.waiting),
             )
 
     def receive_answer(
@@ -150,26 +150,26 @@
     def answer(self, key: bytes, flow: AgentFlow, *, now: float) -> None:
         """Note that the upstream answers a flow's request."""
         seconds = now - flow.asked_at
-        began = self.gate.running.get(key)
+        began = self.scheduler.running.get(key)
         if began is not None:
-            self.gate.note_service(now - began)
+            self.scheduler.record_service_time(now - began)
         self.runtime.counters.answer(seconds)
         self.runtime.log.write(
             events.REQUEST_ANSWERED,
             flow=flow_name(key),
             request=flow.request,
             seconds=round(seconds, 4),
-            running=len(self.gate.running),
-            waiting=len(self.gate.waiting),
+            running=len(self.scheduler.running),
+            waiting=len(self.scheduler.waiting),
         )
         flow.asked_at = None
         flow.served += 1
-        self.apply(self.gate.end(key, now=now))
+        self.apply(self.scheduler.end(key, now=now))
 
     def forget(self, flow: bytes) -> None:
         """Drop a flow that is over."""
         self.held.pop(flow, None)
-        self.apply(self.gate.end(flow, now=self.runtime.now()))
+        self.apply(self.scheduler.end(flow, now=self.runtime.now()))
 
     def let_go(self) -> None:
         """Send on whatever waits: nobody will be here to do it later."""
--- a/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
@@ -68,7 +68,7 @@
         self, flow: bytes, search: PendingSearch, agents: Iterable[bytes], *, now: float
     ) -> None:
         """Ask agents that have not answered yet; this one itself comes last."""
-        asked = search.list_missing(agents)
+        asked = search.select_unanswered(agents)
         for agent in asked:
             if agent != self.own:
                 self.runtime.counters.queried += 1
@@ -84,9 +84,9 @@
             packet=search.packet,
         )
 
-    def note_absent(self, flow: bytes, agent: bytes, *, now: float) -> None:
+    def record_absent(self, flow: bytes, agent: bytes, *, now: float) -> None:
         """Note the answer of an agent that doesn't hold a flow."""
-        search = self.pending.note_absent(flow, agent)
+        search = self.pending.record_absent(flow, agent)
         if search is not None:
             self.advance(flow, search, now=now)
 
@@ -95,7 +95,9 @@
         if self.pending.searches.get(flow) is not search:
             return
         step = search.next_step(
-            near=self.near(search, flow), everyone=self.candidates.tags, own=self.own
+            route_agents=self.near(search, flow),
+            all_agents=self.candidates.tags,
+            own=self.own,
         )
         if step is SearchStep.WIDEN:
             search.is_wide = True
--- a/packages/daisygauge-relay/src/daisygauge_relay/_strays.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_strays.py
@@ -110,7 +110,7 @@
     def report_absent(self, flow: bytes, searcher: bytes, *, now: float) -> None:
         """Tell the agent that looks for a flow that the upstream doesn't hold it."""
         if searcher == self.own:
-            self.searches.note_absent(flow, self.own, now=now)
+            self.searches.record_absent(flow, self.own, now=now)
         else:
             self.send(searcher, AbsentFrame(flow=flow))
 
--- a/packages/daisygauge-wire/src/daisygauge_wire/__init__.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/__init__.py
@@ -37,10 +37,10 @@
             "read_reply",
             "unpack_endpoint",
         ],
-        "_gauge": [
-            "Gauge",
-            "decode_gauge",
-            "encode_gauge",
+        "_load_report": [
+            "LoadReport",
+            "decode_load_report",
+            "encode_load_report",
         ],
         "_keyring": [
             "DerivedKeys",
--- a/packages/daisygauge-wire/src/daisygauge_wire/_datagram.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_datagram.py
@@ -40,11 +40,11 @@
     PLACED = 3
     """What an agent did with a first flight; the payload is the caller's ID."""
     PROBE = 4
-    """An agent asks whether a balancer is alive; the payload is a gauge."""
+    """An agent asks whether a balancer is alive; the payload is a load report."""
     PROBE_ANSWER = 5
     """A balancer is alive."""
-    GAUGE = 6
-    """The load of one agent, for its peers; the payload is a gauge."""
+    LOAD_REPORT = 6
+    """The load of one agent, for its peers; the payload is a load report."""
 
 
 class PlacedStatus(enum.IntEnum):
@@ -67,12 +67,12 @@
 
     :param service: service number that the receiver must serve.
     :param incarnation: incarnation that the receiver must have, or
-        ``ANY_INCARNATION``. In probes, answers and gauges: the sender's own.
+        ``ANY_INCARNATION``. In probes, answers and load reports: the sender's own.
     :param hops: how often a first flight was passed on.
     :param caller: where the caller's packets come from.
     :param address: service address that the caller uses.
     :param sender: inner address of the balancer that answers go to, or of the
-        sender of a probe or gauge.
+        sender of a probe or load report.
     :param candidates: agents that a first flight may still be passed to.
     """
 
--- a/packages/daisygauge-wire/src/daisygauge_wire/_gauge.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_load_report.py
@@ -6,13 +6,13 @@
 
 from attrs import frozen
 
-_GAUGE = struct.Struct(">HHHIIfBIf")
+_LOAD_REPORT = struct.Struct(">HHHIIfBIf")
 _LEAVING = 1
 _READY = 2
 
 
 @frozen(kw_only=True)
-class Gauge:
+class LoadReport:
     """Load figures of an agent at one moment.
 
     :param slots: requests that the upstream runs at once.
@@ -22,7 +22,7 @@
     :param max_connections: connections that the upstream may hold.
     :param service_seconds: smoothed time of a short request in its slot.
     :param ready: False until the upstream answers its health check.
-    :param sequence: grows with every gauge of one incarnation.
+    :param sequence: grows with every load report of one incarnation.
     :param recent: short requests completed lately, older ones counting less.
     """
 
@@ -48,34 +48,34 @@
         return self.connections / max(self.max_connections, 1)
 
 
-def encode_gauge(gauge: Gauge) -> bytes:
-    """Serialize a gauge for the payload of an inner datagram."""
-    flags = _LEAVING * gauge.leaving | _READY * gauge.ready
-    return _GAUGE.pack(
-        gauge.slots,
-        min(gauge.running, 0xFFFF),
-        min(gauge.waiting, 0xFFFF),
-        gauge.connections,
-        gauge.max_connections,
-        gauge.service_seconds,
+def encode_load_report(report: LoadReport) -> bytes:
+    """Serialize a load report for the payload of an inner datagram."""
+    flags = _LEAVING * report.leaving | _READY * report.ready
+    return _LOAD_REPORT.pack(
+        report.slots,
+        min(report.running, 0xFFFF),
+        min(report.waiting, 0xFFFF),
+        report.connections,
+        report.max_connections,
+        report.service_seconds,
         flags,
-        gauge.sequence & 0xFFFFFFFF,
-        gauge.recent,
+        report.sequence & 0xFFFFFFFF,
+        report.recent,
     )
 
 
-def decode_gauge(payload: bytes) -> Gauge:
-    """Read a gauge.
+def decode_load_report(payload: bytes) -> LoadReport:
+    """Read a load report.
 
     :raises ValueError: the payload has another length.
     """
     try:
-        fields = _GAUGE.unpack(payload)
+        fields = _LOAD_REPORT.unpack(payload)
     except struct.error as error:
-        raise ValueError(f"a gauge has {_GAUGE.size} bytes") from error
+        raise ValueError(f"a load report has {_LOAD_REPORT.size} bytes") from error
     slots, running, waiting, connections, maximum = fields[:5]
     seconds, flags, sequence, recent = fields[5:]
-    return Gauge(
+    return LoadReport(
         slots=slots,
         running=running,
         waiting=waiting,
--- a/testing/daemon/test_balancer.py
+++ b/testing/daemon/test_balancer.py
@@ -118,7 +118,7 @@
     answer = await agent.receive_datagram()
     await balancer.drain()
     agent.send_datagram(probe, balancer.local)
-    agent.send_datagram(evolve(probe, kind=Kind.GAUGE), balancer.local)
+    agent.send_datagram(evolve(probe, kind=Kind.LOAD_REPORT), balancer.local)
     while not balancer.counts.drops:
         await asyncio.sleep(0)
 
--- a/testing/daemon/test_balancer_fuzz.py
+++ b/testing/daemon/test_balancer_fuzz.py
@@ -90,7 +90,7 @@
     lambda rng: resigned(rng)[: rng.randrange(1, 30)],
     lambda rng: resigned(rng, service=rng.randrange(3, 65_536)),
     lambda rng: resigned(rng, kind=Kind.FORWARD),
-    lambda rng: resigned(rng, kind=Kind.GAUGE),
+    lambda rng: resigned(rng, kind=Kind.LOAD_REPORT),
     lambda rng: resigned(rng, kind=Kind.PROBE_ANSWER),
     lambda rng: resigned(rng, kind=Kind.PLACED, payload=rng.randbytes(300)),
     lambda rng: resigned(rng, candidates=(STRANGER.agent,)),
--- a/testing/daemon/test_placer.py
+++ b/testing/daemon/test_placer.py
@@ -6,7 +6,7 @@
 from daisygauge_daemon._balancer._placer import Placer
 from daisygauge_daemon._events import EventLog
 from daisygauge_records import Endpoint, Instance, Role
-from daisygauge_wire import Gauge, Kind, PlacedStatus
+from daisygauge_wire import Kind, LoadReport, PlacedStatus
 
 from .datapath import NOW, first_flight, make_service, make_upstream, make_view
 
@@ -14,7 +14,7 @@
 HOSTS = tuple(make_upstream(number) for number in range(4))
 CALLER = ("127.40.4.1", 5555)
 LOCAL = Endpoint(host="127.40.1.1", port=7000)
-IDLE = Gauge(
+IDLE = LoadReport(
     slots=2,
     running=0,
     waiting=0,
@@ -184,8 +184,8 @@
 
 def test_a_host_that_says_it_leaves_gets_no_new_flows(placer, sent):
     host = HOSTS[2]
-    placer.hosts.take_gauge(
-        host.id, incarnation=1, gauge=evolve(IDLE, leaving=True), now=NOW
+    placer.hosts.record_load_report(
+        host.id, incarnation=1, report=evolve(IDLE, leaving=True), now=NOW
     )
 
     placer.refresh_tables(now=NOW + 60.0)
@@ -213,8 +213,8 @@
 
 def test_hosts_that_are_not_ready_serve_when_none_is(placer, sent):
     for host in HOSTS:
-        placer.hosts.take_gauge(
-            host.id, incarnation=1, gauge=evolve(IDLE, ready=False), now=NOW
+        placer.hosts.record_load_report(
+            host.id, incarnation=1, report=evolve(IDLE, ready=False), now=NOW
         )
 
     placer.refresh_tables(now=NOW)
--- a/testing/policy/queue_model.py
+++ b/testing/policy/queue_model.py
@@ -14,7 +14,7 @@
     AdmissionQueue,
     Admit,
     HandToPeer,
-    PeerGauges,
+    PeerLoadReports,
     RecentRuns,
     SentRequests,
     ServiceTimes,
@@ -22,10 +22,10 @@
     WaitingRequest,
     choose_peer,
 )
-from daisygauge_wire import Gauge
+from daisygauge_wire import LoadReport
 
 SLOTS = 2
-GAUGE_SECONDS = 0.2
+LOAD_REPORT_INTERVAL_SECONDS = 0.2
 TRANSIT_SECONDS = 0.002
 WORK_SECONDS = 0.1
 
@@ -40,13 +40,13 @@
     running: dict = field(factory=dict)
     times: ServiceTimes = field(factory=ServiceTimes)
     recent: RecentRuns = field(factory=RecentRuns)
-    gauges: PeerGauges = field(factory=PeerGauges)
+    reports: PeerLoadReports = field(factory=PeerLoadReports)
     sent: SentRequests = field(factory=SentRequests)
     sequence: int = 0
 
-    def gauge(self, now):
+    def load_report(self, now):
         self.sequence += 1
-        return Gauge(
+        return LoadReport(
             slots=SLOTS,
             running=len(self.running),
             waiting=len(self.queue),
@@ -93,20 +93,20 @@
         arrival = 0.0
         while (arrival := arrival + self.rng.expovariate(rate)) < seconds:
             self.at(arrival, self.arrive, self.rng.randrange(entry_hosts))
-        for tick in range(int(seconds / GAUGE_SECONDS) + 1):
-            self.at(tick * GAUGE_SECONDS, self.exchange_gauges)
+        for tick in range(int(seconds / LOAD_REPORT_INTERVAL_SECONDS) + 1):
+            self.at(tick * LOAD_REPORT_INTERVAL_SECONDS, self.exchange_reports)
         while self.events:
             self.now, _, action, arguments = heapq.heappop(self.events)
             action(*arguments)
         return self
 
-    def exchange_gauges(self):
+    def exchange_reports(self):
         for host in self.hosts:
-            gauge = host.gauge(self.now)
+            report = host.load_report(self.now)
             for peer in self.hosts:
                 if peer is not host:
-                    peer.gauges.update(
-                        host.id, incarnation=1, gauge=gauge, now=self.now
+                    peer.reports.update(
+                        host.id, incarnation=1, report=report, now=self.now
                     )
 
     def arrive(self, entry):
@@ -121,9 +121,12 @@
             arrived=self.now,
             deadline=self.now + 2.0,
         )
-        loads = host.sent.loads(host.gauges.fresh(now=self.now))
+        loads = host.sent.loads(host.reports.fresh(now=self.now))
         decision = choose_peer(
-            hand_off=self.hand_off, own=host.gauge(self.now), peers=loads, rng=self.rng
+            hand_off=self.hand_off,
+            own=host.load_report(self.now),
+            peers=loads,
+            rng=self.rng,
         )
         if isinstance(decision, HandToPeer):
             sent = host.sent.add(decision.peer, now=self.now)
--- a/testing/policy/test_hand_off.py
+++ b/testing/policy/test_hand_off.py
@@ -7,15 +7,15 @@
 from daisygauge_policy import (
     HandToPeer,
     KeepRequest,
-    PeerGauge,
     PeerLoad,
+    PeerLoadReport,
     SentRequests,
     choose_peer,
 )
 from daisygauge_records import LoadHandOff, NoHandOff
-from daisygauge_wire import Gauge
+from daisygauge_wire import LoadReport
 
-GAUGE = Gauge(
+REPORT = LoadReport(
     slots=2,
     running=2,
     waiting=0,
@@ -26,13 +26,13 @@
     ready=True,
     sequence=1,
 )
-IDLE = evolve(GAUGE, running=0)
+IDLE = evolve(REPORT, running=0)
 
 
-def choose(own, *gauges, unseen=0, hand_off=None, seed=1):
+def choose(own, *reports, unseen=0, hand_off=None, seed=1):
     peers = [
-        PeerLoad(peer=f"host-{number}", gauge=gauge, unseen=unseen)
-        for number, gauge in enumerate(gauges)
+        PeerLoad(peer=f"host-{number}", report=report, unseen=unseen)
+        for number, report in enumerate(reports)
     ]
     return choose_peer(
         hand_off=hand_off or LoadHandOff(margin=0.5),
@@ -43,7 +43,7 @@
 
 
 def test_a_request_that_would_wait_goes_to_an_idle_peer():
-    decision = choose(evolve(GAUGE, waiting=2), IDLE)
+    decision = choose(evolve(REPORT, waiting=2), IDLE)
 
     assert isinstance(decision, HandToPeer)
     assert decision.peer == "host-0"
@@ -54,9 +54,9 @@
 
 
 def test_a_request_stays_when_the_peer_is_better_by_less_than_the_margin():
-    own = evolve(GAUGE, waiting=1)
+    own = evolve(REPORT, waiting=1)
 
-    assert choose(own, GAUGE, hand_off=LoadHandOff(margin=0.5)) == KeepRequest()
+    assert choose(own, REPORT, hand_off=LoadHandOff(margin=0.5)) == KeepRequest()
 
 
 def test_a_slow_host_hands_off_even_with_a_free_slot():
@@ -66,7 +66,7 @@
 
 
 def test_requests_under_way_count_as_the_peers_load():
-    own = evolve(GAUGE, waiting=2)
+    own = evolve(REPORT, waiting=2)
 
     assert choose(own, IDLE, unseen=8) == KeepRequest()
 
@@ -74,18 +74,18 @@
 def test_a_leaving_host_hands_off_to_a_busier_peer():
     own = evolve(IDLE, leaving=True)
 
-    assert isinstance(choose(own, GAUGE), HandToPeer)
+    assert isinstance(choose(own, REPORT), HandToPeer)
 
 
 def test_without_hand_off_requests_stay():
-    own = evolve(GAUGE, waiting=50)
+    own = evolve(REPORT, waiting=50)
 
     assert choose(own, IDLE, hand_off=NoHandOff()) == KeepRequest()
 
 
-gauges_strategy = st.builds(
+reports_strategy = st.builds(
     lambda running, waiting, seconds, leaving, ready, recent: evolve(
-        GAUGE,
+        REPORT,
         recent=recent,
         running=running,
         waiting=waiting,
@@ -102,17 +102,17 @@
 )
 
 
-@given(own=gauges_strategy, peers=st.lists(gauges_strategy, max_size=8))
+@given(own=reports_strategy, peers=st.lists(reports_strategy, max_size=8))
 def test_requests_never_go_to_a_leaving_or_unready_peer(own, peers):
     decision = choose(own, *peers)
 
     if isinstance(decision, HandToPeer):
-        gauge = peers[int(decision.peer.removeprefix("host-"))]
-        assert gauge.ready and not gauge.leaving
+        report = peers[int(decision.peer.removeprefix("host-"))]
+        assert report.ready and not report.leaving
         assert decision.gain_seconds > 0.0
 
 
-@given(one=gauges_strategy, other=gauges_strategy)
+@given(one=reports_strategy, other=reports_strategy)
 def test_two_serving_hosts_never_exchange_requests(one, other):
     one = evolve(one, leaving=False, ready=True)
     other = evolve(other, leaving=False, ready=True)
@@ -124,7 +124,7 @@
 
 def test_a_host_that_did_more_than_its_share_gives_to_an_idle_peer():
     own = evolve(IDLE, recent=60.0)
-    busy, idler = evolve(GAUGE, recent=40.0), evolve(IDLE, recent=42.0)
+    busy, idler = evolve(REPORT, recent=40.0), evolve(IDLE, recent=42.0)
 
     assert choose(own, busy, idler).peer == "host-1"
 
@@ -141,8 +141,8 @@
     assert choose(own, evolve(IDLE, recent=5.0, service_seconds=0.5)) == KeepRequest()
 
 
-def test_agents_with_the_same_gauges_do_not_all_choose_one_peer():
-    own = evolve(GAUGE, waiting=10)
+def test_agents_with_the_same_load_reports_do_not_all_choose_one_peer():
+    own = evolve(REPORT, waiting=10)
     peers = [IDLE] * 6
 
     chosen = collections.Counter(
@@ -152,26 +152,26 @@
     assert len(chosen) == 6
 
 
-def test_sent_requests_count_until_a_later_gauge_arrives():
+def test_sent_requests_count_until_a_later_load_report_arrives():
     sent = SentRequests()
     sent.add("a", now=10.00)
     sent.add("a", now=10.10)
-    gauge = PeerGauge(peer="a", incarnation=1, gauge=IDLE, heard=10.05)
+    report = PeerLoadReport(peer="a", incarnation=1, report=IDLE, received_at=10.05)
 
-    assert sent.loads([gauge])[0].unseen == 1
-    assert sent.loads([gauge])[0].sent == 1
-    assert sent.loads([evolve(gauge, heard=10.2)])[0].unseen == 0
+    assert sent.loads([report])[0].unseen == 1
+    assert sent.loads([report])[0].sent == 1
+    assert sent.loads([evolve(report, received_at=10.2)])[0].unseen == 0
 
 
-def test_a_request_that_ended_since_the_gauge_frees_its_place():
+def test_a_request_that_ended_since_the_load_report_frees_its_place():
     sent = SentRequests()
     before = sent.add("a", now=10.00)
     after = sent.add("a", now=10.10)
-    gauge = PeerGauge(peer="a", incarnation=1, gauge=IDLE, heard=10.05)
+    report = PeerLoadReport(peer="a", incarnation=1, report=IDLE, received_at=10.05)
 
     sent.end(before, now=10.15)
-    assert sent.loads([gauge])[0].unseen == 0
+    assert sent.loads([report])[0].unseen == 0
     sent.end(after, now=10.16)
 
-    assert sent.loads([gauge])[0].unseen == -1
-    assert sent.loads([evolve(gauge, heard=10.2)])[0].unseen == 0
+    assert sent.loads([report])[0].unseen == -1
+    assert sent.loads([evolve(report, received_at=10.2)])[0].unseen == 0
--- a/testing/policy/test_fence.py
+++ b/testing/policy/test_idempotency.py
@@ -11,7 +11,7 @@
     OutcomeLost,
     OutcomeTable,
     Replay,
-    RunFirst,
+    StartRun,
     StoredAnswer,
     TableFull,
 )
@@ -40,7 +40,7 @@
 
 
 def test_a_first_attempt_runs_and_its_copy_waits(table):
-    assert begin(table) == RunFirst()
+    assert begin(table) == StartRun()
     assert begin(table) == InProgress()
 
 
@@ -64,7 +64,7 @@
     begin(table)
     table.release("key", now=NOW)
 
-    assert begin(table) == RunFirst()
+    assert begin(table) == StartRun()
 
 
 def test_a_key_of_another_request_is_refused(table):
@@ -102,7 +102,7 @@
 
 def test_a_repeat_of_another_host_asks_it(table):
     assert begin(table, first=PEER) == AskOwner(owner=PEER)
-    assert table.resolve("key", reply=Granted(), now=NOW) == RunFirst()
+    assert table.resolve("key", reply=Granted(), now=NOW) == StartRun()
 
 
 def test_an_answer_of_another_host_is_replayed_and_kept(table):
@@ -119,7 +119,7 @@
 
     assert table.resolve("key", reply=None, now=NOW) == OutcomeLost()
     assert begin(table) == AskOwner(owner=PEER)
-    assert table.resolve("key", reply=Granted(), now=NOW) == RunFirst()
+    assert table.resolve("key", reply=Granted(), now=NOW) == StartRun()
 
 
 def test_a_moved_key_is_followed_for_a_few_steps(table):
--- a/testing/policy/test_fence_interleavings.py
+++ b/testing/policy/test_idempotency_interleavings.py
@@ -15,7 +15,7 @@
     KeyOwner,
     OutcomeTable,
     Replay,
-    RunFirst,
+    StartRun,
     StoredAnswer,
 )
 
@@ -73,7 +73,7 @@
     def follow(self, attempt, decision):
         attempt.asks = None
         match decision:
-            case RunFirst():
+            case StartRun():
                 attempt.may_run = True
                 self.attempts.append(attempt)
             case AskOwner(owner=owner):
--- a/testing/policy/test_return_paths.py
+++ b/testing/policy/test_return_paths.py
@@ -20,7 +20,7 @@
 
 def make_paths(count, agent="host-1"):
     paths = ReturnPaths(agent=agent)
-    paths.set_known([make_balancer(number) for number in range(count)])
+    paths.update_balancers([make_balancer(number) for number in range(count)])
     return paths
 
 
@@ -95,7 +95,7 @@
 def test_a_leaving_balancer_is_used_only_when_no_other_is_heard():
     paths = ReturnPaths(agent="host-1")
     leaving, staying = make_balancer(0, leaving=True), make_balancer(1)
-    paths.set_known([leaving, staying])
+    paths.update_balancers([leaving, staying])
     paths.report_answer(leaving.inner, now=2.0)
     paths.report_answer(staying.inner, now=1.0)
 
@@ -108,7 +108,7 @@
     paths = ReturnPaths(agent="host-1")
     for number in heard:
         paths.report_answer(make_balancer(number).inner, now=1.0)
-    paths.set_known([make_balancer(number) for number in known])
+    paths.update_balancers([make_balancer(number) for number in known])
 
     usable = paths.usable(now=1.0)
 
--- a/testing/policy/test_search.py
+++ b/testing/policy/test_search.py
@@ -13,7 +13,7 @@
     search = searches.begin(
         flow, balancer=BALANCER, service=service, packet=b"", now=now
     )
-    search.list_missing(ask)
+    search.select_unanswered(ask)
     return search
 
 
@@ -21,74 +21,74 @@
     budget = SearchBudget(since=0.0)
     rounds = []
     for step in range(60):
-        if budget.take(now=step * 0.1):
+        if budget.try_take(now=step * 0.1):
             rounds.append(budget.rounds)
 
     assert sorted(set(rounds)) == list(range(rounds[-1] + 1))
     assert max(rounds.count(turn) for turn in rounds) <= BURST_PACKETS
 
 
-def step(search, *, near=(OWN, OTHER), everyone=(OWN, OTHER)):
-    return search.next_step(near=near, everyone=everyone, own=OWN)
+def step(search, *, route_agents=(OWN, OTHER), all_agents=(OWN, OTHER)):
+    return search.next_step(route_agents=route_agents, all_agents=all_agents, own=OWN)
 
 
 def test_a_flow_is_nowhere_once_every_agent_has_said_so():
     searches = PendingSearches()
     search = begin(searches, b"flow", ask=(OWN, OTHER))
 
-    assert searches.note_absent(b"flow", OWN) is None
+    assert searches.record_absent(b"flow", OWN) is None
     assert step(search) is SearchStep.WAIT
 
-    assert searches.note_absent(b"flow", OTHER) is search
+    assert searches.record_absent(b"flow", OTHER) is search
     assert step(search) is SearchStep.GIVE_UP
 
 
 def test_agents_of_other_services_are_asked_before_a_flow_is_nowhere():
     searches = PendingSearches()
     search = begin(searches, b"flow", ask=(OWN, OTHER))
-    everyone = (OWN, OTHER, FAR)
-    searches.note_absent(b"flow", OWN)
-    searches.note_absent(b"flow", OTHER)
+    all_agents = (OWN, OTHER, FAR)
+    searches.record_absent(b"flow", OWN)
+    searches.record_absent(b"flow", OTHER)
 
-    assert step(search, everyone=everyone) is SearchStep.WIDEN
+    assert step(search, all_agents=all_agents) is SearchStep.WIDEN
     search.is_wide = True
-    assert search.list_missing(everyone) == [FAR]
-    assert step(search, everyone=everyone) is SearchStep.WAIT
+    assert search.select_unanswered(all_agents) == [FAR]
+    assert step(search, all_agents=all_agents) is SearchStep.WAIT
 
-    assert searches.note_absent(b"flow", FAR) is search
-    assert step(search, everyone=everyone) is SearchStep.GIVE_UP
+    assert searches.record_absent(b"flow", FAR) is search
+    assert step(search, all_agents=all_agents) is SearchStep.GIVE_UP
 
 
 def test_an_agent_that_joined_since_is_asked_too():
     searches = PendingSearches()
     search = begin(searches, b"flow", ask=(OWN, OTHER))
-    searches.note_absent(b"flow", OWN)
-    searches.note_absent(b"flow", OTHER)
+    searches.record_absent(b"flow", OWN)
+    searches.record_absent(b"flow", OTHER)
 
     joined = (OWN, OTHER, FAR)
 
-    assert step(search, near=joined, everyone=joined) is SearchStep.WAIT
-    assert search.list_missing(joined) == [FAR]
+    assert step(search, route_agents=joined, all_agents=joined) is SearchStep.WAIT
+    assert search.select_unanswered(joined) == [FAR]
 
 
 def test_a_list_without_the_asking_agent_proves_nothing():
     searches = PendingSearches()
     search = begin(searches, b"flow", ask=(OTHER,))
-    searches.note_absent(b"flow", OTHER)
+    searches.record_absent(b"flow", OTHER)
 
-    assert step(search, near=[OTHER], everyone=[OTHER]) is SearchStep.WAIT
-    assert step(search, near=[], everyone=[]) is SearchStep.WAIT
+    assert step(search, route_agents=[OTHER], all_agents=[OTHER]) is SearchStep.WAIT
+    assert step(search, route_agents=[], all_agents=[]) is SearchStep.WAIT
 
 
 def test_a_repeated_search_asks_only_those_who_have_not_answered():
     searches = PendingSearches()
     begin(searches, b"flow", ask=(OWN, OTHER))
-    searches.note_absent(b"flow", OTHER)
+    searches.record_absent(b"flow", OTHER)
 
     search = begin(searches, b"flow", now=0.2)
 
-    assert search.list_missing((OWN, OTHER)) == [OWN]
-    assert searches.note_absent(b"flow", OWN) is search
+    assert search.select_unanswered((OWN, OTHER)) == [OWN]
+    assert searches.record_absent(b"flow", OWN) is search
     assert step(search) is SearchStep.GIVE_UP
 
 
@@ -97,7 +97,7 @@
     begin(searches, b"old")
     begin(searches, b"new", now=PENDING_SECONDS + 0.1)
 
-    assert searches.note_absent(b"old", OWN) is None
+    assert searches.record_absent(b"old", OWN) is None
 
 
 def test_the_oldest_search_makes_room():
--- a/testing/relay/test_requests.py
+++ b/testing/relay/test_requests.py
@@ -45,7 +45,7 @@
     network.clock.run(0.9)
     agent = network.agents[host.address]
     network.clock.run(1.0)
-    agent.requests.apply(agent.gate.release(now=network.clock.now()))
+    agent.requests.apply(agent.scheduler.dispatch(now=network.clock.now()))
     network.clock.run(8.0)
 
     assert len(host.ran) < 6
--- a/testing/relay/test_silences.py
+++ b/testing/relay/test_silences.py
@@ -37,13 +37,13 @@
     client.ask("10.0.0.1", sequence=100)
     network.clock.run(0.05)
     agent = only(network.agents)
-    running = dict(agent.gate.running)
+    running = dict(agent.scheduler.running)
 
     deliver(host.address, sent[0])
     network.clock.run(0.05)
 
     assert running
-    assert agent.gate.running == running
+    assert agent.scheduler.running == running
     assert agent.runtime.log.names()["request-answered"] == 1
 
 
--- a/testing/wire/strategies.py
+++ b/testing/wire/strategies.py
@@ -6,9 +6,9 @@
 from daisygauge_wire import (
     MAX_CANDIDATES,
     Datagram,
-    Gauge,
     KeyRing,
     Kind,
+    LoadReport,
     PlacedStatus,
     Route,
 )
@@ -37,8 +37,8 @@
     candidates=st.lists(endpoints, max_size=MAX_CANDIDATES).map(tuple),
     payload=st.binary(max_size=1_400),
 )
-gauges = st.builds(
-    Gauge,
+reports = st.builds(
+    LoadReport,
     slots=counts,
     running=counts,
     waiting=counts,
--- a/testing/wire/test_decoders.py
+++ b/testing/wire/test_decoders.py
@@ -12,10 +12,10 @@
     PacketKind,
     decode_connection_id,
     decode_datagram,
-    decode_gauge,
+    decode_load_report,
     encode_connection_id,
     encode_datagram,
-    encode_gauge,
+    encode_load_report,
     is_reply,
     open_connection_id,
     pack_endpoint,
@@ -33,7 +33,7 @@
     OTHER_KEYS,
     datagrams,
     endpoints,
-    gauges,
+    reports,
     routes,
 )
 
@@ -123,16 +123,16 @@
 
 
 @exact
-@given(gauges)
-def test_a_gauge_is_read_as_it_was_written(gauge):
-    assert decode_gauge(encode_gauge(gauge)) == gauge
+@given(reports)
+def test_a_load_report_is_read_as_it_was_written(report):
+    assert decode_load_report(encode_load_report(report)) == report
 
 
 @exact
 @given(st.binary(max_size=64))
-def test_any_bytes_are_a_gauge_or_refused(payload):
+def test_any_bytes_are_a_load_report_or_refused(payload):
     try:
-        decode_gauge(payload)
+        decode_load_report(payload)
     except ValueError as error:
         assert "bytes" in str(error)
 
