Name the control package's exports by the terms of the field

The names SeatChanged, residents, report_absence and the like need their code to be understood. They become WatcherChanged, hosts_by_address and record_outage; EVERYTHING becomes ALL_SERVICES, DirectoryReading DirectoryUpdate, HttpAnswer HttpResponse, DirectoryMoved DirectoryChanged, HostGone HostExpired, FellBack FellBackToPlatform. The record fields cold_seconds, target_seconds and idle_seconds become slow_start_seconds, target_latency_seconds and idle_timeout_seconds; these structs are encoded as arrays, so no field name is sent. The event seat-changed, its field seat and the metric seat keep their names; the dataclass field that is now is_watcher is local to the process.

--- a/bench/capacity/participant.py
+++ b/bench/capacity/participant.py
@@ -16,7 +16,7 @@
 from absl import app, flags
 from grpclib.server import Server
 
-from daisygauge_control import EVERYTHING, Member, create_configuration_source
+from daisygauge_control import ALL_SERVICES, Member, create_configuration_source
 from daisygauge_records import Role
 
 PROBE_SERVICE = "probe"
@@ -46,7 +46,7 @@
                 role=role,
                 region="region-1",
                 failure_domain=flags.FLAGS.failure_domain,
-                service=EVERYTHING if role is Role.BALANCER else PROBE_SERVICE,
+                service=ALL_SERVICES if role is Role.BALANCER else PROBE_SERVICE,
             ),
         )
 
@@ -85,7 +85,7 @@
             budget = self.source.budget
             tell(
                 ready=self.source.ready,
-                seat=self.source.node.seat,
+                seat=self.source.node.is_watcher,
                 followers=len(self.source.node.followers),
                 sent_bytes=budget.sent_bytes,
                 received_bytes=budget.received_bytes,
--- a/packages/daisygauge-control/src/daisygauge_control/_directory.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory.py
@@ -15,7 +15,7 @@
 
 LAPSE_GRACE_SECONDS = 2.0
 """Entries that lapsed while the platform was away are back within this time."""
-ABSENCE_MEMORY_SECONDS = 8.0
+OUTAGE_MEMORY_SECONDS = 8.0
 """A removal this soon after the platform was away may be such a lapse."""
 SETTLING_SECONDS = LAPSE_GRACE_SECONDS + 0.5
 """A view this old has met whatever lapsed before this process began; the half second
@@ -38,7 +38,7 @@
     :param address: IPv4 address, shared with the agent beside it.
     :param port: where the upstream takes packets.
     :param slots: requests that it runs at a time.
-    :param cold_seconds: how much longer it is slow after its start.
+    :param slow_start_seconds: remaining slow-start time.
     :param incarnation: Unix time of its start in milliseconds.
     """
 
@@ -49,7 +49,7 @@
     failure_domain: str
     state: HostState
     slots: int
-    cold_seconds: float = 0.0
+    slow_start_seconds: float = 0.0
     incarnation: int = 0
 
 
@@ -65,7 +65,8 @@
 
     :param idempotent: True when its requests may run more than once.
     :param timeout_seconds: time after which clients give up, or 0 for none.
-    :param target_seconds: time within which an answer is on time, or 0 for none.
+    :param target_latency_seconds: latency up to which a response is on time, or 0
+        for none.
     :param priority: 0 is the highest.
     """
 
@@ -75,19 +76,19 @@
     shares: tuple[ServiceShare, ...]
     idempotent: bool = False
     timeout_seconds: float = 0.0
-    target_seconds: float = 0.0
+    target_latency_seconds: float = 0.0
     priority: int = 0
 
 
 class RoutingRecord(Struct, kw_only=True, frozen=True, array_like=True, tag="routing"):
     """All routes of one configuration.
 
-    :param idle_seconds: a flow without packets for longer may be forgotten.
+    :param idle_timeout_seconds: a flow without packets for longer may be forgotten.
     """
 
     version: int
     routes: tuple[RouteRecord, ...]
-    idle_seconds: float
+    idle_timeout_seconds: float
 
 
 class UnusableRecord(
@@ -129,14 +130,14 @@
     """What is in force; replaced as a whole by each change.
 
     :param hosts: usable hosts by service, ordered by id.
-    :param residents: newest host at each address, by IPv4 address.
+    :param hosts_by_address: newest host at each address, by IPv4 address.
     :param routes: routes by address and port.
     """
 
     version: int = 0
-    idle_seconds: float = 0.0
+    idle_timeout_seconds: float = 0.0
     hosts: Mapping[str, tuple[HostRecord, ...]] = field(default_factory=dict)
-    residents: Mapping[str, HostRecord] = field(default_factory=dict)
+    hosts_by_address: Mapping[str, HostRecord] = field(default_factory=dict)
     routes: Mapping[tuple[str, int], RouteRecord] = field(default_factory=dict)
 
     @property
@@ -145,10 +146,10 @@
         return self.version > 0
 
     @property
-    def has_replaced(self) -> bool:
+    def has_replaced_host(self) -> bool:
         """True when the entry of a host still stands whose address has a newer one."""
         return any(
-            self.residents[host.address] is not host
+            self.hosts_by_address[host.address] is not host
             for hosts in self.hosts.values()
             for host in hosts
         )
@@ -158,23 +159,24 @@
     """Merges published items and derives the view in force.
 
     :ivar as_of: revision up to which every change is held.
-    :ivar confirmed: monotonic time at which ``as_of`` was last heard to be current.
-    :ivar since: monotonic time of the first reading.
-    :ivar floor: lowest revision after which every change, removals included, is held.
+    :ivar confirmed_at: monotonic time at which ``as_of`` was last known to be current.
+    :ivar first_read_at: monotonic time of the first reading.
+    :ivar history_start: lowest revision after which every change is held, removals
+        included.
     """
 
     def __init__(self) -> None:
         self.items: dict[str, HeldItem] = {}
         self.view = DirectoryView()
         self.as_of = NO_REVISION
-        self.floor = NO_REVISION
-        self.since: float | None = None
-        self.confirmed = float("-inf")
-        self.absent_until = float("-inf")
+        self.history_start = NO_REVISION
+        self.first_read_at: float | None = None
+        self.confirmed_at = float("-inf")
+        self.removals_may_lapse_until = float("-inf")
 
-    def report_absence(self, *, now: float) -> None:
+    def record_outage(self, *, now: float) -> None:
         """Note that the platform can't be read; removals may be lapses for a while."""
-        self.absent_until = now + ABSENCE_MEMORY_SECONDS
+        self.removals_may_lapse_until = now + OUTAGE_MEMORY_SECONDS
 
     def apply(
         self,
@@ -193,7 +195,7 @@
         news = tuple(item for item in items if self._accept(item, now=now))
         if as_of >= self.as_of:
             self.as_of = as_of
-            self.confirmed = max(self.confirmed, now - age_seconds)
+            self.confirmed_at = max(self.confirmed_at, now - age_seconds)
         if news:
             self.view = self._build_view(now=now)
         return news
@@ -211,9 +213,9 @@
         :param as_of: revision at which the reading began.
         """
         items = tuple(items)
-        if self.since is None:
-            self.floor = as_of
-            self.since = now
+        if self.first_read_at is None:
+            self.history_start = as_of
+            self.first_read_at = now
         present = {item.key for item in items}
         removed = (
             DirectoryItem(key=key, revision=as_of, content=None)
@@ -232,11 +234,13 @@
         missing. An entry whose host has been replaced at its address, and that still
         stands, shows that none has lapsed lately.
         """
-        if self.since is None or now < self.absent_until:
+        if self.first_read_at is None or now < self.removals_may_lapse_until:
             return False
-        if now - self.confirmed > LONGEST_CURRENT_SECONDS:
+        if now - self.confirmed_at > LONGEST_CURRENT_SECONDS:
             return False
-        return self.view.has_replaced or now - self.since >= SETTLING_SECONDS
+        return (
+            self.view.has_replaced_host or now - self.first_read_at >= SETTLING_SECONDS
+        )
 
     def changes_after(self, revision: int) -> tuple[DirectoryItem, ...]:
         """Return every item held that is newer than a revision."""
@@ -273,7 +277,7 @@
             item.content is None
             and isinstance(lapsed, HostRecord)
             and lapsed.state is HostState.READY
-            and now < self.absent_until
+            and now < self.removals_may_lapse_until
         )
         if not may_return:
             return HeldItem(item=item)
@@ -283,21 +287,21 @@
 
     def _build_view(self, *, now: float) -> DirectoryView:
         hosts: dict[str, list[HostRecord]] = {}
-        residents: dict[str, HostRecord] = {}
+        hosts_by_address: dict[str, HostRecord] = {}
         routing: RoutingRecord | None = None
         for key in sorted(self.items):
             held = self.items[key]
             match held.lapsed or held.item.content:
                 case HostRecord() as host:
                     hosts.setdefault(host.service, []).append(host)
-                    _settle_resident(residents, host)
+                    _settle_resident(hosts_by_address, host)
                 case RoutingRecord() as record:
                     routing = record
         view = DirectoryView(
             version=self.view.version,
-            idle_seconds=self.view.idle_seconds,
+            idle_timeout_seconds=self.view.idle_timeout_seconds,
             hosts={service: tuple(found) for service, found in hosts.items()},
-            residents=residents,
+            hosts_by_address=hosts_by_address,
             routes=self.view.routes,
         )
         if routing is None or routing.version <= view.version:
@@ -305,13 +309,13 @@
         return replace(
             view,
             version=routing.version,
-            idle_seconds=routing.idle_seconds,
+            idle_timeout_seconds=routing.idle_timeout_seconds,
             routes={(route.host, route.port): route for route in routing.routes},
         )
 
 
-def _settle_resident(residents: dict[str, HostRecord], host: HostRecord) -> None:
+def _settle_resident(hosts_by_address: dict[str, HostRecord], host: HostRecord) -> None:
     """Let the host that started last own its address."""
-    known = residents.get(host.address)
+    known = hosts_by_address.get(host.address)
     if known is None or host.incarnation >= known.incarnation:
-        residents[host.address] = host
+        hosts_by_address[host.address] = host
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_events.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_events.py
@@ -9,7 +9,7 @@
 from ._directory import DirectoryItem
 
 
-class DirectoryMoved(Struct, kw_only=True, frozen=True):
+class DirectoryChanged(Struct, kw_only=True, frozen=True):
     """Changes were merged.
 
     :param source: who told them.
@@ -23,7 +23,7 @@
     items: tuple[DirectoryItem, ...]
 
 
-class HostGone(Struct, kw_only=True, frozen=True):
+class HostExpired(Struct, kw_only=True, frozen=True):
     """A host that lapsed while the platform was away has not come back."""
 
     id: str
@@ -54,15 +54,15 @@
     """A call to the platform was answered.
 
     :param seconds: time that it took, its wait included.
-    :param news: changes that it told.
+    :param changes: number of changes in the response.
     """
 
     seconds: float
-    news: int
+    changes: int
 
 
 DirectoryEvent = (
-    PlatformCalled | DirectoryMoved | HostGone | SourceLost | SourceRegained
+    PlatformCalled | DirectoryChanged | HostExpired | SourceLost | SourceRegained
 )
 ObserveDirectory = Callable[[DirectoryEvent], None]
 
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_exchange.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_exchange.py
@@ -136,10 +136,10 @@
             await self.changed.wait(seconds=seconds)
         # Removals before the floor aren't known here, so a peer that may need them
         # is given everything.
-        is_complete = request.after < max(self.directory.floor, NO_REVISION + 1)
+        is_complete = request.after < max(self.directory.history_start, NO_REVISION + 1)
         return PackedReply(
             as_of=self.directory.as_of,
-            age_seconds=self.clock() - self.directory.confirmed,
+            age_seconds=self.clock() - self.directory.confirmed_at,
             is_complete=is_complete,
             items=self.pack(NO_REVISION if is_complete else request.after),
         )
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_follower.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_follower.py
@@ -11,8 +11,8 @@
 from ._backoff import backoff_seconds
 from ._directory import NO_REVISION, Directory, DirectoryItem
 from ._directory_events import (
-    DirectoryMoved,
-    HostGone,
+    DirectoryChanged,
+    HostExpired,
     ObserveDirectory,
     PlatformCalled,
     SourceLost,
@@ -111,7 +111,7 @@
             await asyncio.sleep(EXPIRY_SECONDS)
             gone = self.directory.expire(now=self.clock())
             for id in gone:
-                self.observe(HostGone(id=id))
+                self.observe(HostExpired(id=id))
             if gone:
                 self.changed.notify()
 
@@ -150,7 +150,7 @@
 
     def list_sources(self) -> tuple[str, ...]:
         """Return every source in the order in which it is preferred."""
-        agents = self.directory.view.residents
+        agents = self.directory.view.hosts_by_address
         seats = choose_seats(agents)
         others = order_seats(
             (seat for seat in seats if seat != self.own_address),
@@ -183,7 +183,7 @@
     async def _ask_platform(self) -> tuple[DirectoryItem, ...]:
         began = self.clock()
         news = await self._read_platform()
-        self.observe(PlatformCalled(seconds=self.clock() - began, news=len(news)))
+        self.observe(PlatformCalled(seconds=self.clock() - began, changes=len(news)))
         return news
 
     async def _read_platform(self) -> tuple[DirectoryItem, ...]:
@@ -244,7 +244,7 @@
         if news:
             self.changed.notify()
             self.observe(
-                DirectoryMoved(
+                DirectoryChanged(
                     source=source,
                     as_of=self.directory.as_of,
                     age_seconds=age_seconds,
@@ -269,7 +269,7 @@
         now = self.clock()
         health.retry_at = now + pause
         if source == PLATFORM:
-            self.directory.report_absence(now=now)
+            self.directory.record_outage(now=now)
         if health.failures == 1:
             self.observe(SourceLost(source=source, reason=reason, retry_seconds=pause))
 
@@ -278,5 +278,5 @@
         if health is None or not health.failures:
             return
         if source == PLATFORM:
-            self.directory.report_absence(now=self.clock())
+            self.directory.record_outage(now=self.clock())
         self.observe(SourceRegained(source=source, failures=health.failures))
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_reader.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_reader.py
@@ -13,7 +13,7 @@
     """The platform no longer tells what changed since a revision; read all again."""
 
 
-class DirectoryReading(Struct, kw_only=True, frozen=True):
+class DirectoryUpdate(Struct, kw_only=True, frozen=True):
     """Items of one answer.
 
     :param as_of: revision up to which they tell every change.
@@ -31,21 +31,21 @@
 
     calls: int
 
-    async def read_all(self) -> DirectoryReading:
+    async def read_all(self) -> DirectoryUpdate:
         """Read every item.
 
         :raises PlatformUnavailableError: when the platform gives no usable answer.
         """
         ...
 
-    async def read_hosts(self) -> DirectoryReading:
+    async def read_hosts(self) -> DirectoryUpdate:
         """Read the hosts alone, which is little beside many routes.
 
         :raises PlatformUnavailableError: when the platform gives no usable answer.
         """
         ...
 
-    async def watch(self, *, after: int, wait_seconds: float) -> DirectoryReading:
+    async def watch(self, *, after: int, wait_seconds: float) -> DirectoryUpdate:
         """Wait for changes after a revision; the answer may hold none.
 
         :raises HistoryLostError: when the platform has forgotten the revision.
--- a/packages/daisygauge-control/src/daisygauge_control/_events.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_events.py
@@ -74,14 +74,14 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class SeatChanged:
+class WatcherChanged:
     """This daemon begins or ends to watch the platform for its failure domain."""
 
-    seat: bool
+    is_watcher: bool
 
 
 @dataclass(frozen=True, kw_only=True)
-class FellBack:
+class FellBackToPlatform:
     """No peer gave anything for a while, so the platform is read once.
 
     :param silent_seconds: time since a peer was last followed.
@@ -97,8 +97,8 @@
     | PlatformLost
     | PlatformRegained
     | PeerLost
-    | SeatChanged
-    | FellBack
+    | WatcherChanged
+    | FellBackToPlatform
 )
 Observe = Callable[[SourceEvent], None]
 
--- a/packages/daisygauge-control/src/daisygauge_control/_fetch.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_fetch.py
@@ -10,7 +10,7 @@
 
 from ._budget import ControlBudget
 from ._consul import ConsulReader
-from ._member import EVERYTHING, Member
+from ._member import ALL_SERVICES, Member
 from ._node import Node
 from ._signal import Signal
 from ._state import ConfigurationState
@@ -56,7 +56,7 @@
 async def _read_node(platform: Sequence[str]) -> Node:
     reader = ConsulReader(addresses=platform)
     changed = Signal()
-    state = ConfigurationState(service=EVERYTHING, changed=changed)
+    state = ConfigurationState(service=ALL_SERVICES, changed=changed)
     try:
         keys = await reader.read_keys()
         instances = await reader.read_instances(after=0)
--- a/packages/daisygauge-control/src/daisygauge_control/_http_client.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_http_client.py
@@ -13,7 +13,7 @@
 READ_BYTES = 65_536
 
 
-class HttpAnswer(Struct, kw_only=True, frozen=True):
+class HttpResponse(Struct, kw_only=True, frozen=True):
     """A whole answer."""
 
     status: int
@@ -34,13 +34,13 @@
     def on_message_complete(self) -> None:
         self.is_whole = True
 
-    def feed(self, data: bytes) -> HttpAnswer | None:
+    def feed(self, data: bytes) -> HttpResponse | None:
         """Take bytes in; returns the answer once it is whole."""
         self.parser.feed_data(data)
         if not self.is_whole:
             return None
         status = self.parser.get_status_code()
-        return HttpAnswer(status=status, body=b"".join(self.body))
+        return HttpResponse(status=status, body=b"".join(self.body))
 
 
 def is_over(streams: Streams | None) -> bool:
@@ -65,7 +65,7 @@
         self._is_busy = False
         self.streams: Streams | None = None
 
-    async def get(self, target: str, *, timeout_seconds: float) -> HttpAnswer:
+    async def get(self, target: str, *, timeout_seconds: float) -> HttpResponse:
         """Send a GET request.
 
         :param target: path with query.
@@ -86,7 +86,7 @@
             if self.streams is not None and self._is_busy:
                 self.close()
 
-    async def _exchange(self, target: str) -> HttpAnswer:
+    async def _exchange(self, target: str) -> HttpResponse:
         self._is_busy = True
         if is_over(self.streams):
             self.close()
--- a/packages/daisygauge-control/src/daisygauge_control/_journal.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_journal.py
@@ -10,7 +10,7 @@
 
 from daisygauge_records import Record
 
-from ._member import EVERYTHING, KEYS_GROUP, group_of
+from ._member import ALL_SERVICES, KEYS_GROUP, group_of
 
 BUCKETS = 256
 MAX_CHANGES = 4_096
@@ -88,7 +88,7 @@
 
     def summarize(self, *, service: str) -> Summary:
         """Summarize the records that a daemon with a scope needs."""
-        if service == EVERYTHING:
+        if service == ALL_SERVICES:
             return self.summaries["*"]
         keys = self.summaries[KEYS_GROUP]
         own = self.summaries[service]
--- a/packages/daisygauge-control/src/daisygauge_control/_member.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_member.py
@@ -6,7 +6,7 @@
 
 from daisygauge_records import Record, Role, Service, Upstream
 
-EVERYTHING = ""
+ALL_SERVICES = ""
 """The scope of a daemon that needs every record."""
 KEYS_GROUP = ""
 """The group of the records that every daemon needs."""
@@ -19,14 +19,14 @@
     """A daemon as a member of the fleet.
 
     :param id: instance id, equal to that in the platform's instance list.
-    :param service: the service whose records the daemon needs, or ``EVERYTHING``.
+    :param service: the service whose records the daemon needs, or ``ALL_SERVICES``.
     """
 
     id: str
     role: Role
     region: str
     failure_domain: str
-    service: str = EVERYTHING
+    service: str = ALL_SERVICES
 
 
 def group_of(record: Record) -> str:
@@ -48,4 +48,4 @@
 
 def is_wanted(group: str, *, service: str) -> bool:
     """Tell whether a daemon with a scope needs the records of a group."""
-    return service in (EVERYTHING, group) or group == KEYS_GROUP
+    return service in (ALL_SERVICES, group) or group == KEYS_GROUP
--- a/packages/daisygauge-control/src/daisygauge_control/_messages.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_messages.py
@@ -14,7 +14,7 @@
     Report,
 )
 
-from ._member import EVERYTHING, Member, is_wanted
+from ._member import ALL_SERVICES, Member, is_wanted
 from ._sealing import UnreadableMessageError
 from ._state import ConfigurationState
 
@@ -93,7 +93,7 @@
 
 
 def make_report(
-    state: ConfigurationState, *, service: str = EVERYTHING, ready: bool
+    state: ConfigurationState, *, service: str = ALL_SERVICES, ready: bool
 ) -> Report:
     """Tell how far this daemon has come with the records of a scope."""
     summary = state.journal.summarize(service=service)
--- a/packages/daisygauge-control/src/daisygauge_control/_node.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_node.py
@@ -34,7 +34,7 @@
 
     :ivar changed: wakes tasks when records, instances or links change.
     :ivar followers: daemons that follow this one, by id.
-    :ivar seat: whether this daemon watches the platform.
+    :ivar is_watcher: whether this daemon watches the platform.
     """
 
     def __init__(
@@ -54,7 +54,7 @@
         self.is_ready = is_ready
         self.clock = clock
         self.followers: dict[str, Follower] = {}
-        self.seat = False
+        self.is_watcher = False
 
     @property
     def keys(self) -> KeyRing:
--- a/packages/daisygauge-control/src/daisygauge_control/_source.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_source.py
@@ -15,7 +15,7 @@
 from ._consul import ConsulReader
 from ._credentials import authenticate_server
 from ._events import Observe, RecordRefused, ignore_event
-from ._member import EVERYTHING, Member
+from ._member import ALL_SERVICES, Member
 from ._node import Node
 from ._platform import PlatformReader
 from ._service import ControlService
@@ -45,7 +45,7 @@
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.time,
     ) -> None:
-        service = EVERYTHING if member is None else member.service
+        service = ALL_SERVICES if member is None else member.service
         rng = rng or random.Random()
         self.reader = reader
         self.member = member
--- a/packages/daisygauge-control/src/daisygauge_control/_state.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_state.py
@@ -31,7 +31,7 @@
     ignore_event,
 )
 from ._journal import Journal
-from ._member import EVERYTHING, group_of, is_wanted
+from ._member import ALL_SERVICES, group_of, is_wanted
 from ._platform import PublishedRecord
 from ._signal import Signal
 from ._uniqueness import refuse_duplicates
@@ -43,7 +43,7 @@
 class ConfigurationState:
     """Merges what is read into one store and builds views of it.
 
-    :param service: the service whose records are wanted, or ``EVERYTHING``.
+    :param service: the service whose records are wanted, or ``ALL_SERVICES``.
     :param changed: is notified of every change of records or instances.
     :ivar view: the configuration in force.
     :ivar refused: records that are refused now, by name.
@@ -52,7 +52,7 @@
     def __init__(
         self,
         *,
-        service: str = EVERYTHING,
+        service: str = ALL_SERVICES,
         observe: Observe = ignore_event,
         changed: Signal | None = None,
     ) -> None:
--- a/packages/daisygauge-control/src/daisygauge_control/_status.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_status.py
@@ -50,7 +50,7 @@
     )
     status = DomainStatus(
         failure_domain=node.member.failure_domain,
-        seats=[node.member.id] if node.seat else [],
+        seats=[node.member.id] if node.is_watcher else [],
         members=[own],
     )
     for follower in node.followers.values():
--- a/packages/daisygauge-control/src/daisygauge_control/_steering.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_steering.py
@@ -9,7 +9,7 @@
 from daisygauge_records import Role
 
 from ._errors import PlatformUnavailableError
-from ._events import FellBack, Observe, SeatChanged
+from ._events import FellBackToPlatform, Observe, WatcherChanged
 from ._links import Links
 from ._node import Node
 from ._seats import Plan, make_plan
@@ -109,7 +109,7 @@
 
     def _take_instances(self) -> None:
         """Use a peer's instance list unless the platform itself is watched."""
-        if self.node.seat and not self.watch.failures:
+        if self.node.is_watcher and not self.watch.failures:
             return
         for link in self.links.links.values():
             if link.answered and link.instances:
@@ -117,12 +117,12 @@
                 return
 
     def _set_seat(self, seat: bool) -> None:
-        if seat == self.node.seat:
+        if seat == self.node.is_watcher:
             if self._watching is not None and self._watching.done():
                 self._watching.result()
             return
-        self.node.seat = seat
-        self.observe(SeatChanged(seat=seat))
+        self.node.is_watcher = seat
+        self.observe(WatcherChanged(is_watcher=seat))
         if seat:
             self._watching = asyncio.create_task(self.watch.run())
         elif self._watching is not None:
@@ -135,7 +135,9 @@
             await asyncio.gather(self._watching, return_exceptions=True)
 
     def _note_links(self, now: float) -> None:
-        if self.node.seat or any(link.answered for link in self.links.links.values()):
+        if self.node.is_watcher or any(
+            link.answered for link in self.links.links.values()
+        ):
             self._linked_at = now
             self._fall_back_at = float("inf")
         elif self._fall_back_at == float("inf"):
@@ -160,7 +162,7 @@
             return
         again = FALL_BACK_AGAIN_SECONDS * self.rng.uniform(0.5, 1.0)
         self._fall_back_at = now + again
-        self.observe(FellBack(silent_seconds=now - self._linked_at))
+        self.observe(FellBackToPlatform(silent_seconds=now - self._linked_at))
         with contextlib.suppress(PlatformUnavailableError):
             await self.watch.read_instances()
             await self.watch.read_records()
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_relayed.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_relayed.py
@@ -91,7 +91,7 @@
         )
         for number in range(round(hosts * ROUTES_FOR_HOSTS))
     )
-    routing = RoutingRecord(version=1, routes=routes, idle_seconds=15.0)
+    routing = RoutingRecord(version=1, routes=routes, idle_timeout_seconds=15.0)
     return [*items, DirectoryItem(key="config", revision=1, content=routing)]
 
 
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_configuration.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_configuration.py
@@ -7,14 +7,14 @@
 from daisygauge_control import (
     ConfigurationChanged,
     ControlBudget,
-    FellBack,
+    FellBackToPlatform,
     PeerLost,
     PlatformLost,
     PlatformRegained,
     RecordRefused,
     RevisionConflict,
-    SeatChanged,
     SourceEvent,
+    WatcherChanged,
 )
 
 from ._events import Event, EventLog, Level
@@ -190,10 +190,10 @@
                 )
             case PeerLost():
                 self.log.write(PEER_LOST, peer=event.peer, reason=event.reason)
-            case SeatChanged():
-                self.seat.set(event.seat)
-                self.log.write(SEAT_CHANGED, seat=event.seat)
-            case FellBack():
+            case WatcherChanged():
+                self.seat.set(event.is_watcher)
+                self.log.write(SEAT_CHANGED, seat=event.is_watcher)
+            case FellBackToPlatform():
                 self.fall_backs.inc()
                 self.log.write(FELL_BACK, silent_seconds=round(event.silent_seconds, 3))
             case PlatformRegained():
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/main.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/main.py
@@ -11,7 +11,7 @@
 from absl import flags
 from prometheus_client import CollectorRegistry
 
-from daisygauge_control import EVERYTHING, Member, create_configuration_source
+from daisygauge_control import ALL_SERVICES, Member, create_configuration_source
 from daisygauge_records import Role as InstanceRole, SettingsError
 
 from ._command_line import MisuseError, new_flags, parse_flags, report_misuse
@@ -80,7 +80,7 @@
         case AgentSettings():
             service = settings.service
         case BalancerSettings():
-            service = EVERYTHING
+            service = ALL_SERVICES
     return Member(
         id=settings.id,
         role=InstanceRole(settings.role),
--- a/packages/daisygauge-relay/src/daisygauge_relay/_candidates.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_candidates.py
@@ -66,7 +66,7 @@
         }
         self.tags = {
             inet_aton(address): service_tag(host.service)
-            for address, host in view.residents.items()
+            for address, host in view.hosts_by_address.items()
         }
         self.ready = {
             service_tag(service): _select_ready(hosts, view=view)
@@ -114,5 +114,5 @@
     return tuple(
         host
         for host in hosts
-        if host.state is HostState.READY and view.residents[host.address] is host
+        if host.state is HostState.READY and view.hosts_by_address[host.address] is host
     )
--- a/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
@@ -132,7 +132,7 @@
             Gauge(
                 name="knowledge_age_seconds",
                 text="Time since hosts and routes were known to be current.",
-                read=lambda: min(self.runtime.now() - directory.confirmed, 1e9),
+                read=lambda: min(self.runtime.now() - directory.confirmed_at, 1e9),
             ),
             Gauge(
                 name="ready",
--- a/packages/daisygauge-relay/src/daisygauge_relay/_observer.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_observer.py
@@ -5,10 +5,10 @@
 from daisygauge_control import (
     WATCH_SECONDS,
     Directory,
+    DirectoryChanged,
     DirectoryEvent,
     DirectoryItem,
-    DirectoryMoved,
-    HostGone,
+    HostExpired,
     HostRecord,
     PlatformCalled,
     RoutingRecord,
@@ -40,12 +40,12 @@
         match event:
             case PlatformCalled():
                 # A wait that ended without news took its whole time by intent.
-                waited = 0.0 if event.news else WATCH_SECONDS
+                waited = 0.0 if event.changes else WATCH_SECONDS
                 seconds = max(event.seconds - waited, 0.0)
                 self.counters.platform_calls.observe(seconds)
-            case DirectoryMoved():
+            case DirectoryChanged():
                 self.log_changes(event)
-            case HostGone():
+            case HostExpired():
                 self.log.write(events.HOST_GONE, host=event.id)
             case SourceLost():
                 self.log.write(
@@ -59,7 +59,7 @@
                     events.SOURCE_REGAINED, source=event.source, failures=event.failures
                 )
 
-    def log_changes(self, moved: DirectoryMoved) -> None:
+    def log_changes(self, moved: DirectoryChanged) -> None:
         """Log merged changes."""
         self.log.write(
             events.DIRECTORY_MOVED,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_placement.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_placement.py
@@ -70,8 +70,8 @@
         if view is self.candidates.view:
             return
         self.candidates.update(view)
-        self.suspects.retain(view.residents)
-        agents = frozenset(map(inet_aton, view.residents))
+        self.suspects.retain(view.hosts_by_address)
+        agents = frozenset(map(inet_aton, view.hosts_by_address))
         self.heard = {agent: at for agent, at in self.heard.items() if agent in agents}
 
     def note_answer(self, agent: bytes, *, now: float) -> None:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
@@ -109,8 +109,8 @@
         if route is None:
             return request
         request.priority = route.priority
-        if route.target_seconds:
-            request.aim_at = began + route.target_seconds
+        if route.target_latency_seconds:
+            request.aim_at = began + route.target_latency_seconds
         if route.timeout_seconds:
             request.deadline_at = began + route.timeout_seconds
         return request
--- a/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
@@ -153,7 +153,7 @@
 
     def belief(self) -> dict[str, Any]:
         """Return what decisions rest on, for the log."""
-        age = self.now() - self.directory.confirmed
+        age = self.now() - self.directory.confirmed_at
         return {
             "version": self.directory.view.version,
             "as_of": self.directory.as_of,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
@@ -34,7 +34,7 @@
     @property
     def resident(self) -> HostRecord | None:
         """The host that the directory knows at this address."""
-        return self.runtime.directory.view.residents.get(self.settings.host)
+        return self.runtime.directory.view.hosts_by_address.get(self.settings.host)
 
     @property
     def service(self) -> str:
--- a/testing/adapter/test_malformed.py
+++ b/testing/adapter/test_malformed.py
@@ -10,7 +10,7 @@
     Directory,
     DirectoryItem,
     HostRecord,
-    HttpAnswer,
+    HttpResponse,
     PlatformUnavailableError,
     RoutingRecord,
     UnusableRecord,
@@ -130,7 +130,7 @@
     async def get(self, target, *, timeout_seconds):
         self.calls += 1
         assert self.calls < 100, "the reading doesn't end"
-        return HttpAnswer(status=200, body=self.body)
+        return HttpResponse(status=200, body=self.body)
 
 
 ITEM = stored("servers/h", HOST)
--- a/testing/adapter/test_store.py
+++ b/testing/adapter/test_store.py
@@ -58,7 +58,7 @@
 
     assert item.content == HostRecord(
         id="h-1", service="desk", address="10.0.0.1", port=80, failure_domain="a",
-        state=HostState.READY, slots=2, cold_seconds=0.5, incarnation=17,
+        state=HostState.READY, slots=2, slow_start_seconds=0.5, incarnation=17,
     )  # fmt: skip
 
 
@@ -116,7 +116,11 @@
         ("a", 90),
         ("b", 10),
     ]
-    assert (read.port, read.idempotent, read.target_seconds) == (8443, True, 0.143)
+    assert (read.port, read.idempotent, read.target_latency_seconds) == (
+        8443,
+        True,
+        0.143,
+    )
 
 
 async def test_hosts_are_read_without_the_configuration(store, reader):
--- a/testing/control/test_directory.py
+++ b/testing/control/test_directory.py
@@ -28,7 +28,7 @@
     route = RouteRecord(
         name="r", host="198.18.0.1", port=port, shares=(ServiceShare(service="desk"),)
     )
-    return RoutingRecord(version=version, routes=(route,), idle_seconds=9.0)
+    return RoutingRecord(version=version, routes=(route,), idle_timeout_seconds=9.0)
 
 
 @pytest.fixture
@@ -82,7 +82,7 @@
 
 
 def test_a_host_that_lapsed_while_the_platform_was_away_has_two_seconds(directory):
-    directory.report_absence(now=1.0)
+    directory.record_outage(now=1.0)
     directory.apply([item("s/h1", 20)], as_of=20, now=2.0)
 
     assert ids(directory) == ["h1"]
@@ -92,7 +92,7 @@
 
 
 def test_a_lapsed_host_that_comes_back_stays(directory):
-    directory.report_absence(now=1.0)
+    directory.record_outage(now=1.0)
     directory.apply([item("s/h1", 20)], as_of=20, now=2.0)
     directory.apply([item("s/h1", 21, host())], as_of=21, now=3.0)
 
@@ -104,7 +104,7 @@
     directory.apply(
         [item("s/h1", 19, host(state=HostState.DRAINING))], as_of=19, now=0.5
     )
-    directory.report_absence(now=1.0)
+    directory.record_outage(now=1.0)
     directory.apply([item("s/h1", 20)], as_of=20, now=2.0)
 
     assert ids(directory) == []
@@ -126,8 +126,8 @@
 def test_the_host_that_started_last_owns_its_address(directory):
     directory.apply([item("s/h2", 30, host("h2", incarnation=2))], as_of=30, now=1.0)
 
-    assert directory.view.residents["10.0.0.1"].id == "h2"
-    assert directory.view.has_replaced
+    assert directory.view.hosts_by_address["10.0.0.1"].id == "h2"
+    assert directory.view.has_replaced_host
 
 
 def test_a_new_process_cannot_rule_out_missing_hosts_at_once(directory):
@@ -138,7 +138,7 @@
 
 def test_missing_hosts_cannot_be_ruled_out_after_the_platform_was_away(directory):
     directory.apply([], as_of=9, now=3.0)
-    directory.report_absence(now=3.0)
+    directory.record_outage(now=3.0)
 
     assert not directory.lists_every_host(now=3.5)
 
--- a/testing/control/test_directory_follower.py
+++ b/testing/control/test_directory_follower.py
@@ -9,8 +9,8 @@
     Directory,
     DirectoryFollower,
     DirectoryItem,
-    DirectoryReading,
     DirectoryServer,
+    DirectoryUpdate,
     HistoryLostError,
     HostRecord,
     HostState,
@@ -69,7 +69,7 @@
         self.calls += 1
         self.asked.append(asked)
         answer = (
-            self.answers.pop(0) if self.answers else DirectoryReading(as_of=1, items=())
+            self.answers.pop(0) if self.answers else DirectoryUpdate(as_of=1, items=())
         )
         if isinstance(answer, Exception):
             raise answer
@@ -95,7 +95,7 @@
 
 
 def routing_item(revision):
-    record = RoutingRecord(version=1, routes=(), idle_seconds=15.0)
+    record = RoutingRecord(version=1, routes=(), idle_timeout_seconds=15.0)
     return DirectoryItem(key="config", revision=revision, content=record)
 
 
@@ -151,7 +151,7 @@
 def narrow_follower(*answers, seat_reply=None):
     """A follower that has read three hosts over a narrow link."""
     hosts = tuple(host_item(n, n) for n in range(1, 4))
-    reader = FakeReader(DirectoryReading(as_of=9, items=hosts), *answers)
+    reader = FakeReader(DirectoryUpdate(as_of=9, items=hosts), *answers)
     follower, events, times = make_follower(reader, narrow=True)
     reply = seat_reply or ChangesReply(
         as_of=9, age_seconds=0.1, is_complete=True, items=(*hosts, routing_item(8))
@@ -171,13 +171,13 @@
 
     assert follower.directory.view.is_complete
     assert follower.directory.as_of == 9
-    assert follower.directory.since is not None
+    assert follower.directory.first_read_at is not None
     assert reader.asked == ["hosts"]
 
 
 async def test_over_a_narrow_link_the_platform_tells_routes_when_no_seat_does():
     nothing = ChangesReply(as_of=0, age_seconds=0.0, is_complete=True, items=())
-    everything = DirectoryReading(as_of=9, items=(routing_item(8),))
+    everything = DirectoryUpdate(as_of=9, items=(routing_item(8),))
     follower, reader, times = narrow_follower(everything, seat_reply=nothing)
     for _ in range(12):
         follower.clock = lambda at=times[0]: at
@@ -187,14 +187,14 @@
     assert reader.asked[:2] == ["hosts", "all"]
     assert follower.directory.view.is_complete
     # The platform was spared, not away: nothing can have lapsed.
-    assert follower.directory.absent_until == float("-inf")
+    assert follower.directory.removals_may_lapse_until == float("-inf")
 
 
 async def test_a_process_that_waits_for_the_first_configuration_waits_for_news():
     hosts = tuple(host_item(n, n) for n in range(1, 9))
-    follower, _, _ = make_follower(FakeReader(DirectoryReading(as_of=9, items=hosts)))
+    follower, _, _ = make_follower(FakeReader(DirectoryUpdate(as_of=9, items=hosts)))
     await follower.step()
-    seats = choose_seats(follower.directory.view.residents)
+    seats = choose_seats(follower.directory.view.hosts_by_address)
     reply = ChangesReply(as_of=9, age_seconds=0.1, is_complete=False, items=())
     peers = {seat: FakePeer(reply) for seat in seats}
     follower.peers.update(peers)
@@ -205,7 +205,7 @@
 
 
 async def test_a_follower_reads_everything_first_and_watches_then():
-    reader = FakeReader(DirectoryReading(as_of=7, items=()))
+    reader = FakeReader(DirectoryUpdate(as_of=7, items=()))
     follower, _, _ = make_follower(reader)
 
     await follower.step()
@@ -215,7 +215,7 @@
 
 
 async def test_everything_is_read_again_when_history_is_lost():
-    reader = FakeReader(DirectoryReading(as_of=7, items=()), HistoryLostError())
+    reader = FakeReader(DirectoryUpdate(as_of=7, items=()), HistoryLostError())
     follower, _, _ = make_follower(reader)
 
     for _ in range(3):
@@ -270,7 +270,7 @@
     items = tuple(host_item(n, n) for n in range(1, 9))
     follower, _, _ = make_follower(FakeReader())
     follower.directory.replace(items, as_of=9, now=0.0)
-    seats = choose_seats(follower.directory.view.residents)
+    seats = choose_seats(follower.directory.view.hosts_by_address)
 
     assert follower.list_sources()[0] == order_seats(seats, follower="127.60.0.200")[0]
     follower.own_address = seats[0]
@@ -371,7 +371,7 @@
     await follower.step()
 
     assert follower.directory.as_of == 6
-    assert follower.directory.confirmed <= -20.0
+    assert follower.directory.confirmed_at <= -20.0
     assert "127.60.0.1" in follower.health
 
 
--- a/testing/control/test_journal.py
+++ b/testing/control/test_journal.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, settings, strategies as st
 
-from daisygauge_control import EVERYTHING
+from daisygauge_control import ALL_SERVICES
 from daisygauge_control._journal import MAX_CHANGES, Journal
 from daisygauge_records import Endpoint, Record, RecordStore, Upstream
 
@@ -49,7 +49,7 @@
     _, second = follow(shuffled)
 
     assert first.bucket_digests() == second.bucket_digests()
-    for service in ("s", "t", EVERYTHING):
+    for service in ("s", "t", ALL_SERVICES):
         assert first.summarize(service=service) == second.summarize(service=service)
 
 
--- a/testing/control/test_spreading.py
+++ b/testing/control/test_spreading.py
@@ -2,7 +2,7 @@
 from control.fakes import make_key, make_service, make_upstream
 from control.fleet import run_fleet, wait_until
 
-from daisygauge_control import SeatChanged
+from daisygauge_control import WatcherChanged
 from daisygauge_records import Role
 
 DOMAINS = ("erongo-1", "erongo-2")
@@ -22,7 +22,7 @@
 
 
 def seats_of(fleet):
-    return [id for id, p in fleet.participants.items() if p.source.node.seat]
+    return [id for id, p in fleet.participants.items() if p.source.node.is_watcher]
 
 
 async def test_a_change_reaches_every_daemon(fleet, platform):
@@ -144,7 +144,7 @@
 async def test_a_daemon_tells_when_it_becomes_a_seat(fleet):
     seat = fleet[seats_of(fleet)[0]]
 
-    assert SeatChanged(seat=True) in seat.events
+    assert WatcherChanged(is_watcher=True) in seat.events
 
 
 async def test_a_daemon_that_gave_up_its_seat_goes_on(platform, monkeypatch):
@@ -160,7 +160,7 @@
             await fleet.add(f"b{number}")
         fleet.run()
         first = [fleet[f"b{number}"].source.node for number in range(3)]
-        await wait_until(lambda: not all(node.seat for node in first))
+        await wait_until(lambda: not all(node.is_watcher for node in first))
         platform.publish(make_upstream(slots=5, revision=2))
 
         await fleet.wait_for_slots(5)
--- a/testing/control/test_status.py
+++ b/testing/control/test_status.py
@@ -53,7 +53,7 @@
     await fleet["erongo-2-a"].stop()
 
     def is_named():
-        seats = [p for p in fleet.participants.values() if p.source.node.seat]
+        seats = [p for p in fleet.participants.values() if p.source.node.is_watcher]
         return not any("erongo-2-a" in seat.source.node.followers for seat in seats)
 
     await wait_until(is_named)
--- a/testing/relay/network.py
+++ b/testing/relay/network.py
@@ -298,13 +298,13 @@
             RouteRecord(
                 name=f"route-{p}", host=host, port=p,
                 shares=tuple(ServiceShare(service=n, weight=w) for n, w in services),
-                target_seconds=0.2,
+                target_latency_seconds=0.2,
                 timeout_seconds=1.0,
             )
             for p in (ports or (port,))
         )  # fmt: skip
         record = RoutingRecord(
-            version=version or self.revision, routes=routes, idle_seconds=15.0
+            version=version or self.revision, routes=routes, idle_timeout_seconds=15.0
         )
         self.publish(
             DirectoryItem(key="config", revision=self.revision, content=record)
