--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
@@ -15,7 +15,7 @@
     decide_first_flight,
 )
 from daisygauge_records import Endpoint
-from daisygauge_wire import Datagram, Gauge, Kind
+from daisygauge_wire import Datagram, Kind, LoadReport
 
 from .._peer_port import PeerPort
 from .._runtime import Runtime
@@ -23,10 +23,10 @@
 from ._dispatch import Dispatcher
 from ._drain import Drain
 from ._first_flights import FirstFlightHandler
-from ._gauges import GaugeExchange
 from ._health import HealthCheck
 from ._idempotency import IdempotencyHandler
 from ._incarnation import TICK_SECONDS, incarnation_at
+from ._load_reports import LoadReportExchange
 from ._metrics import AgentMetrics
 from ._node import AgentNode
 from ._peer_calls import PeerCalls
@@ -53,15 +53,17 @@
         self.metrics = AgentMetrics(runtime.registry)
         self.table = ConnectionTable()
         self.slots = Slots(node=self.node, choose_peer=self.choose_peer)
-        self.gauges = GaugeExchange(node=self.node, load=self)
-        self.replies = ReplySender(node=self.node, gauges=self.gauges)
-        self.peer_selector = PeerSelector(node=self.node, gauges=self.gauges)
+        self.load_reports = LoadReportExchange(node=self.node, load=self)
+        self.replies = ReplySender(node=self.node, load_reports=self.load_reports)
+        self.peer_selector = PeerSelector(
+            node=self.node, load_reports=self.load_reports
+        )
         self.calls = PeerCalls(node=self.node)
         self.drain_process = Drain(
             node=self.node,
             table=self.table,
             metrics=self.metrics,
-            on_leaving=self.gauges.changed.set,
+            on_leaving=self.load_reports.changed.set,
             count_detached_requests=self.count_detached_requests,
         )
         self.metrics.running.set_function(lambda: self.slots.running)
@@ -112,7 +114,7 @@
         await self.peer_port.start()
         self.runtime.spawn(self.health.run(), name="health")
         self.runtime.spawn(self.slots.run(), name="slots")
-        self.runtime.spawn(self.gauges.run(), name="gauges")
+        self.runtime.spawn(self.load_reports.run(), name="gauges")
         self.runtime.spawn(self.replies.run(), name="returns")
         self.runtime.spawn(self.drain_process.watch_instance_list(), name="leaving")
 
@@ -144,7 +146,7 @@
             metrics=self.metrics,
             listeners={
                 Kind.PROBE_ANSWER: self.replies.record_probe_answer,
-                Kind.GAUGE: self.gauges.take,
+                Kind.LOAD_REPORT: self.load_reports.handle,
             },
         )
         self.node.socket.on_datagram = dispatcher.on_datagram
@@ -157,10 +159,10 @@
         own = self.node.inner
         return decide_first_flight(
             placement=self.node.service.placement,
-            own=self.read_gauge(sequence=0),
+            own=self.build_load_report(sequence=0),
             candidates=[agent for agent in datagram.candidates if agent != own],
-            gauges={
-                agents[held.peer]: held.gauge for held in self.peer_selector.fresh()
+            reports={
+                agents[held.peer]: held.report for held in self.peer_selector.fresh()
             },
             hops=datagram.hops,
         )
@@ -170,15 +172,15 @@
 
         The request itself is left out of this agent's own load.
         """
-        gauge = self.read_gauge(sequence=0)
+        report = self.build_load_report(sequence=0)
         return self.peer_selector.choose(
-            evolve(gauge, waiting=max(gauge.waiting - 1, 0))
+            evolve(report, waiting=max(report.waiting - 1, 0))
         )
 
-    def read_gauge(self, *, sequence: int) -> Gauge:
+    def build_load_report(self, *, sequence: int) -> LoadReport:
         """Return the load now."""
         upstream = self.node.upstream
-        return Gauge(
+        return LoadReport(
             slots=upstream.slots,
             running=self.slots.running,
             waiting=self.slots.waiting,
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_first_flights.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_first_flights.py
@@ -16,8 +16,8 @@
 from daisygauge_policy import (
     AcceptFlight,
     FlightDecision,
-    FlightMemory,
     FlightReason,
+    PassedFlights,
     PassFlight,
     RefuseFlight,
     make_flow_key,
@@ -70,7 +70,7 @@
         self.metrics = metrics
         self.accept = accept
         self.choose = choose
-        self.passed = FlightMemory()
+        self.passed = PassedFlights()
 
     def receive(self, datagram: Datagram, header: PacketHeader) -> None:
         """Handle an Initial or 0-RTT packet with an ID that the caller chose."""
@@ -84,7 +84,7 @@
         if self.table.has_ended(flight_key, now=now):
             self.report(datagram, flight_key[1], status=PlacedStatus.ACCEPTED)
             return
-        passed = self.passed.recall(make_memory_key(flight_key), now=now)
+        passed = self.passed.find(make_memory_key(flight_key), now=now)
         if passed is not None and datagram.hops < MAX_HOPS:
             self.pass_on(datagram, flight_key, decision=passed)
             return
@@ -150,7 +150,7 @@
                     connections=len(self.table),
                 )
             case PassFlight() as decision:
-                self.passed.remember(
+                self.passed.record(
                     make_memory_key(flight_key), decision=decision, now=self.node.now()
                 )
                 self.count("passed-on")
@@ -208,5 +208,5 @@
 
 
 def make_memory_key(flight_key: FlightKey) -> bytes:
-    """Return the key of a flow in ``FlightMemory``."""
+    """Return the key of a flow in ``PassedFlights``."""
     return make_flow_key(caller=flight_key[0], destination_id=flight_key[1])
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_selection.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_selection.py
@@ -8,31 +8,31 @@
 
 from attrs import evolve
 
-from daisygauge_policy import HandToPeer, PeerGauge, SentRequests, choose_peer
+from daisygauge_policy import HandToPeer, PeerLoadReport, SentRequests, choose_peer
 from daisygauge_records import LoadHandOff
-from daisygauge_wire import Gauge
+from daisygauge_wire import LoadReport
 
-from ._gauges import GaugeExchange
+from ._load_reports import LoadReportExchange
 from ._node import AgentNode
 
 
 class PeerSelector:
     """Chooses peers for requests that have not run."""
 
-    def __init__(self, *, node: AgentNode, gauges: GaugeExchange) -> None:
+    def __init__(self, *, node: AgentNode, load_reports: LoadReportExchange) -> None:
         self.node = node
-        self.gauges = gauges
+        self.load_reports = load_reports
         self.sent = SentRequests()
         # Each process has its own seed, so that agents don't all pick the same peer.
         self.random = random.Random()
 
-    def fresh(self) -> tuple[PeerGauge, ...]:
+    def fresh(self) -> tuple[PeerLoadReport, ...]:
         """Return the load reports of published peers that are recent enough."""
         published = {peer.id for peer in self.node.peers}
-        heard = self.gauges.peers.fresh(now=self.node.now())
+        heard = self.load_reports.peers.fresh(now=self.node.now())
         return tuple(held for held in heard if held.peer in published)
 
-    def choose(self, own: Gauge) -> HandToPeer | None:
+    def choose(self, own: LoadReport) -> HandToPeer | None:
         """Return the peer that the next request should go to, None to keep it."""
         decision = choose_peer(
             hand_off=self.node.service.hand_off,
@@ -42,7 +42,7 @@
         )
         return decision if isinstance(decision, HandToPeer) else None
 
-    def choose_alternative(self, own: Gauge) -> HandToPeer | None:
+    def choose_alternative(self, own: LoadReport) -> HandToPeer | None:
         """Return a peer for a request that this host can't run, None without one."""
         decision = choose_peer(
             hand_off=LoadHandOff(),
@@ -54,7 +54,7 @@
 
     def known_incarnation(self, peer: str) -> int | None:
         """Return the incarnation in the last load report of a peer."""
-        held = self.gauges.peers.gauges.get(peer)
+        held = self.load_reports.peers.reports.get(peer)
         return None if held is None else held.incarnation
 
     @contextmanager
