Describe the agent's load reports in the terms of the field

Some doc comments still said that agents hear, and local names said held and heard. Say what is sent, when and to whom. The local names held and heard never leave the process.

--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
@@ -162,7 +162,7 @@
             own=self.build_load_report(sequence=0),
             candidates=[agent for agent in datagram.candidates if agent != own],
             reports={
-                agents[held.peer]: held.report for held in self.peer_selector.fresh()
+                agents[entry.peer]: entry.report for entry in self.peer_selector.fresh()
             },
             hops=datagram.hops,
         )
@@ -178,7 +178,7 @@
         )
 
     def build_load_report(self, *, sequence: int) -> LoadReport:
-        """Return the load now."""
+        """Return a report of the current load."""
         upstream = self.node.upstream
         return LoadReport(
             slots=upstream.slots,
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_load_reports.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_load_reports.py
@@ -1,4 +1,4 @@
-"""The agent's own load report, and the load reports of its peers."""
+"""Exchange of load reports with peers."""
 
 from __future__ import annotations
 
@@ -22,16 +22,17 @@
 
 
 class LoadReader(Protocol):
-    """Where the agent's own load is known."""
+    """Provides the agent's own load."""
 
     def build_load_report(self, *, sequence: int) -> LoadReport:
-        """Return the load now."""
+        """Return a report of the current load."""
 
 
 class LoadReportExchange:
-    """Sends this agent's load report to some peers and keeps theirs.
+    """Sends this agent's load report to some peers and stores theirs.
 
-    :param load: reads this agent's own load.
+    :param load: provides this agent's own load.
+    :ivar changed: set to send a report before the interval has passed.
     """
 
     def __init__(self, *, node: AgentNode, load: LoadReader) -> None:
@@ -42,7 +43,7 @@
         self.changed = asyncio.Event()
 
     def handle(self, datagram: Datagram) -> None:
-        """Keep a peer's load report; other services and malformed ones are ignored."""
+        """Store a peer's load report; ignore malformed ones and other services."""
         if datagram.service != self.node.service_number:
             return
         peer = self.find_peer(datagram.sender)
@@ -60,28 +61,28 @@
         )
 
     def find_peer(self, agent: Endpoint) -> Upstream | None:
-        """Return the peer with an inner address."""
+        """Return the peer whose agent has an inner address, None if it is unknown."""
         for peer in self.node.peers:
             if peer.agent == agent:
                 return peer
         return None
 
     def own_load_report(self) -> LoadReport:
-        """Return this agent's load report, newer than every earlier one."""
+        """Return this agent's load report with the next sequence number."""
         self.sequence += 1
         return self.load.build_load_report(sequence=self.sequence)
 
     def receivers(self) -> tuple[Upstream, ...]:
-        """Return the peers that follow this agent in the ring of ids.
+        """Return the peers to report to: the next ones in the ring of ids.
 
-        Every agent of a large service hears from the same number of peers.
+        Every agent of a large service receives reports from the same number of peers.
         """
         own = self.node.settings.id
         peers = sorted(self.node.peers, key=lambda peer: (peer.id < own, peer.id))
         return tuple(peers[:LOAD_REPORT_PEERS])
 
     def send_round(self) -> None:
-        """Send the own load report to some peers."""
+        """Send this agent's load report to its receivers."""
         number = self.node.service_number
         if number is None:
             return
@@ -96,7 +97,7 @@
             self.node.send(datagram, receiver=peer.agent)
 
     async def run(self) -> None:
-        """Send the own load report often, and at once when it changed much."""
+        """Send load reports periodically, and at once when ``changed`` is set."""
         while True:
             self.send_round()
             self.changed.clear()
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_selection.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_selection.py
@@ -29,8 +29,8 @@
     def fresh(self) -> tuple[PeerLoadReport, ...]:
         """Return the load reports of published peers that are recent enough."""
         published = {peer.id for peer in self.node.peers}
-        heard = self.load_reports.peers.fresh(now=self.node.now())
-        return tuple(held for held in heard if held.peer in published)
+        entries = self.load_reports.peers.fresh(now=self.node.now())
+        return tuple(entry for entry in entries if entry.peer in published)
 
     def choose(self, own: LoadReport) -> HandToPeer | None:
         """Return the peer that the next request should go to, None to keep it."""
@@ -54,8 +54,8 @@
 
     def known_incarnation(self, peer: str) -> int | None:
         """Return the incarnation in the last load report of a peer."""
-        held = self.load_reports.peers.reports.get(peer)
-        return None if held is None else held.incarnation
+        entry = self.load_reports.peers.reports.get(peer)
+        return None if entry is None else entry.incarnation
 
     @contextmanager
     def count_sent(self, peer: str) -> Iterator[None]:
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_routing.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_routing.py
@@ -25,7 +25,7 @@
     """Provides the agent's own load."""
 
     def build_load_report(self, *, sequence: int) -> LoadReport:
-        """Return the load now."""
+        """Return a report of the current load."""
 
 
 class Router:
@@ -60,7 +60,7 @@
         self.retry_budget = RetryBudget(share=0.0, now=node.now())
 
     def own_load_report(self) -> LoadReport:
-        """Return this host's load, which no peer is sent."""
+        """Return a report of this host's load for local decisions."""
         return self.load.build_load_report(sequence=0)
 
     async def run(self, request: Request, body: ReplayBody, answer: Answer) -> Outcome:
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_table.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_table.py
@@ -48,7 +48,7 @@
             self.by_id.pop(connection_id, None)
         self.by_flight.pop(flight_key, None)
         self.ended_flights[flight_key] = now + ENDED_FLIGHT_TTL_SECONDS
-        self._forget_ended(now=now)
+        self._remove_expired_flights(now=now)
 
     def has_ended(self, flight_key: tuple[Endpoint, bytes], *, now: float) -> bool:
         """Return whether a first flight belongs to a connection that has ended."""
@@ -58,7 +58,7 @@
         """Return every open connection."""
         return tuple(self.by_flight.values())
 
-    def _forget_ended(self, *, now: float) -> None:
+    def _remove_expired_flights(self, *, now: float) -> None:
         # Entries are ordered by expiry.
         while self.ended_flights:
             flight_key = next(iter(self.ended_flights))
