Describe the idempotency table in the terms of the field

Entries were "touched" and "forgotten", owners "asked in a row", and an earlier process was an earlier "life". The code now speaks of last use, expiry, eviction and incarnations, and the documentation of each decision says what the caller must do. The text of the ValueError of resolve() names the state that is missing.

--- a/packages/daisygauge-policy/src/daisygauge_policy/_idempotency.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_idempotency.py
@@ -1,8 +1,9 @@
-"""At most one run for each idempotency key, wherever its copies arrive.
+"""Idempotency keys: at most one run for each key, wherever its copies arrive.
 
-Every agent keeps the keys that it has seen. The host that first received a key
-owns it; a host that receives a repeat asks the owner, and runs the request only
-when the owner grants the key and so gives up running it itself.
+Every agent keeps a table of the keys that it has received. The agent that first
+received a key owns it. An agent that receives a repeat asks the owner, and runs
+the request only when the owner grants the key. By a grant the owner gives up
+running the request itself.
 
 ============  ==========================================================
 state         meaning
@@ -11,14 +12,14 @@
 ANSWERED      the request ran, its answer is known
 NOT_RUN       this agent owns the key, the request has not run
 LOST          the request may have run, its answer is unknown
-ASKING        the agent named as ``owner`` is being asked
+ASKING        this agent waits for the reply of ``owner``
 ELSEWHERE     tombstone: only ``owner`` may run the request
 ============  ==========================================================
 
-An entry is forgotten ``RETENTION_SECONDS`` after it was last touched, never
-while it is RUNNING or ASKING. A forgotten key looks like a new one, so callers
-may repeat a key for ``REPEAT_WINDOW_SECONDS`` at most. When the table is full
-of younger entries, new keys are refused rather than old ones forgotten.
+An entry expires ``RETENTION_SECONDS`` after its last use, but never while it is
+RUNNING or ASKING. An expired key is treated as a new one, so callers may repeat a
+key for ``REPEAT_WINDOW_SECONDS`` at most. A full table refuses new keys rather
+than evict entries that have not expired.
 """
 
 from __future__ import annotations
@@ -30,7 +31,7 @@
 from attrs import define, frozen
 
 REPEAT_WINDOW_SECONDS = 600.0
-# Covers a caller's last repeat, its deadline and clocks that differ.
+# Covers a caller's last repeat, its deadline and clock differences.
 RETENTION_SECONDS = 2.0 * REPEAT_WINDOW_SECONDS
 TABLE_ENTRIES = 50_000
 TABLE_ANSWER_BYTES = 16 * 1024 * 1024
@@ -41,9 +42,10 @@
 
 @frozen(kw_only=True)
 class KeyOwner:
-    """One life of an agent.
+    """An agent process that can own keys.
 
-    :param incarnation: start of the agent's process.
+    :param agent: id of the agent.
+    :param incarnation: incarnation of the process; grows with every restart.
     """
 
     agent: str
@@ -52,7 +54,7 @@
 
 @frozen(kw_only=True)
 class StoredAnswer:
-    """A whole answer, kept for repeats."""
+    """A complete answer, kept for repeats of the request."""
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...] = ()
@@ -72,42 +74,47 @@
 
 @define(kw_only=True)
 class KeyEntry:
-    """One key of the table.
+    """The state of one key.
 
-    :param touched: Unix time in seconds.
-    :param asked: owners asked in a row.
+    :param fingerprint: digest of method, path and body of the request.
+    :param last_used: Unix time in seconds.
+    :param owner: agent that is being asked, or the only one that may run the request.
+    :param owners_asked: owners asked in a row, each named by the one before.
     """
 
     fingerprint: bytes
     state: KeyState
-    touched: float
+    last_used: float
     owner: KeyOwner | None = None
     answer: StoredAnswer | None = None
-    asked: int = 0
+    owners_asked: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
 class StartRun:
-    """The request runs here; its end must be recorded."""
+    """Run the request here and record its end in the table."""
 
 
 @dataclass(frozen=True, kw_only=True)
 class AskOwner:
-    """The owner must be asked, and its reply resolved."""
+    """Ask the owner and resolve its reply with :meth:`OutcomeTable.resolve`."""
 
     owner: KeyOwner
 
 
 @dataclass(frozen=True, kw_only=True)
 class Replay:
-    """The request ran; None when its answer was too large to keep."""
+    """The request ran already.
+
+    :param answer: None when the answer was too large to keep.
+    """
 
     answer: StoredAnswer | None
 
 
 @dataclass(frozen=True, kw_only=True)
 class InProgress:
-    """Another copy is at work; ask again later."""
+    """Another copy of the request is in progress; try again later."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -122,12 +129,12 @@
 
 @dataclass(frozen=True, kw_only=True)
 class TableFull:
-    """No key can be remembered now, so the request does not run."""
+    """The table can't store another key, so the request does not run."""
 
 
 @dataclass(frozen=True, kw_only=True)
 class Granted:
-    """Reply: the key was not run here and never will be; the asker owns it."""
+    """Reply: the request has not run here and never will; the asker owns the key."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -144,9 +151,11 @@
 
 
 class OutcomeTable:
-    """The keys that one agent has seen in its present incarnation.
+    """The keys that one agent has received in its present incarnation.
 
-    :param own: this life of the agent.
+    :param own: this agent with its incarnation.
+    :param capacity: keys stored at most.
+    :param retention_seconds: time after its last use at which a key expires.
     """
 
     def __init__(
@@ -168,30 +177,30 @@
         """Decide on a request with a key.
 
         :param fingerprint: digest of method, path and body.
-        :param first: where the caller says it sent the key first, if it does.
+        :param first: agent that the caller names as the first receiver, or None.
         """
-        self._forget_old(now)
+        self._expire_entries(now)
         entry = self.entries.get(key)
         if entry is None:
             return self._begin_unseen(key, fingerprint, first=first, now=now)
         if entry.fingerprint != fingerprint:
             return OtherRequest()
-        self._touch(key, now)
+        self._mark_used(key, now)
         match entry.state:
             case KeyState.NOT_RUN:
                 entry.state = KeyState.RUNNING
                 return StartRun()
             case KeyState.ELSEWHERE:
-                entry.state, entry.asked = KeyState.ASKING, 1
+                entry.state, entry.owners_asked = KeyState.ASKING, 1
                 return AskOwner(owner=entry.owner)
-        return _describe(entry)
+        return _make_reply(entry)
 
     def _begin_unseen(
         self, key: str, fingerprint: bytes, *, first: KeyOwner | None, now: float
     ) -> Decision:
         is_own = first is None or first == self.own
         if not is_own and first.agent == self.own.agent:
-            # An earlier life of this agent took the key with it.
+            # The table of an earlier incarnation was lost with its process.
             return OutcomeLost()
         state = KeyState.RUNNING if is_own else KeyState.ASKING
         owner = None if is_own else first
@@ -203,18 +212,21 @@
         """Decide after the owner was asked.
 
         :param reply: None when the owner is unreachable or has restarted.
+        :raises ValueError: no owner of the key is being asked.
         """
         entry = self.entries[key]
         if entry.state is not KeyState.ASKING:
-            raise ValueError(f"key {key!r} is not being asked; call begin() first")
-        self._touch(key, now)
+            raise ValueError(
+                f"no owner of key {key!r} is being asked; call begin() first"
+            )
+        self._mark_used(key, now)
         match reply:
             case Granted():
                 entry.state, entry.owner = KeyState.RUNNING, None
                 return StartRun()
-            case Moved(owner=owner) if entry.asked < LONGEST_OWNER_CHAIN:
+            case Moved(owner=owner) if entry.owners_asked < LONGEST_OWNER_CHAIN:
                 entry.owner = owner
-                entry.asked += 1
+                entry.owners_asked += 1
                 return AskOwner(owner=owner)
             case Replay(answer=answer):
                 entry.state, entry.owner = KeyState.ANSWERED, None
@@ -228,17 +240,17 @@
     def finish(self, key: str, *, answer: StoredAnswer | None, now: float) -> None:
         """Record the end of a run.
 
-        :param answer: the whole answer, or None when it was lost.
+        :param answer: the complete answer, or None when it was lost.
         """
         entry = self.entries[key]
         entry.state = KeyState.LOST if answer is None else KeyState.ANSWERED
         self._store_answer(entry, answer)
-        self._touch(key, now)
+        self._mark_used(key, now)
 
     def release(self, key: str, *, now: float) -> None:
-        """Record that a request which was to run has not run."""
+        """Record that a request was refused before it ran; a repeat may run it."""
         self.entries[key].state = KeyState.NOT_RUN
-        self._touch(key, now)
+        self._mark_used(key, now)
 
     def answer_owner_question(
         self, key: str, *, fingerprint: bytes, asker: KeyOwner, now: float
@@ -248,23 +260,23 @@
         A key that has not run here is granted to the asker, and a tombstone
         keeps it from running here when a late copy arrives.
         """
-        self._forget_old(now)
+        self._expire_entries(now)
         entry = self.entries.get(key)
         if entry is None:
             return self._grant_unseen(key, fingerprint, asker=asker, now=now)
         if entry.fingerprint != fingerprint:
             return OtherRequest()
-        self._touch(key, now)
+        self._mark_used(key, now)
         match entry.state:
             case KeyState.NOT_RUN:
                 entry.state, entry.owner = KeyState.ELSEWHERE, asker
                 return Granted()
             case KeyState.ELSEWHERE if entry.owner == asker:
-                # The asker never received the grant, else it would not ask.
+                # The asker never received the grant, or it would not ask again.
                 return Granted()
             case KeyState.ELSEWHERE:
                 return Moved(owner=entry.owner)
-        return _describe(entry)
+        return _make_reply(entry)
 
     def _grant_unseen(
         self, key: str, fingerprint: bytes, *, asker: KeyOwner, now: float
@@ -286,12 +298,16 @@
         if len(self.entries) >= self.capacity:
             return False
         self.entries[key] = KeyEntry(
-            fingerprint=fingerprint, state=state, owner=owner, touched=now, asked=1
+            fingerprint=fingerprint,
+            state=state,
+            owner=owner,
+            last_used=now,
+            owners_asked=1,
         )
         return True
 
-    def _touch(self, key: str, now: float) -> None:
-        self.entries[key].touched = now
+    def _mark_used(self, key: str, now: float) -> None:
+        self.entries[key].last_used = now
         self.entries.move_to_end(key)
 
     def _store_answer(self, entry: KeyEntry, answer: StoredAnswer | None) -> None:
@@ -302,21 +318,21 @@
         entry.answer = answer
         self.answer_bytes += len(answer.body)
 
-    def _forget_old(self, now: float) -> None:
-        """Drop entries past retention; the oldest come first."""
+    def _expire_entries(self, now: float) -> None:
+        """Delete expired entries; the least recently used come first."""
         while self.entries:
             key, entry = next(iter(self.entries.items()))
-            if now - entry.touched < self.retention_seconds:
+            if now - entry.last_used < self.retention_seconds:
                 return
             if entry.state in (KeyState.RUNNING, KeyState.ASKING):
-                self._touch(key, now)
+                self._mark_used(key, now)
                 continue
             del self.entries[key]
             if entry.answer is not None:
                 self.answer_bytes -= len(entry.answer.body)
 
 
-def _describe(entry: KeyEntry) -> Replay | InProgress | OutcomeLost:
+def _make_reply(entry: KeyEntry) -> Replay | InProgress | OutcomeLost:
     match entry.state:
         case KeyState.ANSWERED:
             return Replay(answer=entry.answer)
--- a/testing/policy/test_idempotency.py
+++ b/testing/policy/test_idempotency.py
@@ -20,7 +20,7 @@
 OWN = KeyOwner(agent="host-0", incarnation=1)
 PEER = KeyOwner(agent="host-1", incarnation=1)
 THIRD = KeyOwner(agent="host-2", incarnation=1)
-PRINT = b"POST /orders"
+FINGERPRINT = b"POST /orders"
 ANSWER = StoredAnswer(status=201, body=b"order 7")
 
 
@@ -29,11 +29,11 @@
     return OutcomeTable(own=OWN)
 
 
-def begin(table, *, first=None, now=NOW, fingerprint=PRINT):
+def begin(table, *, first=None, now=NOW, fingerprint=FINGERPRINT):
     return table.begin("key", fingerprint=fingerprint, first=first, now=now)
 
 
-def ask(table, *, asker=PEER, now=NOW, fingerprint=PRINT):
+def ask(table, *, asker=PEER, now=NOW, fingerprint=FINGERPRINT):
     return table.answer_owner_question(
         "key", fingerprint=fingerprint, asker=asker, now=now
     )
@@ -52,7 +52,7 @@
     assert ask(table) == Replay(answer=ANSWER)
 
 
-def test_a_lost_answer_is_never_run_again(table):
+def test_a_request_with_a_lost_answer_never_runs_again(table):
     begin(table)
     table.finish("key", answer=None, now=NOW)
 
@@ -60,7 +60,7 @@
     assert ask(table) == OutcomeLost()
 
 
-def test_a_refused_request_may_run_at_its_repeat(table):
+def test_a_repeat_of_a_refused_request_may_run(table):
     begin(table)
     table.release("key", now=NOW)
 
@@ -74,13 +74,13 @@
     assert ask(table, fingerprint=b"other") == OtherRequest()
 
 
-def test_an_unseen_key_is_granted_once_and_fenced(table):
+def test_an_unknown_key_is_granted_once_and_not_run_here(table):
     assert ask(table) == Granted()
     assert begin(table) == AskOwner(owner=PEER)
     assert ask(table, asker=THIRD) == InProgress()
 
 
-def test_a_granted_key_is_granted_again_only_to_its_owner(table):
+def test_a_granted_key_is_granted_again_only_to_the_same_agent(table):
     ask(table)
 
     assert ask(table) == Granted()
@@ -100,7 +100,7 @@
     assert ask(table) == InProgress()
 
 
-def test_a_repeat_of_another_host_asks_it(table):
+def test_a_repeat_asks_the_host_that_the_caller_names_first(table):
     assert begin(table, first=PEER) == AskOwner(owner=PEER)
     assert table.resolve("key", reply=Granted(), now=NOW) == StartRun()
 
@@ -131,7 +131,7 @@
     assert decisions == [AskOwner(owner=THIRD)] * 3 + [OutcomeLost()]
 
 
-def test_an_earlier_life_of_the_host_took_the_key_with_it(table):
+def test_the_outcome_of_an_earlier_incarnation_is_lost(table):
     first = KeyOwner(agent=OWN.agent, incarnation=0)
 
     assert begin(table, first=first) == OutcomeLost()
@@ -153,9 +153,9 @@
     assert repeat == Replay(answer=ANSWER)
 
 
-def test_old_keys_are_forgotten_but_not_running_ones(table):
+def test_old_keys_expire_but_not_running_ones(table):
     begin(table)
-    table.begin("other", fingerprint=PRINT, first=None, now=NOW)
+    table.begin("other", fingerprint=FINGERPRINT, first=None, now=NOW)
     table.finish("other", answer=ANSWER, now=NOW)
 
     begin(table, now=NOW + 10_000.0)
@@ -164,20 +164,22 @@
     assert table.answer_bytes == 0
 
 
-def test_a_full_table_refuses_new_keys_instead_of_forgetting():
+def test_a_full_table_refuses_new_keys_instead_of_evicting():
     table = OutcomeTable(own=OWN, capacity=1)
     begin(table)
     table.finish("key", answer=ANSWER, now=NOW)
 
-    other = table.begin("other", fingerprint=PRINT, first=None, now=NOW)
-    asked = table.answer_owner_question("other", fingerprint=PRINT, asker=PEER, now=NOW)
+    other = table.begin("other", fingerprint=FINGERPRINT, first=None, now=NOW)
+    asked = table.answer_owner_question(
+        "other", fingerprint=FINGERPRINT, asker=PEER, now=NOW
+    )
 
     assert other == TableFull()
     assert asked == OutcomeLost()
     assert begin(table) == Replay(answer=ANSWER)
 
 
-def test_large_answers_are_not_kept_but_their_end_is(table):
+def test_a_large_answer_is_not_stored_but_its_run_is(table):
     begin(table)
     table.finish("key", answer=StoredAnswer(status=200, body=b"x" * 70_000), now=NOW)
 
--- a/testing/policy/test_idempotency_interleavings.py
+++ b/testing/policy/test_idempotency_interleavings.py
@@ -1,4 +1,4 @@
-"""At most one run for each key, in thousands of interleavings."""
+"""At most one run for each key, in thousands of random interleavings."""
 
 from attrs import define, field
 from hypothesis import settings, strategies as st
@@ -20,22 +20,22 @@
 )
 
 AGENTS = ("host-0", "host-1", "host-2")
-PRINT = b"POST /orders"
+FINGERPRINT = b"POST /orders"
 KEY = "key"
 
 
 @define(eq=False)
 class Attempt:
-    """A copy of the request at one host, and its open question to an owner."""
+    """A copy of the request at one host, with the owner that it is asking."""
 
     host: KeyOwner
-    asks: KeyOwner | None = None
+    asked_owner: KeyOwner | None = None
     may_run: bool = False
 
 
 @define(eq=False)
 class Message:
-    """A question, or the reply to one, on its way."""
+    """A question to an owner, or its reply, in transit."""
 
     attempt: Attempt
     owner: KeyOwner
@@ -45,7 +45,7 @@
 
 @define
 class World:
-    """All hosts, what is on its way between them, and the upstream's ledger."""
+    """All hosts, the messages in transit between them, and the runs counted."""
 
     tables: dict[str, OutcomeTable] = field(factory=dict)
     attempts: list[Attempt] = field(factory=list)
@@ -66,18 +66,18 @@
     def arrive(self, agent, first):
         table = self.tables[agent]
         attempt = Attempt(host=table.own)
-        decision = table.begin(KEY, fingerprint=PRINT, first=first, now=self.now)
-        self.follow(attempt, decision)
+        decision = table.begin(KEY, fingerprint=FINGERPRINT, first=first, now=self.now)
+        self.apply(attempt, decision)
         return decision
 
-    def follow(self, attempt, decision):
-        attempt.asks = None
+    def apply(self, attempt, decision):
+        attempt.asked_owner = None
         match decision:
             case StartRun():
                 attempt.may_run = True
                 self.attempts.append(attempt)
             case AskOwner(owner=owner):
-                attempt.asks = owner
+                attempt.asked_owner = owner
                 self.attempts.append(attempt)
                 self.messages.append(Message(attempt, owner))
         return decision
@@ -86,13 +86,13 @@
         if not message.is_reply:
             table = self.table(message.owner)
             message.reply = table and table.answer_owner_question(
-                KEY, fingerprint=PRINT, asker=message.attempt.host, now=self.now
+                KEY, fingerprint=FINGERPRINT, asker=message.attempt.host, now=self.now
             )
             message.is_reply = True
             self.messages.append(message)
             return None
         is_awaited = message.attempt in self.attempts
-        if not is_awaited or message.attempt.asks != message.owner:
+        if not is_awaited or message.attempt.asked_owner != message.owner:
             return None
         return self.resolve(message.attempt, message.reply)
 
@@ -103,8 +103,8 @@
             return None
         decision = table.resolve(KEY, reply=reply, now=self.now)
         successor = Attempt(host=attempt.host)
-        attempt.asks = None
-        return self.follow(successor, decision)
+        attempt.asked_owner = None
+        return self.apply(successor, decision)
 
     def finish(self, attempt, outcome):
         self.attempts.remove(attempt)
@@ -124,11 +124,11 @@
         self.frozen.discard(agent)
         self.start(agent, table.own.incarnation + 1)
 
-    def is_awake(self, owner):
+    def is_responsive(self, owner):
         return owner.agent not in self.frozen
 
-    def settle(self):
-        """Let all that is under way end, without losses."""
+    def run_to_end(self):
+        """Deliver every message and end every attempt, without losses."""
         self.frozen.clear()
         while self.messages or self.attempts:
             while self.messages:
@@ -139,7 +139,7 @@
 
 
 class Reorderings(RuleBasedStateMachine):
-    """Copies, repeats and doubled messages in any order; nothing fails."""
+    """Copies, repeats and duplicated messages in any order, without failures."""
 
     @initialize()
     def first_attempt(self):
@@ -151,7 +151,7 @@
     @rule()
     def a_copy_on_the_first_connection_arrives(self):
         # The connection IDs of a connection name the host's incarnation.
-        if self.world.table(self.first) and self.world.is_awake(self.first):
+        if self.world.table(self.first) and self.world.is_responsive(self.first):
             self.world.arrive(self.first.agent, None)
 
     @rule(agent=st.sampled_from(AGENTS))
@@ -160,14 +160,14 @@
             self.world.arrive(agent, self.first)
 
     @precondition(lambda self: self.world.messages)
-    @rule(data=st.data(), is_doubled=st.booleans())
-    def a_message_arrives(self, data, is_doubled):
+    @rule(data=st.data(), is_duplicated=st.booleans())
+    def a_message_arrives(self, data, is_duplicated):
         message = data.draw(st.sampled_from(self.world.messages))
         receiver = message.attempt.host if message.is_reply else message.owner
-        if not self.world.is_awake(receiver):
+        if not self.world.is_responsive(receiver):
             return
         self.world.messages.remove(message)
-        if is_doubled and not message.is_reply:
+        if is_duplicated and not message.is_reply:
             self.world.messages.append(Message(message.attempt, message.owner))
         self.world.process(message)
 
@@ -176,7 +176,7 @@
     def an_attempt_ends(self, data, outcome):
         runnable = [entry for entry in self.world.attempts if entry.may_run]
         attempt = data.draw(st.sampled_from(runnable))
-        if self.world.is_awake(attempt.host):
+        if self.world.is_responsive(attempt.host):
             self.world.finish(attempt, outcome)
 
     @rule(seconds=st.floats(0.0, 10.0))
@@ -191,50 +191,50 @@
         world = getattr(self, "world", None)
         if world is None:
             return
-        for attempt in [entry for entry in world.attempts if entry.asks]:
+        for attempt in [entry for entry in world.attempts if entry.asked_owner]:
             world.resolve(attempt, None)
         world.messages.clear()
-        world.settle()
+        world.run_to_end()
         assert world.runs <= 1
         if world.failures == 0:
             self.check_availability(world)
 
     def check_availability(self, world):
-        """Repeats are answered when no host and no answer was lost.
+        """Check that repeats are answered when no host and no answer was lost.
 
-        A grant that was lost keeps the key from other hosts until its receiver
-        asks again, so one repeat goes to every host first.
+        After a lost grant, other hosts can't get the key until its receiver asks
+        again, so one repeat goes to every host first.
         """
         for agent in AGENTS:
             world.arrive(agent, self.first)
-            world.settle()
+            world.run_to_end()
 
         assert world.runs == 1
         for agent in AGENTS:
             world.arrive(agent, self.first)
-            world.settle()
+            world.run_to_end()
 
             assert isinstance(world.arrive(agent, self.first), Replay)
 
 
 class Failures(Reorderings):
-    """Also messages lost, answers lost, hosts frozen and replaced."""
+    """Adds lost messages, lost answers, and hosts that freeze or are replaced."""
 
     @precondition(lambda self: self.world.messages)
     @rule(data=st.data())
     def a_message_is_lost(self, data):
         self.world.messages.remove(data.draw(st.sampled_from(self.world.messages)))
 
-    @precondition(lambda self: any(entry.asks for entry in self.world.attempts))
+    @precondition(lambda self: any(entry.asked_owner for entry in self.world.attempts))
     @rule(data=st.data())
     def a_question_times_out(self, data):
-        asking = [entry for entry in self.world.attempts if entry.asks]
+        asking = [entry for entry in self.world.attempts if entry.asked_owner]
         attempt = data.draw(st.sampled_from(asking))
-        if self.world.is_awake(attempt.host):
+        if self.world.is_responsive(attempt.host):
             self.world.resolve(attempt, None)
 
     @rule(agent=st.sampled_from(AGENTS))
-    def a_host_freezes_or_wakes(self, agent):
+    def a_host_freezes_or_resumes(self, agent):
         self.world.frozen ^= {agent}
 
     @rule(agent=st.sampled_from(AGENTS))
@@ -245,7 +245,7 @@
     @rule()
     def an_answer_is_lost(self):
         runnable = [entry for entry in self.world.attempts if entry.may_run]
-        if self.world.is_awake(runnable[0].host):
+        if self.world.is_responsive(runnable[0].host):
             self.world.finish(runnable[0], "lost")
 
 
