Reword placement, slow start, hand-off and the suspect list

Descriptions named actions as a person's or left the unit out. PeerLoad.unseen is unreported, for it counts what a load report lacks; Fleet is FleetLoad with mean_per_slot and fastest_seconds. These names stay inside the process; "unseen" of the status reply is another field and stays.

--- a/packages/daisygauge-policy/src/daisygauge_policy/_first_flight.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_first_flight.py
@@ -11,14 +11,14 @@
 from daisygauge_records import Endpoint, Placement, RendezvousPlacement
 from daisygauge_wire import MAX_HOPS, LoadReport
 
-# Differences of fewer connections than this are not worth a hop.
+# A smaller difference in connections isn't worth another hop.
 CONNECTION_SLACK = 4
 REMEMBERED_SECONDS = 5.0
 REMEMBERED_FLIGHTS = 4_096
 
 
 class FlightReason(enum.Enum):
-    """Why a first flight does not stay."""
+    """Why an agent passes a first flight on or refuses it."""
 
     LESS_LOADED = "less-loaded"
     NOT_READY = "not-ready"
@@ -33,9 +33,9 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PassFlight:
-    """The flight goes on to another agent.
+    """The flight is passed on to another agent.
 
-    :param candidates: agents that the target may still pass it to.
+    :param candidates: agents to which the target may pass it on.
     """
 
     target: Endpoint
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class RefuseFlight:
-    """The agent can't take the flow, and nobody else may be asked."""
+    """The agent can't take the flow, and no other agent may be asked."""
 
     reason: FlightReason
 
@@ -61,26 +61,26 @@
     reports: Mapping[Endpoint, LoadReport],
     hops: int,
 ) -> FlightDecision:
-    """Decide on a new flow where the load is known best.
+    """Decide whether an agent accepts, passes on or refuses a new flow.
 
-    A host that is not ready still accepts when nobody else can be asked: its
-    requests then get a truthful answer instead of silence.
+    An agent that is not ready still accepts when no other agent can be asked:
+    requests then get a truthful answer instead of none.
 
     :param own: the agent's present load report.
     :param candidates: other agents named by the balancer, in order.
     :param reports: fresh load reports of peers by agent address.
-    :param hops: how often the flight was passed on already.
+    :param hops: times that the flight was passed on before.
     """
-    unable = _find_inability(own)
+    inability = _find_inability(own)
     others = [target for target in candidates if _may_take(reports.get(target))]
     if hops < MAX_HOPS and others:
         target = _choose_target(others, reports=reports)
-        if unable is not None:
-            return _pass_to(target, candidates, reason=unable)
+        if inability is not None:
+            return _pass_to(target, candidates, reason=inability)
         if _is_better(reports.get(target), own=own, placement=placement):
             return _pass_to(target, candidates, reason=FlightReason.LESS_LOADED)
-    if unable in (FlightReason.LEAVING, FlightReason.FULL):
-        return RefuseFlight(reason=unable)
+    if inability in (FlightReason.LEAVING, FlightReason.FULL):
+        return RefuseFlight(reason=inability)
     return AcceptFlight()
 
 
@@ -93,16 +93,16 @@
 
 
 def _may_take(report: LoadReport | None) -> bool:
-    """Tell whether a candidate may take a flow; one not heard of may."""
+    """Tell whether a candidate may take a flow; one without a load report may."""
     return report is None or _find_inability(report) is None
 
 
 def _choose_target(
     targets: Sequence[Endpoint], *, reports: Mapping[Endpoint, LoadReport]
 ) -> Endpoint:
-    """Return the emptiest target with a load report, else the first."""
-    heard = [target for target in targets if target in reports]
-    return min(heard, key=lambda target: reports[target].fill, default=targets[0])
+    """Return the least filled target, or the first if none has a load report."""
+    reported = [target for target in targets if target in reports]
+    return min(reported, key=lambda target: reports[target].fill, default=targets[0])
 
 
 def _is_better(
@@ -123,16 +123,16 @@
 
 
 class PassedFlights:
-    """Where flights were passed, so that their later packets follow."""
+    """The targets of passed flights, so that later packets of a flow follow it."""
 
     def __init__(self) -> None:
         self._flights: LRU = LRU(max_size=REMEMBERED_FLIGHTS)
 
     def record(self, flow_key: bytes, *, decision: PassFlight, now: float) -> None:
-        """Note where a flight went."""
+        """Record to which agent a flight was passed."""
         self._flights[flow_key] = (decision, now)
 
     def find(self, flow_key: bytes, *, now: float) -> PassFlight | None:
-        """Return where a flight went within ``REMEMBERED_SECONDS``."""
-        decision, at = self._flights.get(flow_key, (None, 0.0))
-        return decision if now - at <= REMEMBERED_SECONDS else None
+        """Return the decision on a flight passed within ``REMEMBERED_SECONDS``."""
+        decision, passed_at = self._flights.get(flow_key, (None, 0.0))
+        return decision if now - passed_at <= REMEMBERED_SECONDS else None
--- a/packages/daisygauge-policy/src/daisygauge_policy/_hand_off.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_hand_off.py
@@ -13,29 +13,29 @@
 
 from ._load_reports import PeerLoadReport
 
-# A load report heard this soon after a hand-off can't count the handed request yet.
+# A load report received this soon after a hand-off can't count the request yet.
 TRANSIT_SECONDS = 0.01
-# Cost of the detour, so that equal hosts never exchange requests.
+# Cost of the extra hop, so that equal hosts never exchange requests.
 DETOUR_SECONDS = 0.005
-# A host that did a tenth more than the mean costs as much as one request ahead.
+# A tenth more requests than the mean costs as much as one more request ahead.
 BALANCE_FACTOR = 10.0
 LARGEST_CREDIT = 0.1
 LARGEST_CHARGE = 0.2
-# Below this number of requests for each slot, differences say nothing.
+# Below this mean of requests per slot, differences are noise.
 FEWEST_REQUESTS = 5.0
 
 
 @frozen(kw_only=True)
 class PeerLoad:
-    """A peer's load report with the requests handed to it since.
+    """A peer's load report, corrected by the requests handed to the peer since.
 
-    :param unseen: change of its requests since then that is known here.
-    :param sent: requests sent to the peer that its load report does not count.
+    :param unreported: known change of the peer's requests since the load report.
+    :param sent: requests sent to the peer that its load report doesn't count.
     """
 
     peer: str
     report: LoadReport
-    unseen: int = 0
+    unreported: int = 0
     sent: int = 0
 
 
@@ -48,7 +48,7 @@
 class HandToPeer:
     """The request goes to a peer.
 
-    :param gain_seconds: how much cheaper it is there, in expected seconds.
+    :param gain_seconds: how much cheaper the request is there.
     """
 
     peer: str
@@ -71,23 +71,23 @@
 
 
 class SentRequests:
-    """Requests handed to each peer, until its load reports tell their state."""
+    """Requests handed to each peer that its load reports don't account for yet."""
 
     def __init__(self) -> None:
         self._sent: dict[str, list[SentRequest]] = {}
 
     def add(self, peer: str, *, now: float) -> SentRequest:
-        """Note that a request goes to a peer; its end must be noted too."""
+        """Record a request handed to a peer; :meth:`end` must record its end."""
         request = SentRequest(sent=now)
         self._sent.setdefault(peer, []).append(request)
         return request
 
     def end(self, request: SentRequest, *, now: float) -> None:
-        """Note that a peer is done with a request."""
+        """Record that a peer has finished a request."""
         request.ended = now
 
     def loads(self, reports: Sequence[PeerLoadReport]) -> tuple[PeerLoad, ...]:
-        """Return the peers' loads, corrected for hand-offs since their reports."""
+        """Return the peers' loads, corrected for hand-offs since their load reports."""
         return tuple(self._correct(held) for held in reports)
 
     def _correct(self, held: PeerLoadReport) -> PeerLoad:
@@ -103,18 +103,18 @@
         return PeerLoad(
             peer=held.peer,
             report=held.report,
-            unseen=len(later) - ended,
+            unreported=len(later) - ended,
             sent=len(later),
         )
 
 
-def expected_seconds(report: LoadReport, *, unseen: int = 0) -> float:
-    """Return when one more request would finish at a host.
+def expected_seconds(report: LoadReport, *, unreported: int = 0) -> float:
+    """Return the expected time of one more request at a host, in seconds.
 
-    :param unseen: requests under way to the host.
+    :param unreported: change of the host's requests that the load report lacks.
     """
     slots = max(report.slots, 1)
-    ahead = max(0, report.running + report.waiting + unseen)
+    ahead = max(0, report.running + report.waiting + unreported)
     waiting = max(0.0, ahead + 1 - slots) / slots
     return (1.0 + waiting) * report.service_seconds
 
@@ -128,10 +128,11 @@
 ) -> HandOffDecision:
     """Choose where one more request runs.
 
-    A request moves when a peer is cheaper by the margin: by its expected end,
-    and by the work it did lately compared with the mean. Of the cheaper peers
-    two are drawn at random and the better one is taken: agents that hold the
-    same load reports must not all choose the same peer.
+    A request is handed off when a peer is cheaper by the margin. The cost is the
+    expected time of the request, adjusted by the recent work of the host compared
+    with the mean. Of the cheaper peers, two are drawn at random and the better one
+    is chosen, because agents with the same load reports must not all choose the
+    same peer.
 
     :param own: the agent's present load report without the request itself.
     :param peers: fresh loads of peers of the same service.
@@ -143,22 +144,22 @@
 
 
 @frozen(kw_only=True)
-class Fleet:
-    """What the hosts of a service have in common.
+class FleetLoad:
+    """Load figures over the hosts of a service.
 
-    :param mean_share: requests done lately or under way for each slot.
-    :param unit_seconds: service time of the fastest host.
+    :param mean_per_slot: mean of the requests per slot, running or recently done.
+    :param fastest_seconds: service time of the fastest host.
     """
 
-    mean_share: float
-    unit_seconds: float
+    mean_per_slot: float
+    fastest_seconds: float
 
 
 def _choose_better(
     margin: float, *, own: LoadReport, peers: Sequence[PeerLoad], rng: random.Random
 ) -> HandOffDecision:
     usable = [load for load in peers if load.report.ready and not load.report.leaving]
-    fleet = _describe_fleet(own, usable)
+    fleet = _measure_fleet(own, usable)
     gains = {
         load.peer: _gain_seconds(load, own=own, margin=margin, fleet=fleet)
         for load in usable
@@ -171,42 +172,45 @@
     return HandToPeer(peer=best, gain_seconds=gains[best])
 
 
-def _share(report: LoadReport, *, sent: int = 0) -> float:
+def _requests_per_slot(report: LoadReport, *, sent: int = 0) -> float:
     return (report.recent + report.running + sent) / max(report.slots, 1)
 
 
-def _describe_fleet(own: LoadReport, peers: Sequence[PeerLoad]) -> Fleet:
-    shares = [_share(load.report, sent=load.sent) for load in peers]
+def _measure_fleet(own: LoadReport, peers: Sequence[PeerLoad]) -> FleetLoad:
+    per_slot = [_requests_per_slot(load.report, sent=load.sent) for load in peers]
     times = [load.report.service_seconds for load in peers]
-    return Fleet(
-        mean_share=(_share(own) + sum(shares)) / (len(shares) + 1),
-        unit_seconds=min([own.service_seconds, *times]),
+    return FleetLoad(
+        mean_per_slot=(_requests_per_slot(own) + sum(per_slot)) / (len(per_slot) + 1),
+        fastest_seconds=min([own.service_seconds, *times]),
     )
 
 
 def _cost_seconds(
-    report: LoadReport, *, fleet: Fleet, unseen: int = 0, sent: int = 0
+    report: LoadReport, *, fleet: FleetLoad, unreported: int = 0, sent: int = 0
 ) -> float:
-    """Return the expected end of one more request, dearer at a host that has
-    done more than its share lately.
+    """Return the cost of one more request at a host, in seconds.
 
-    Both sides are bounded: a host that did little may be slow, and one that did
-    much must not wait for it.
+    The cost is the expected time of the request, plus a charge for a host that has
+    recently done more than the mean, or minus a credit for one that has done less.
+    Both are bounded: a host that did little may be slow, and a host that did much
+    must not be held back until the slow one has caught up.
     """
     excess = 0.0
-    if fleet.mean_share >= FEWEST_REQUESTS:
-        excess = _share(report, sent=sent) / fleet.mean_share - 1.0
-    bounded = min(max(excess, -LARGEST_CREDIT), LARGEST_CHARGE)
-    balance = BALANCE_FACTOR * bounded * fleet.unit_seconds
-    return expected_seconds(report, unseen=unseen) + balance
+    if fleet.mean_per_slot >= FEWEST_REQUESTS:
+        excess = _requests_per_slot(report, sent=sent) / fleet.mean_per_slot - 1.0
+    bounded_excess = min(max(excess, -LARGEST_CREDIT), LARGEST_CHARGE)
+    adjustment = BALANCE_FACTOR * bounded_excess * fleet.fastest_seconds
+    return expected_seconds(report, unreported=unreported) + adjustment
 
 
 def _gain_seconds(
-    load: PeerLoad, *, own: LoadReport, margin: float, fleet: Fleet
+    load: PeerLoad, *, own: LoadReport, margin: float, fleet: FleetLoad
 ) -> float:
-    """Return how much cheaper than here a peer is, less the margin."""
-    there = _cost_seconds(load.report, fleet=fleet, unseen=load.unseen, sent=load.sent)
+    """Return how many seconds a peer is cheaper than this host, less the margin."""
+    peer_cost = _cost_seconds(
+        load.report, fleet=fleet, unreported=load.unreported, sent=load.sent
+    )
     if own.leaving or not own.ready:
-        return 1.0 / (1.0 + max(there, 0.0))
+        return 1.0 / (1.0 + max(peer_cost, 0.0))
     hysteresis = margin * min(own.service_seconds, load.report.service_seconds)
-    return _cost_seconds(own, fleet=fleet) - there - hysteresis - DETOUR_SECONDS
+    return _cost_seconds(own, fleet=fleet) - peer_cost - hysteresis - DETOUR_SECONDS
--- a/packages/daisygauge-policy/src/daisygauge_policy/_load_reports.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_load_reports.py
@@ -1,4 +1,4 @@
-"""The load of peer agents, as lately heard."""
+"""The latest load report of each peer agent."""
 
 from __future__ import annotations
 
@@ -12,9 +12,10 @@
 
 @frozen(kw_only=True)
 class PeerLoadReport:
-    """One peer's load report with its origin.
+    """A load report with the peer that sent it.
 
-    :param received_at: Unix time in seconds at which it arrived.
+    :param peer: id of the peer agent.
+    :param received_at: Unix time in seconds.
     """
 
     peer: str
@@ -23,7 +24,7 @@
     received_at: float
 
     def age_seconds(self, *, now: float) -> float:
-        """Return the time since the load report arrived."""
+        """Return the time since the load report was received."""
         return now - self.received_at
 
 
@@ -36,9 +37,9 @@
     def update(
         self, peer: str, *, incarnation: int, report: LoadReport, now: float
     ) -> bool:
-        """Take in a load report unless a newer one is held.
+        """Store a load report unless an equally new or newer one is stored.
 
-        :return: False for a load report of an older incarnation or sequence.
+        :return: True if the load report was stored.
         """
         held = self.reports.get(peer)
         if held is not None and (incarnation, report.sequence) <= (
@@ -54,7 +55,10 @@
     def fresh(
         self, *, now: float, longest_age_seconds: float = LONGEST_AGE_SECONDS
     ) -> tuple[PeerLoadReport, ...]:
-        """Return the load reports young enough to decide by, ordered by peer."""
+        """Return the load reports that are recent enough to use, ordered by peer.
+
+        :param longest_age_seconds: reports older than this are left out.
+        """
         return tuple(
             held
             for _, held in sorted(self.reports.items())
@@ -62,7 +66,7 @@
         )
 
     def retain(self, peers: frozenset[str]) -> None:
-        """Forget every peer but the published ones."""
+        """Drop the load reports of all peers but the given ones."""
         self.reports = {
             peer: held for peer, held in self.reports.items() if peer in peers
         }
--- a/packages/daisygauge-policy/src/daisygauge_policy/_placement.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_placement.py
@@ -1,7 +1,7 @@
 """Which agents are offered a new flow.
 
-Placement never hashes a service's hosts for each packet: every table maps a
-flow to one of ``BUCKETS`` buckets and ranks the hosts of a bucket once.
+Placement doesn't hash the hosts of a service for each packet: a hashed table maps
+a flow to one of ``BUCKETS`` buckets and ranks the hosts of a bucket once.
 """
 
 from __future__ import annotations
@@ -29,7 +29,7 @@
 
 
 def make_flow_key(*, caller: Endpoint, destination_id: bytes) -> bytes:
-    """Identify a new flow, equal for all packets of a split first flight.
+    """Return the key of a flow, equal for all packets of a split first flight.
 
     :param destination_id: the connection ID that the caller chose.
     """
@@ -44,7 +44,7 @@
 ) -> tuple[Upstream, ...]:
     """Return the hosts that may get new flows.
 
-    A host that the list does not name stays eligible, because the list lags.
+    A host that the list lacks stays eligible, because the list lags.
 
     :param instances: the instance list by id.
     :param suspects: ids of hosts that do not answer.
@@ -108,12 +108,12 @@
             key=lambda entry: entry[:2],
         )
         order = tuple(upstream for _, _, upstream in scored)
-        # Buckets share equal orders, so a small service costs little memory.
+        # Buckets share equal orders, so a small service needs little memory.
         return self._orders.setdefault(tuple(host.id for host in order), order)
 
 
 class RoundRobinTable:
-    """Deals new flows out in turn; a baseline for experiments."""
+    """Offers new flows to the hosts in turn; a baseline for experiments."""
 
     def __init__(self, upstreams: Sequence[Upstream]) -> None:
         self.upstreams = tuple(sorted(upstreams, key=lambda upstream: upstream.id))
@@ -129,10 +129,10 @@
 
 
 class PublishedLoadTable:
-    """The less loaded of two hashed hosts first; a baseline for experiments.
+    """Offers the less loaded of two hashed hosts first; a baseline for experiments.
 
-    :param loads: published requests for each slot, by host id; the caller may
-        change the mapping later.
+    :param loads: published requests per slot, by host id; the caller may change the
+        mapping later.
     """
 
     def __init__(
--- a/packages/daisygauge-policy/src/daisygauge_policy/_recent.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_recent.py
@@ -1,10 +1,10 @@
-"""How many requests a host has completed lately."""
+"""Count of the requests that a host completed recently."""
 
 from __future__ import annotations
 
 import math
 
-MEMORY_SECONDS = 5.0
+DECAY_SECONDS = 5.0
 
 
 class RecentRuns:
@@ -20,6 +20,6 @@
         self._updated = now
 
     def count(self, *, now: float) -> float:
-        """Return the count; a request of ``MEMORY_SECONDS`` ago counts 1/e."""
+        """Return the count; a request of ``DECAY_SECONDS`` ago counts 1/e."""
         age = max(0.0, now - self._updated)
-        return self._count * math.exp(-age / MEMORY_SECONDS)
+        return self._count * math.exp(-age / DECAY_SECONDS)
--- a/packages/daisygauge-policy/src/daisygauge_policy/_rendezvous.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_rendezvous.py
@@ -11,7 +11,7 @@
 
 
 def rendezvous_score(member: bytes, *, seed: int, weight: float) -> float:
-    """Score one member; the member with the highest score wins.
+    """Return the score of a member; the member with the highest score wins.
 
     A member wins a share of seeds proportional to its weight, and another
     member's weight or absence never changes its score.
--- a/packages/daisygauge-policy/src/daisygauge_policy/_service_times.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_service_times.py
@@ -1,9 +1,9 @@
-"""Measured time that requests of each class spend in a slot."""
+"""Measured time that requests of each class occupy a slot."""
 
 from __future__ import annotations
 
 SMOOTHING = 0.1
-UNMEASURED_SECONDS = 0.1
+INITIAL_SECONDS = 0.1
 
 
 class ServiceTimes:
@@ -11,11 +11,11 @@
 
     def __init__(self) -> None:
         self._by_class: dict[str, float] = {}
-        self.overall_seconds = UNMEASURED_SECONDS
+        self.overall_seconds = INITIAL_SECONDS
         self._is_measured = False
 
     def observe(self, request_class: str, *, seconds: float) -> None:
-        """Take in a completed run."""
+        """Record the service time of a completed run."""
         self._by_class[request_class] = _smooth(
             self._by_class.get(request_class), seconds
         )
@@ -24,7 +24,7 @@
         self._is_measured = True
 
     def expected_seconds(self, request_class: str) -> float:
-        """Return the expected time of a class, that of all while unmeasured."""
+        """Return the mean time of a class, or of all classes before its first run."""
         return self._by_class.get(request_class, self.overall_seconds)
 
 
--- a/packages/daisygauge-policy/src/daisygauge_policy/_slow_start.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_slow_start.py
@@ -11,22 +11,23 @@
 def slow_start_share(*, age_seconds: float, ramp_seconds: float) -> float:
     """Return the share of its weight that a host gets, in steps up to 1.0.
 
-    Steps keep the number of table changes during a ramp small.
+    Steps limit the number of placement table changes during slow start.
 
     :param age_seconds: time since the host became ready.
-    :param ramp_seconds: time until the host gets its whole weight.
+    :param ramp_seconds: time until the host gets its full weight.
     """
     if ramp_seconds <= 0.0 or age_seconds >= ramp_seconds:
         return 1.0
-    done = max(age_seconds, 0.0) / ramp_seconds
-    step = math.floor(done * SHARE_STEPS) + 1
+    progress = max(age_seconds, 0.0) / ramp_seconds
+    step = math.floor(progress * SHARE_STEPS) + 1
     return max(FIRST_SHARE, min(step / SHARE_STEPS, 1.0))
 
 
 class SlowStart:
-    """Remembers since when each host has been known, and ramps new ones.
+    """Tracks when each host was first seen, and the share of hosts in slow start.
 
-    Hosts of the first view count as warm: the observer is new, not they.
+    Hosts of the first view count as warm, because there the observer is new and
+    not the hosts.
     """
 
     def __init__(self) -> None:
@@ -34,18 +35,18 @@
         self._has_view = False
 
     def observe_hosts(self, hosts: frozenset[str], *, now: float) -> None:
-        """Take in the ids of all published hosts; the rest is forgotten."""
+        """Record the ids of all published hosts; other hosts are dropped."""
         first_seen = now if self._has_view else -math.inf
         self.since = {host: self.since.get(host, first_seen) for host in hosts}
         self._has_view = self._has_view or bool(hosts)
 
     def observe_restart(self, host: str, *, now: float) -> None:
-        """Note that a host has come back as a new incarnation."""
+        """Restart the slow start of a host that has a new incarnation."""
         if host in self.since:
             self.since[host] = now
 
     def shares(self, *, now: float, ramp_seconds: float) -> dict[str, float]:
-        """Return the share of every host that is still ramping."""
+        """Return the share of every host in slow start, by id."""
         shares = {
             host: slow_start_share(age_seconds=now - since, ramp_seconds=ramp_seconds)
             for host, since in self.since.items()
--- a/packages/daisygauge-policy/src/daisygauge_policy/_suspects.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_suspects.py
@@ -16,12 +16,13 @@
 
 
 class Suspicion(Struct, kw_only=True):
-    """What is held against one host.
+    """The silences of one host and its back-off.
 
     :param silences: first flights without an answer since the last answer.
     :param since: Unix time in seconds at which the host became suspect.
     :param until: Unix time in seconds at which the host is tried again.
     :param trial_until: Unix time in seconds until which one flow tries it.
+    :param back_off_seconds: length of the present back-off.
     """
 
     silences: int = 0
@@ -36,6 +37,8 @@
 
     After its back-off a host is offered flows again; one more silence ejects it
     for twice the time, and any answer clears it.
+
+    :param largest_share: share of a service's hosts that may be ejected.
     """
 
     def __init__(self, *, largest_share: float = LARGEST_EJECTED_SHARE) -> None:
@@ -43,9 +46,9 @@
         self.suspicions: dict[str, Suspicion] = {}
 
     def report_silence(self, host: str, *, now: float) -> None:
-        """Note that a host has left a first flight unanswered.
+        """Record that a host has left a first flight unanswered.
 
-        Silences during the back-off tell nothing new: their flights left before.
+        Silences during the back-off are ignored: their flights were sent before it.
         """
         suspicion = self.suspicions.setdefault(host, Suspicion())
         if suspicion.since is not None and now < suspicion.until:
@@ -74,11 +77,11 @@
         return True
 
     def report_answer(self, host: str) -> None:
-        """Note that a host has answered."""
+        """Record that a host has answered."""
         self.suspicions.pop(host, None)
 
     def ejected(self, hosts: Iterable[str], *, now: float) -> frozenset[str]:
-        """Return which of a service's hosts get no flows for now.
+        """Return the hosts of a service that get no flows at present.
 
         When too many hosts are silent, the longest silent ones stay ejected: a
         network partition must not leave the service without hosts.
@@ -97,9 +100,10 @@
         )
 
     def unproven(self, hosts: Iterable[str]) -> frozenset[str]:
-        """Return the suspects that have not answered since, back-off over or not.
+        """Return the suspects that have not answered yet, also after their back-off.
 
-        At most the share that may be ejected: not everybody can be avoided.
+        Their number is bounded by the share that may be ejected, because a service
+        needs some hosts to offer flows to.
 
         :param hosts: a service's hosts.
         """
@@ -112,7 +116,7 @@
         return frozenset(silent[: int(len(hosts) * self.largest_share)])
 
     def retain(self, hosts: Iterable[str]) -> None:
-        """Forget every host but the published ones."""
+        """Drop what is known of all hosts but the given ones."""
         kept = frozenset(hosts)
         self.suspicions = {
             host: suspicion
--- a/testing/policy/queue_model.py
+++ b/testing/policy/queue_model.py
@@ -1,6 +1,6 @@
-"""Hosts of one service as queues, driven by the real decisions.
+"""A simulation of the hosts of one service that uses the real decisions.
 
-Time is simulated: events are handled in order and nothing sleeps.
+Time is simulated: events are handled in order, without sleeps.
 """
 
 import heapq
@@ -32,7 +32,7 @@
 
 @define(eq=False)
 class ModelHost:
-    """One host with its agent's state."""
+    """One host with the state of its agent."""
 
     id: str
     queue: AdmissionQueue
@@ -64,7 +64,7 @@
 
 
 class QueueModel:
-    """Runs seeded arrivals to their end.
+    """Runs seeded arrivals until every request has ended.
 
     :ivar done: requests done by each host.
     :ivar worth: worth answered in time.
@@ -81,20 +81,20 @@
         self.events = []
         self.numbers = itertools.count()
         self.done = Counter()
-        self.handed = {}
+        self.handed_off = {}
         self.worth = self.offered = 0.0
         self.now = 0.0
 
-    def at(self, when, action, *arguments):
+    def schedule(self, when, action, *arguments):
         heapq.heappush(self.events, (when, next(self.numbers), action, arguments))
 
     def run(self, *, load, seconds, entry_hosts):
         rate = load * len(self.hosts) * SLOTS / WORK_SECONDS
         arrival = 0.0
         while (arrival := arrival + self.rng.expovariate(rate)) < seconds:
-            self.at(arrival, self.arrive, self.rng.randrange(entry_hosts))
+            self.schedule(arrival, self.arrive, self.rng.randrange(entry_hosts))
         for tick in range(int(seconds / LOAD_REPORT_INTERVAL_SECONDS) + 1):
-            self.at(tick * LOAD_REPORT_INTERVAL_SECONDS, self.exchange_reports)
+            self.schedule(tick * LOAD_REPORT_INTERVAL_SECONDS, self.exchange_reports)
         while self.events:
             self.now, _, action, arguments = heapq.heappop(self.events)
             action(*arguments)
@@ -131,8 +131,8 @@
         if isinstance(decision, HandToPeer):
             sent = host.sent.add(decision.peer, now=self.now)
             target = self.by_id[decision.peer]
-            self.handed[request.id] = (host, sent)
-            self.at(self.now + TRANSIT_SECONDS, self.offer, target, request)
+            self.handed_off[request.id] = (host, sent)
+            self.schedule(self.now + TRANSIT_SECONDS, self.offer, target, request)
         else:
             self.offer(host, request)
 
@@ -140,36 +140,36 @@
         decision = host.queue.offer(request, slots=host.slot_use(), now=self.now)
         if isinstance(decision, Admit):
             for refusal in decision.refused:
-                self.end_handed(refusal.request)
-            self.advance(host)
+                self.end_hand_off(refusal.request)
+            self.start_waiting(host)
         else:
-            self.end_handed(request)
+            self.end_hand_off(request)
 
-    def end_handed(self, request):
-        sender, sent = self.handed.pop(request.id, (None, None))
+    def end_hand_off(self, request):
+        sender, sent = self.handed_off.pop(request.id, (None, None))
         if sender is not None:
             sender.sent.end(sent, now=self.now)
 
-    def advance(self, host):
+    def start_waiting(self, host):
         for refusal in host.queue.refuse_late(slots=host.slot_use(), now=self.now):
-            self.end_handed(refusal.request)
+            self.end_hand_off(refusal.request)
         while len(host.running) < SLOTS:
             request = host.queue.take_next(now=self.now)
             if request is None:
                 return
             work = self.rng.expovariate(1.0 / WORK_SECONDS) * host.slowness
             host.running[request.id] = self.now + request.expected_seconds
-            self.at(self.now + work, self.finish, host, request, work)
+            self.schedule(self.now + work, self.finish, host, request, work)
 
     def finish(self, host, request, work):
         del host.running[request.id]
         host.times.observe("any", seconds=work)
         host.recent.add(now=self.now)
         self.done[host.id] += 1
-        self.end_handed(request)
+        self.end_hand_off(request)
         if self.now <= request.deadline:
             self.worth += request.worth
-        self.advance(host)
+        self.start_waiting(host)
 
     @property
     def imbalance(self):
--- a/testing/policy/test_first_flight.py
+++ b/testing/policy/test_first_flight.py
@@ -51,7 +51,7 @@
     )
 
 
-def test_few_connections_never_pass():
+def test_an_agent_with_few_connections_never_passes():
     own = evolve(REPORT, connections=4)
 
     assert decide(own, reports={ONE: evolve(REPORT, connections=0)}) == AcceptFlight()
@@ -65,7 +65,7 @@
         assert decide(own, reports=reports, placement=placement) == AcceptFlight()
 
 
-def test_a_leaving_agent_passes_to_a_candidate_it_has_not_heard_of():
+def test_a_leaving_agent_passes_to_a_candidate_without_a_load_report():
     own = evolve(REPORT, leaving=True)
 
     decision = decide(own, reports={ONE: evolve(REPORT, leaving=True)})
@@ -87,7 +87,7 @@
     )
 
 
-def test_an_agent_that_is_not_ready_accepts_when_nobody_else_can():
+def test_an_agent_that_is_not_ready_accepts_without_other_candidates():
     assert decide(evolve(REPORT, ready=False), reports={}, candidates=()) == (
         AcceptFlight()
     )
@@ -130,11 +130,11 @@
 
 
 def test_later_packets_follow_a_passed_flight_for_some_seconds():
-    memory = PassedFlights()
+    passed = PassedFlights()
     decision = PassFlight(target=ONE, candidates=(), reason=FlightReason.FULL)
 
-    memory.record(b"flow", decision=decision, now=10.0)
+    passed.record(b"flow", decision=decision, now=10.0)
 
-    assert memory.find(b"flow", now=14.0) == decision
-    assert memory.find(b"flow", now=16.0) is None
-    assert memory.find(b"other", now=10.0) is None
+    assert passed.find(b"flow", now=14.0) == decision
+    assert passed.find(b"flow", now=16.0) is None
+    assert passed.find(b"other", now=10.0) is None
--- a/testing/policy/test_hand_off.py
+++ b/testing/policy/test_hand_off.py
@@ -29,9 +29,9 @@
 IDLE = evolve(REPORT, running=0)
 
 
-def choose(own, *reports, unseen=0, hand_off=None, seed=1):
+def choose(own, *reports, unreported=0, hand_off=None, seed=1):
     peers = [
-        PeerLoad(peer=f"host-{number}", report=report, unseen=unseen)
+        PeerLoad(peer=f"host-{number}", report=report, unreported=unreported)
         for number, report in enumerate(reports)
     ]
     return choose_peer(
@@ -68,7 +68,7 @@
 def test_requests_under_way_count_as_the_peers_load():
     own = evolve(REPORT, waiting=2)
 
-    assert choose(own, IDLE, unseen=8) == KeepRequest()
+    assert choose(own, IDLE, unreported=8) == KeepRequest()
 
 
 def test_a_leaving_host_hands_off_to_a_busier_peer():
@@ -122,7 +122,7 @@
     assert decisions != {HandToPeer}
 
 
-def test_a_host_that_did_more_than_its_share_gives_to_an_idle_peer():
+def test_a_host_that_did_more_than_its_share_hands_off_to_an_idle_peer():
     own = evolve(IDLE, recent=60.0)
     busy, idler = evolve(REPORT, recent=40.0), evolve(IDLE, recent=42.0)
 
@@ -152,26 +152,26 @@
     assert len(chosen) == 6
 
 
-def test_sent_requests_count_until_a_later_load_report_arrives():
+def test_sent_requests_count_until_a_later_load_report():
     sent = SentRequests()
     sent.add("a", now=10.00)
     sent.add("a", now=10.10)
     report = PeerLoadReport(peer="a", incarnation=1, report=IDLE, received_at=10.05)
 
-    assert sent.loads([report])[0].unseen == 1
+    assert sent.loads([report])[0].unreported == 1
     assert sent.loads([report])[0].sent == 1
-    assert sent.loads([evolve(report, received_at=10.2)])[0].unseen == 0
+    assert sent.loads([evolve(report, received_at=10.2)])[0].unreported == 0
 
 
-def test_a_request_that_ended_since_the_load_report_frees_its_place():
+def test_a_request_that_ended_since_the_load_report_is_subtracted():
     sent = SentRequests()
     before = sent.add("a", now=10.00)
     after = sent.add("a", now=10.10)
     report = PeerLoadReport(peer="a", incarnation=1, report=IDLE, received_at=10.05)
 
     sent.end(before, now=10.15)
-    assert sent.loads([report])[0].unseen == 0
+    assert sent.loads([report])[0].unreported == 0
     sent.end(after, now=10.16)
 
-    assert sent.loads([report])[0].unseen == -1
-    assert sent.loads([evolve(report, received_at=10.2)])[0].unseen == 0
+    assert sent.loads([report])[0].unreported == -1
+    assert sent.loads([evolve(report, received_at=10.2)])[0].unreported == 0
--- a/testing/policy/test_load_reports.py
+++ b/testing/policy/test_load_reports.py
@@ -31,17 +31,17 @@
     assert (held.incarnation, held.report.sequence) == (3, 3)
 
 
-def test_a_repeated_load_report_does_not_look_younger():
+def test_a_repeated_load_report_keeps_its_age():
     reports = PeerLoadReports()
     reports.update("a", incarnation=1, report=make_report(5), now=1.0)
 
-    taken = reports.update("a", incarnation=1, report=make_report(5), now=9.0)
+    is_stored = reports.update("a", incarnation=1, report=make_report(5), now=9.0)
 
-    assert not taken
+    assert not is_stored
     assert reports.reports["a"].age_seconds(now=9.0) == 8.0
 
 
-def test_old_load_reports_are_not_decided_by():
+def test_old_load_reports_are_not_fresh():
     reports = PeerLoadReports()
     reports.update("a", incarnation=1, report=make_report(1), now=1.0)
     reports.update("b", incarnation=1, report=make_report(1), now=2.0)
@@ -49,7 +49,7 @@
     assert [held.peer for held in reports.fresh(now=2.5)] == ["b"]
 
 
-def test_unpublished_peers_are_forgotten():
+def test_unpublished_peers_are_dropped():
     reports = PeerLoadReports()
     reports.update("a", incarnation=1, report=make_report(1), now=1.0)
 
--- a/testing/policy/test_requests.py
+++ b/testing/policy/test_requests.py
@@ -39,7 +39,7 @@
     assert match_class(SERVICE, method=method, path=path).name == name
 
 
-def test_an_undescribed_request_is_never_repeated():
+def test_a_request_without_a_class_is_not_idempotent():
     found = match_class(SERVICE, method="DELETE", path="/x")
 
     assert found is DEFAULT_CLASS
@@ -69,7 +69,7 @@
     assert deadline.at == 20.0
 
 
-def test_recent_runs_fade():
+def test_recent_runs_decay():
     recent = RecentRuns()
     recent.add(now=10.0)
     recent.add(now=10.0)
--- a/testing/policy/test_suspects.py
+++ b/testing/policy/test_suspects.py
@@ -10,7 +10,7 @@
         suspects.report_silence(host, now=now)
 
 
-def test_one_lost_flight_ejects_nobody():
+def test_one_lost_flight_ejects_no_host():
     suspects = SuspectList()
 
     suspects.report_silence("host-0", now=10.0)
--- a/testing/policy/test_under_load.py
+++ b/testing/policy/test_under_load.py
@@ -1,4 +1,4 @@
-"""The decisions together, in a simulated service; the same verdict every time."""
+"""All decisions together in a simulated service, with fixed seeds."""
 
 import pytest
 
@@ -36,8 +36,8 @@
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-def test_worth_beats_order_of_arrival_above_capacity(seed):
-    ours = run(seed=seed, load=1.5)
+def test_the_worth_queue_beats_order_of_arrival_above_capacity(seed):
+    model = run(seed=seed, load=1.5)
     baseline = run(seed=seed, load=1.5, queue=FifoQueue(), hand_off=NoHandOff())
 
-    assert ours.worth_share > baseline.worth_share
+    assert model.worth_share > baseline.worth_share
