Reword admission, the concurrency limit, the request scheduler and budgets

The scheduler orders requests by Timeliness (was Prospect). Its documentation says which request waits and why, and the one of the concurrency limit which runs count.

Checked: lint, the tests of policy (193 passed), the counts of mypy's errors.

--- a/packages/daisygauge-policy/src/daisygauge_policy/_admission.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_admission.py
@@ -1,10 +1,10 @@
 """Which requests wait at an agent, and in which order they run.
 
-The worth queue runs the earliest deadline first. Whenever the expected
-schedule would make a request late, the least worth for its slot time among the
-requests up to the late one is refused (the weighted form of the Moore-Hodgson
-algorithm for the fewest late jobs). Refusals come before a run, so they are
-truthfully "not run".
+The worth queue runs the earliest deadline first. When a request is expected to
+be late, the queue refuses the request with the least worth per slot time among
+those up to the late one (the weighted form of the Moore-Hodgson algorithm for
+the fewest late jobs). Requests are refused only before they run, so the answer
+"not run" is true.
 """
 
 from __future__ import annotations
@@ -20,7 +20,8 @@
 
 SHORTEST_RETRY_SECONDS = 0.1
 SHORTEST_SERVICE_SECONDS = 1e-4
-# Until the upstream answers again, a queue without slots makes no progress.
+# Assumed wait for a slot while there is none: a queue without slots makes no progress
+# until the upstream answers again.
 BLOCKED_SECONDS = 1.0
 
 
@@ -37,7 +38,7 @@
 class WaitingRequest:
     """A request that has not run.
 
-    :param worth: value when it is answered whole and in time.
+    :param worth: value of a complete answer in time.
     :param expected_seconds: expected time in a slot.
     :param arrived: Unix time in seconds.
     :param deadline: Unix time in seconds.
@@ -52,15 +53,15 @@
 
     @property
     def density(self) -> float:
-        """Worth for each second of slot time."""
+        """Worth per second of slot time."""
         return self.worth / max(self.expected_seconds, SHORTEST_SERVICE_SECONDS)
 
 
 @frozen(kw_only=True)
 class SlotUse:
-    """The slots behind a queue.
+    """The slots that serve a queue.
 
-    :param limit: requests that may run at once now.
+    :param limit: requests that may run at once at present.
     :param expected_ends: expected end of each running request, Unix seconds.
     """
 
@@ -80,7 +81,7 @@
 class Refuse:
     """The request will not run here.
 
-    :param retry_after_seconds: when a new try is expected to succeed.
+    :param retry_after_seconds: time after which a retry is expected to succeed.
     """
 
     request: WaitingRequest
@@ -92,7 +93,7 @@
 class Admit:
     """The request waits for a slot.
 
-    :param refused: requests that made room for it.
+    :param refused: requests refused to make room for it.
     """
 
     refused: tuple[Refuse, ...] = ()
@@ -103,7 +104,7 @@
 
     :param queue: the queue policy of the service record.
     :param slots: published slots of the host.
-    :param caller_share: largest share of the queue for one caller.
+    :param caller_share: largest share of the queue that one caller may use.
     """
 
     def __init__(self, queue: Queue, *, slots: int, caller_share: float) -> None:
@@ -118,43 +119,44 @@
     def offer(
         self, request: WaitingRequest, *, slots: SlotUse, now: float
     ) -> Admit | Refuse:
-        """Let a request wait, or refuse it, or others of less worth.
+        """Admit a request, refusing others if needed, or refuse it.
 
-        An arrival never lowers the worth that is expected to be answered.
+        Requests refused for an admitted one are together worth no more than it, so
+        an arrival never lowers the worth that is expected to be answered.
         """
-        before = self.waiting
-        self.waiting = sorted([*before, request], key=self._order)
+        waiting_before = self.waiting
+        self.waiting = sorted([*waiting_before, request], key=self._sort_key)
         refused = [
             *self._refuse_over_share(request.caller, slots=slots, now=now),
             *self._refuse_overfull(slots=slots, now=now),
             *self._refuse_late(slots=slots, now=now),
         ]
-        own = next((entry for entry in refused if entry.request is request), None)
+        refusal = next((entry for entry in refused if entry.request is request), None)
         if (
-            own is None
+            refusal is None
             and sum(entry.request.worth for entry in refused) > request.worth
         ):
-            own = self._make_refusal(
+            refusal = self._make_refusal(
                 request, reason=refused[-1].reason, slots=slots, now=now
             )
-        if own is None:
+        if refusal is None:
             return Admit(refused=tuple(refused))
-        self.waiting = before
-        return own
+        self.waiting = waiting_before
+        return refusal
 
     def take_next(self, *, now: float) -> WaitingRequest | None:
         """Remove and return the request to run now, if one waits.
 
-        The caller refuses late requests first, see :meth:`refuse_late`.
+        Late requests must be refused first with :meth:`refuse_late`.
         """
         return self.waiting.pop(0) if self.waiting else None
 
     def refuse_late(self, *, slots: SlotUse, now: float) -> tuple[Refuse, ...]:
-        """Remove and return requests that are no longer expected in time."""
+        """Refuse the requests that are no longer expected to be in time."""
         return tuple(self._refuse_late(slots=slots, now=now))
 
     def refuse_all(self, *, slots: SlotUse, now: float) -> tuple[Refuse, ...]:
-        """Remove and return every request because the host leaves."""
+        """Refuse every request because the host leaves."""
         return tuple(
             self._refuse(request, reason=RefusalReason.LEAVING, slots=slots, now=now)
             for request in tuple(self.waiting)
@@ -167,7 +169,7 @@
                 return self.waiting.pop(index)
         return None
 
-    def _order(self, request: WaitingRequest) -> tuple[float, float, str]:
+    def _sort_key(self, request: WaitingRequest) -> tuple[float, float, str]:
         match self.queue:
             case FifoQueue():
                 return (0.0, request.arrived, request.id)
@@ -176,10 +178,10 @@
     def _refuse_over_share(
         self, caller: str, *, slots: SlotUse, now: float
     ) -> list[Refuse]:
-        own = [request for request in self.waiting if request.caller == caller]
-        if len(own) <= self.caller_capacity:
+        requests = [request for request in self.waiting if request.caller == caller]
+        if len(requests) <= self.caller_capacity:
             return []
-        victim = self._find_least(own)
+        victim = self._find_least_worth(requests)
         return [
             self._refuse(
                 victim, reason=RefusalReason.CALLER_SHARE, slots=slots, now=now
@@ -189,20 +191,20 @@
     def _refuse_overfull(self, *, slots: SlotUse, now: float) -> list[Refuse]:
         if len(self.waiting) <= self.capacity:
             return []
-        victim = self._find_least(self.waiting)
+        victim = self._find_least_worth(self.waiting)
         return [self._refuse(victim, reason=RefusalReason.FULL, slots=slots, now=now)]
 
     def _refuse_late(self, *, slots: SlotUse, now: float) -> list[Refuse]:
         refused = []
-        while (late := self._find_late(slots=slots, now=now)) is not None:
-            victim = self._find_least(self.waiting[: late + 1])
+        while (late := self._find_first_late(slots=slots, now=now)) is not None:
+            victim = self._find_least_worth(self.waiting[: late + 1])
             refused.append(
                 self._refuse(victim, reason=RefusalReason.LATE, slots=slots, now=now)
             )
         return refused
 
-    def _find_late(self, *, slots: SlotUse, now: float) -> int | None:
-        """Return the place of the first request that is expected too late."""
+    def _find_first_late(self, *, slots: SlotUse, now: float) -> int | None:
+        """Return the index of the first request that is expected to be late."""
         if isinstance(self.queue, FifoQueue):
             return next(
                 (
@@ -220,8 +222,8 @@
             heapq.heapreplace(free, end)
         return None
 
-    def _find_least(self, requests: Sequence[WaitingRequest]) -> WaitingRequest:
-        """Return the request to give up; the last one in a queue by arrival."""
+    def _find_least_worth(self, requests: Sequence[WaitingRequest]) -> WaitingRequest:
+        """Return the request with the least worth per slot time, in a FIFO the last."""
         match self.queue:
             case FifoQueue():
                 return requests[-1]
@@ -246,7 +248,7 @@
         slots: SlotUse,
         now: float,
     ) -> Refuse:
-        """Build a refusal; half the expected time to drain is a fair new try."""
+        """Build a refusal; a retry may follow after half the expected drain time."""
         free = slots.free_times(now=now)
         queued = sum(entry.expected_seconds for entry in self.waiting) / len(free)
         drained = free[0] - now + queued
--- a/packages/daisygauge-policy/src/daisygauge_policy/_budgets.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_budgets.py
@@ -1,16 +1,17 @@
-"""Budgets that bound how much of something happens in a time."""
+"""Token buckets and the retry budget, which limit rates."""
 
 from __future__ import annotations
 
-RETRY_FLOOR_PER_SECOND = 0.1
+MIN_RETRIES_PER_SECOND = 0.1
 RETRY_BURST = 10.0
 
 
 class TokenBucket:
-    """Allows a rate with bursts.
+    """Limits a rate but allows bursts.
 
-    :param rate: tokens gained for each second.
-    :param burst: tokens held at most, and at the start.
+    :param rate: tokens added per second.
+    :param burst: capacity in tokens; the bucket is full at the start.
+    :param now: any clock in seconds, the same in every call.
     """
 
     def __init__(self, *, rate: float, burst: float, now: float) -> None:
@@ -27,7 +28,7 @@
     def try_take(self, amount: float = 1.0, *, now: float) -> bool:
         """Take tokens if there are enough.
 
-        :param now: any clock in seconds, the same in every call.
+        :return: True if the tokens were taken.
         """
         self._refill(now)
         if self.tokens < amount:
@@ -36,7 +37,7 @@
         return True
 
     def wait_seconds(self, amount: float = 1.0, *, now: float) -> float:
-        """Return the time until the tokens can be taken."""
+        """Return the seconds until the tokens can be taken, infinite at rate zero."""
         self._refill(now)
         missing = amount - self.tokens
         if missing <= 0.0:
@@ -45,26 +46,28 @@
 
 
 class RetryBudget:
-    """Allows retries as a share of first tries, and a small floor.
+    """Allows retries as a share of first tries, plus a small constant rate.
 
-    The floor lets a quiet service retry at all. Unused allowance is kept up to
-    ``RETRY_BURST`` retries, so a quiet hour can't pay for a storm.
+    The constant rate lets a service with little traffic retry at all. The unused
+    budget is capped at ``RETRY_BURST`` retries, so that a quiet hour doesn't allow
+    a retry storm.
 
-    :param share: retries for each first try.
+    :param share: retries allowed per first try.
+    :param now: any clock in seconds, the same in every call.
     """
 
     def __init__(self, *, share: float, now: float) -> None:
         self.share = share
         self._bucket = TokenBucket(
-            rate=RETRY_FLOOR_PER_SECOND, burst=RETRY_BURST, now=now
+            rate=MIN_RETRIES_PER_SECOND, burst=RETRY_BURST, now=now
         )
         self._bucket.tokens = 1.0
 
     def record_first_try(self) -> None:
-        """Note that a request was sent for the first time."""
+        """Add a share to the budget for a request sent for the first time."""
         bucket = self._bucket
         bucket.tokens = min(bucket.burst, bucket.tokens + self.share)
 
     def try_retry(self, *, now: float) -> bool:
-        """Take the allowance for one retry if there is any."""
+        """Take one retry from the budget if there is one."""
         return self._bucket.try_take(now=now)
--- a/packages/daisygauge-policy/src/daisygauge_policy/_classes.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_classes.py
@@ -5,7 +5,7 @@
 from daisygauge_records import RequestClass, Service
 
 ANY_METHOD = "*"
-# A request that the operators did not describe is never run twice.
+# Not idempotent: a request without a configured class never runs twice.
 DEFAULT_CLASS = RequestClass(name="default")
 
 
--- a/packages/daisygauge-policy/src/daisygauge_policy/_concurrency.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_concurrency.py
@@ -1,7 +1,7 @@
-"""How many requests an upstream is given at once, from what it does with them.
+"""Adaptive limit of the requests that run at once at an upstream.
 
-The upstream's own health and load endpoints lag or mislead, so only completed,
-shed and silent runs count here.
+The upstream's own health and load endpoints lag or mislead, so the limit depends
+only on completed, shed and unanswered runs.
 
 ===========  ===========================  ====================================
 state        entered                      requests run at once
@@ -13,8 +13,8 @@
              unanswered                   one at a time
 ===========  ===========================  ====================================
 
-A completion ends both; the limit grows again by one slot after
-``COMPLETIONS_TO_GROW`` completions for each slot that it has.
+A completed run ends SHEDDING and SILENT. The limit grows by one slot after
+``COMPLETIONS_TO_GROW`` completed runs per slot of the present limit.
 """
 
 from __future__ import annotations
@@ -31,12 +31,12 @@
 SILENT_BACK_OFF_SECONDS = 0.5
 LONGEST_SILENT_BACK_OFF_SECONDS = 8.0
 COMPLETIONS_TO_GROW = 8
-# Requests that can't be repeated probe only when no other came for this long.
+# A request that can't be repeated probes only if no other has come for this long.
 UNREPEATABLE_PROBE_SECONDS = 5.0
 
 
 class UpstreamState(enum.Enum):
-    """What the upstream's answers say of it."""
+    """State of an upstream; see the table of the module."""
 
     OPEN = "open"
     SHEDDING = "shedding"
@@ -47,18 +47,18 @@
     """How a run ended."""
 
     COMPLETED = "completed"
-    """A whole answer, whatever its status."""
+    """The answer was complete, whatever its status."""
     SHED = "shed"
     """The upstream refused the request for overload."""
     FAILED = "failed"
-    """No connection, or no whole answer before the deadline."""
+    """No connection, or no complete answer before the deadline."""
     CANCELLED = "cancelled"
-    """The caller gave up; this says nothing about the upstream."""
+    """The caller gave up, which says nothing about the upstream."""
 
 
 @frozen(kw_only=True)
 class Run:
-    """One request that the upstream has.
+    """One request that runs at the upstream.
 
     :param started: Unix time in seconds.
     :param expected_seconds: expected time until its answer is complete.
@@ -69,7 +69,7 @@
 
 
 class ConcurrencyLimit:
-    """The adaptive limit of one upstream.
+    """The adaptive concurrency limit of one upstream.
 
     :param slots: published slots of the upstream.
     """
@@ -86,7 +86,7 @@
         self._failures = 0
 
     def allowed(self, *, now: float) -> int:
-        """Return how many requests may run at once now."""
+        """Return how many requests may run at once at present."""
         self._check_silence(now)
         if now < self.paused_until:
             return 0
@@ -95,11 +95,11 @@
     def may_start(self, *, now: float) -> bool:
         """Tell whether one more request may start now.
 
-        Runs that a silent upstream has swallowed don't count against the probe.
+        Earlier runs that a silent upstream left unanswered don't count.
         """
         allowed = self.allowed(now=now)
         if self.state is UpstreamState.SILENT:
-            return len(self._probes()) < allowed
+            return len(self._running_probes()) < allowed
         return len(self.running) < allowed
 
     def is_probe_due(self, *, repeatable: bool, now: float) -> bool:
@@ -107,19 +107,19 @@
 
         :param repeatable: True when a peer may run the request after a failure.
         """
-        if self.state is UpstreamState.OPEN or self._probes():
+        if self.state is UpstreamState.OPEN or self._running_probes():
             return False
         grace = 0.0 if repeatable else UNREPEATABLE_PROBE_SECONDS
         return now >= self.paused_until + grace
 
     def start(self, request_id: str, *, expected_seconds: float, now: float) -> None:
-        """Note that a run begins."""
+        """Record the start of a run."""
         if not self.running:
             self._last_progress = now
         self.running[request_id] = Run(started=now, expected_seconds=expected_seconds)
 
     def end(self, request_id: str, *, how: RunEnd, now: float) -> None:
-        """Note how a run ended; one that was ended already is ignored."""
+        """Record how a run ended; a run that has ended already is ignored."""
         run = self.running.pop(request_id, None)
         if run is None:
             return
@@ -152,7 +152,7 @@
             self._back_off_seconds = 0.0
         self.state = UpstreamState.SHEDDING
         self.limit = max(1, self.limit - 1)
-        self._pause(
+        self._start_back_off(
             now,
             first=SHED_BACK_OFF_SECONDS,
             longest=LONGEST_SHED_BACK_OFF_SECONDS,
@@ -161,46 +161,50 @@
     def _record_failure(self, run: Run, now: float) -> None:
         self._failures += 1
         if self.state is UpstreamState.SILENT:
-            is_news = run.started >= self.paused_until
+            is_new_evidence = run.started >= self.paused_until
         else:
-            is_news = self._failures >= FAILURES_TO_SILENCE
-        if is_news:
-            self._become_silent(now)
+            is_new_evidence = self._failures >= FAILURES_TO_SILENCE
+        if is_new_evidence:
+            self._enter_silent(now)
 
-    def _probes(self) -> list[Run]:
+    def _running_probes(self) -> list[Run]:
         """Return the runs started since the last back-off ended."""
         return [
             run for run in self.running.values() if run.started >= self.paused_until
         ]
 
     def _check_silence(self, now: float) -> None:
-        """Find an upstream that accepts requests and never answers."""
+        """Enter SILENT if the upstream accepts requests but doesn't answer them."""
         is_silent = self.state is UpstreamState.SILENT
-        watched = self._probes() if is_silent else list(self.running.values())
-        if not watched or now < self.paused_until:
+        runs = self._running_probes() if is_silent else list(self.running.values())
+        if not runs or now < self.paused_until:
             return
-        longest = max(run.expected_seconds for run in watched)
-        patience = max(SHORTEST_SILENCE_SECONDS, SILENCE_FACTOR * longest)
-        newest = max(run.started for run in watched)
-        progress = newest if is_silent else self._last_progress
-        is_full = len(watched) >= self.limit
-        waited = now - max(progress, self.paused_until)
-        if waited >= patience and (is_full or now - newest >= patience):
-            self._become_silent(now)
-
-    def _become_silent(self, now: float) -> None:
+        longest_expected = max(run.expected_seconds for run in runs)
+        timeout_seconds = max(
+            SHORTEST_SILENCE_SECONDS, SILENCE_FACTOR * longest_expected
+        )
+        last_start = max(run.started for run in runs)
+        last_progress = last_start if is_silent else self._last_progress
+        is_full = len(runs) >= self.limit
+        waited_seconds = now - max(last_progress, self.paused_until)
+        if waited_seconds >= timeout_seconds and (
+            is_full or now - last_start >= timeout_seconds
+        ):
+            self._enter_silent(now)
+
+    def _enter_silent(self, now: float) -> None:
         if now < self.paused_until and self.state is UpstreamState.SILENT:
             return
         if self.state is not UpstreamState.SILENT:
             self._back_off_seconds = 0.0
         self.state = UpstreamState.SILENT
-        self._pause(
+        self._start_back_off(
             now,
             first=SILENT_BACK_OFF_SECONDS,
             longest=LONGEST_SILENT_BACK_OFF_SECONDS,
         )
 
-    def _pause(self, now: float, *, first: float, longest: float) -> None:
+    def _start_back_off(self, now: float, *, first: float, longest: float) -> None:
         doubled = min(2.0 * self._back_off_seconds, longest)
         self._back_off_seconds = max(first, doubled)
         self.paused_until = now + self._back_off_seconds
--- a/packages/daisygauge-policy/src/daisygauge_policy/_deadlines.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_deadlines.py
@@ -1,4 +1,4 @@
-"""How long a request may still take."""
+"""Deadlines of requests."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 @frozen(kw_only=True, order=True)
 class Deadline:
-    """The latest useful end of an answer.
+    """The time at which an answer is no longer of use to the caller.
 
     :param at: Unix time in seconds.
     """
@@ -23,7 +23,7 @@
         return max(0.0, self.at - now)
 
     def has_passed(self, *, now: float) -> bool:
-        """Tell whether the answer would come too late."""
+        """Tell whether an answer would be late now."""
         return now >= self.at
 
     def format_header(self, *, now: float) -> str:
@@ -34,7 +34,7 @@
 def read_deadline(
     header: str | None, *, request_class: RequestClass, now: float
 ) -> Deadline:
-    """Read a request's deadline, else take that of its class.
+    """Return the deadline from a request's header, or else from its class.
 
     :param header: value of ``x-deadline-ms``: milliseconds left at the caller.
     """
@@ -47,5 +47,5 @@
 def _read_milliseconds(header: str | None) -> float | None:
     if header is None or not (header.isascii() and header.isdigit()):
         return None
-    # Longer numbers are beyond the longest deadline anyway.
+    # Longer numbers exceed the longest deadline anyway.
     return int(header[:12]) / 1_000
--- a/packages/daisygauge-policy/src/daisygauge_policy/_scheduler.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_scheduler.py
@@ -1,11 +1,11 @@
 """Which request of an open flow goes to the upstream next.
 
-An upstream runs what reaches it in order of arrival. After an outage, or when it is
-slow, that order serves requests whose client has nearly given up before those that
-could still be answered in time, and everything is late. So an agent sends on only as
-many requests as the upstream runs at a time, and keeps the others in an order of its
-own. The load it answers: the seconds after many processes were lost at once, and
-bursts above what the upstreams can run.
+An upstream runs requests in order of arrival. After an outage, or when the upstream
+is slow, that order serves requests whose client is about to give up before those
+that could still be answered in time, and all answers are late. An agent therefore
+forwards only as many requests as the upstream runs at a time, and orders the waiting
+ones itself. This matters in the seconds after many processes were lost at once, and
+in bursts above the capacity of the upstreams.
 """
 
 from __future__ import annotations
@@ -17,23 +17,23 @@
 from msgspec import Struct, field
 
 SPARE_REQUESTS = 1
-"""Requests sent beyond the slots, so that none stands empty for a crossing."""
+"""Requests sent beyond the slots, so that no slot is idle for a network transit."""
 FIRST_SERVICE_SECONDS = 0.05
-"""Assumed service time before an answer was seen."""
+"""Assumed service time before the first answer."""
 SERVICE_WEIGHT = 0.1
-"""Weight of a new service time in the mean; about ten answers make it."""
+"""Weight of a new service time in the moving mean, which spans about ten answers."""
 DEADLINE_MARGIN = 1.5
-"""Mean service times that must be left before a deadline: many answers take longer than
+"""Mean service times that must remain before a deadline: many answers take longer than
 the mean."""
 STUCK_SERVICE_TIMES = 4.0
-"""A request that runs longer than this many mean service times doesn't hold others
-back: its answer may have been lost."""
+"""A request that runs longer than this many mean service times doesn't occupy a slot
+any more: its answer may have been lost."""
 LEAST_STUCK_SECONDS = 0.3
 LONGEST_STUCK_SECONDS = 2.0
 
 
 class ScheduledRequest(Struct, kw_only=True):
-    """A request at the scheduler.
+    """A request that waits for a slot of the upstream.
 
     :param priority: 0 is the most important.
     :param target_at: monotonic time until which an answer is on time.
@@ -46,18 +46,18 @@
     deadline_at: float = math.inf
 
 
-class Prospect(enum.IntEnum):
-    """What the client of a waiting request may still get; lower goes first."""
+class Timeliness(enum.IntEnum):
+    """How timely the answer to a waiting request can still be; lower runs first."""
 
     IN_TIME = 0
     LATE = 1
     UNLIKELY = 2
-    """Its client will most likely have given up. It runs when nothing else waits, since
-    the service time may be shorter than before."""
+    """The client will most likely have given up. The request runs when no other waits,
+    because the service time may be shorter than before."""
 
 
 class SchedulerChange(Struct, kw_only=True):
-    """What the scheduler lets go.
+    """Requests that have stopped waiting.
 
     :param sent: flows whose request goes to the upstream now, in order.
     :param expired: flows whose request has not run and whose client has given up.
@@ -68,9 +68,9 @@
 
 
 class RequestScheduler:
-    """Keeps as many requests at the upstream as it runs at a time.
+    """Limits the requests at the upstream to those that it runs at a time.
 
-    :param slots: tells how many that is; None lets everything through.
+    :param slots: returns the slots of the upstream; None means no limit.
     """
 
     def __init__(self, *, slots: Callable[[], int | None]) -> None:
@@ -80,11 +80,11 @@
         self.service_seconds = FIRST_SERVICE_SECONDS
 
     def load(self, *, now: float) -> int:
-        """Return the requests that run at the upstream or wait for it."""
+        """Return the number of requests that run at the upstream or wait for it."""
         return self.count_running(now=now) + len(self.waiting)
 
     def count_running(self, *, now: float) -> int:
-        """Return the requests at the upstream whose answer may still come."""
+        """Return the number of running requests whose answer may still come."""
         stuck_seconds = min(
             max(STUCK_SERVICE_TIMES * self.service_seconds, LEAST_STUCK_SECONDS),
             LONGEST_STUCK_SECONDS,
@@ -92,30 +92,30 @@
         return sum(1 for began in self.running.values() if now - began < stuck_seconds)
 
     def submit(self, request: ScheduledRequest, *, now: float) -> SchedulerChange:
-        """Take a request in."""
+        """Add a request, and dispatch those that may run now."""
         self.waiting[request.flow] = request
         return self.dispatch(now=now)
 
     def end(self, flow: bytes, *, now: float) -> SchedulerChange:
-        """Note that the upstream answers, or that the flow is over."""
+        """Record that the upstream has answered, or that the flow has ended."""
         began = self.running.pop(flow, None)
         self.waiting.pop(flow, None)
         return SchedulerChange() if began is None else self.dispatch(now=now)
 
     def record_service_time(self, seconds: float) -> None:
-        """Learn how long the upstream takes."""
+        """Add a service time to the moving mean."""
         self.service_seconds += SERVICE_WEIGHT * (seconds - self.service_seconds)
 
     def dispatch(self, *, now: float) -> SchedulerChange:
-        """Send on what the upstream has room for, and drop what is too late."""
+        """Dispatch requests while slots are free, and drop the expired ones."""
         change = SchedulerChange(expired=self._expire(now=now))
-        room = self._room(now=now)
-        while self.waiting and room > 0:
+        free_slots = self._free_slots(now=now)
+        while self.waiting and free_slots > 0:
             flow = min(self.waiting, key=lambda flow: self._rank(flow, now=now))
             del self.waiting[flow]
             self.running[flow] = now
             change.sent.append(flow)
-            room -= 1
+            free_slots -= 1
         return change
 
     def _expire(self, *, now: float) -> list[bytes]:
@@ -126,19 +126,19 @@
             del self.waiting[flow]
         return expired
 
-    def _room(self, *, now: float) -> float:
+    def _free_slots(self, *, now: float) -> float:
         slots = self.slots()
         if slots is None:
             return math.inf
         return slots + SPARE_REQUESTS - self.count_running(now=now)
 
-    def _rank(self, flow: bytes, *, now: float) -> tuple[Prospect, int, float]:
-        """Order requests by what their client may still get, then by priority."""
+    def _rank(self, flow: bytes, *, now: float) -> tuple[Timeliness, int, float]:
+        """Return the sort key: timeliness, then priority, then the target time."""
         request = self.waiting[flow]
         if now + self.service_seconds <= request.target_at:
-            prospect = Prospect.IN_TIME
+            timeliness = Timeliness.IN_TIME
         elif now + DEADLINE_MARGIN * self.service_seconds <= request.deadline_at:
-            prospect = Prospect.LATE
+            timeliness = Timeliness.LATE
         else:
-            prospect = Prospect.UNLIKELY
-        return prospect, request.priority, request.target_at
+            timeliness = Timeliness.UNLIKELY
+        return timeliness, request.priority, request.target_at
--- a/testing/policy/test_admission.py
+++ b/testing/policy/test_admission.py
@@ -85,7 +85,7 @@
     assert sorted(queue.waiting, key=id) == sorted(small, key=id)
 
 
-def test_a_full_queue_gives_up_the_least_worth():
+def test_a_full_queue_refuses_the_least_worth():
     queue = make_queue(WorthQueue(capacity_per_slot=1))
     requests = [
         make_request(worth=worth, caller=str(worth)) for worth in (2.0, 1.0, 3.0)
@@ -121,7 +121,7 @@
     assert len(queue) == 0
 
 
-def test_a_leaving_host_refuses_all_that_wait():
+def test_a_leaving_host_refuses_all_waiting_requests():
     queue = make_queue()
     offer(queue, make_request())
 
@@ -153,7 +153,7 @@
     assert queue.take_next(now=NOW) is first
 
 
-def test_no_slot_at_all_still_admits_a_patient_request():
+def test_without_slots_a_request_with_a_late_deadline_is_admitted():
     queue = make_queue()
 
     decision = offer(queue, make_request(within=10.0), SlotUse(limit=0))
@@ -206,7 +206,7 @@
         assert end <= request.deadline
 
 
-def test_density_is_worth_for_slot_time():
+def test_density_is_worth_per_slot_time():
     request = make_request(worth=2.0, seconds=0.5)
 
     assert request.density == 4.0
--- a/testing/policy/test_budgets.py
+++ b/testing/policy/test_budgets.py
@@ -25,7 +25,7 @@
     assert RetryBudget(share=0.1, now=0.0).try_retry(now=0.0)
 
 
-def test_a_long_quiet_time_does_not_pay_for_a_storm():
+def test_a_long_quiet_time_does_not_allow_a_retry_storm():
     budget = RetryBudget(share=0.1, now=0.0)
     for _ in range(100_000):
         budget.record_first_try()
@@ -55,7 +55,7 @@
     assert not bucket.try_take(now=50.0)
 
 
-def test_the_wait_for_tokens_is_told():
+def test_wait_seconds_is_the_time_until_the_tokens_are_available():
     bucket = TokenBucket(rate=2.0, burst=1.0, now=0.0)
     bucket.try_take(now=0.0)
 
--- a/testing/policy/test_concurrency.py
+++ b/testing/policy/test_concurrency.py
@@ -26,7 +26,7 @@
     assert limit.allowed(now=0.07) == 3
 
 
-def test_shed_runs_in_a_row_pause_longer_and_a_completion_ends_this():
+def test_consecutive_sheds_back_off_longer_until_a_completion():
     limit = ConcurrencyLimit(slots=2)
     now, pauses = 0.0, []
     for number in range(8):
@@ -39,7 +39,7 @@
     assert limit.state is UpstreamState.OPEN
 
 
-def test_sheds_of_one_moment_lower_the_limit_once():
+def test_simultaneous_sheds_lower_the_limit_once():
     limit = ConcurrencyLimit(slots=4)
     for name in "abcd":
         limit.start(name, expected_seconds=0.1, now=0.0)
@@ -58,7 +58,7 @@
     assert limit.allowed(now=20.0) == 2
 
 
-def test_a_black_hole_is_found_and_probed_one_at_a_time():
+def test_a_black_hole_is_detected_and_probed_one_at_a_time():
     limit = ConcurrencyLimit(slots=2)
     limit.start("a", expected_seconds=0.05, now=0.0)
     limit.start("b", expected_seconds=0.05, now=0.0)
@@ -83,7 +83,7 @@
         now += 0.1
 
     gaps = [later - earlier for earlier, later in zip(probes, probes[1:], strict=False)]
-    # The clock of this test moves in steps of 0.1 s.
+    # Time advances in steps of 0.1 s in this test.
     assert all(
         gap >= earlier - 0.2 for earlier, gap in zip(gaps, gaps[1:], strict=False)
     )
@@ -110,7 +110,7 @@
     assert limit.allowed(now=20.0) == 2
 
 
-def test_an_upstream_that_refuses_connections_is_left_alone_for_a_while():
+def test_an_upstream_that_refuses_connections_gets_no_requests_for_a_while():
     limit = ConcurrencyLimit(slots=2)
     for number in range(3):
         run(limit, str(number), start=0.1, end=0.1, how=RunEnd.FAILED)
@@ -119,7 +119,7 @@
     assert limit.allowed(now=0.6) == 1
 
 
-def test_a_cancelled_run_says_nothing():
+def test_a_cancelled_run_changes_nothing():
     limit = ConcurrencyLimit(slots=2)
     for number in range(10):
         run(limit, str(number), start=0.1, end=0.2, how=RunEnd.CANCELLED)
