--- a/packages/daisygauge-policy/src/daisygauge_policy/_drain.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_drain.py
@@ -1,15 +1,15 @@
-"""What an agent does when the instance list or SIGTERM says that it leaves.
+"""Stages of an agent that drains because of SIGTERM or the instance list.
 
 =========  ============================================================
 stage      behaviour
 =========  ============================================================
-SERVING    everything
+SERVING    handles every request
 LEAVING    not ready; GOAWAY on every connection; first flights are
            passed on; new and waiting requests go to peers, and run here
            only when no peer takes them within ``GRACE_SECONDS``
 DRAINING   as LEAVING, but a request that no peer takes is refused "not
            run"; running requests and feeds finish
-FINISHED   nothing is open any more, the process exits with code 0
+FINISHED   no request or feed is open; the process exits with code 0
 =========  ============================================================
 """
 
@@ -18,12 +18,12 @@
 import enum
 
 GRACE_SECONDS = 1.0
-# Callers see the end of their connection before the process is gone.
+# Callers see the end of their connection before the process exits.
 LINGER_SECONDS = 1.0
 
 
 class DrainStage(enum.Enum):
-    """How far a leaving agent is."""
+    """Stages of an agent; see the table of the module."""
 
     SERVING = "serving"
     LEAVING = "leaving"
@@ -36,8 +36,8 @@
 ) -> DrainStage:
     """Return the stage of an agent.
 
-    No stage ends a running request or feed: a host that must go earlier is an
-    unplanned stop, which is the platform's to decide.
+    No stage ends a running request or feed. Whether a host must stop earlier is up
+    to the platform; that is an unplanned stop.
 
     :param leaving_since: Unix time in seconds, or None while staying.
     :param open_requests: waiting and running requests and feeds.
--- a/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
@@ -1,9 +1,9 @@
 """Which upstream takes the opening packet of a relayed flow.
 
-The decision is made where the load is known best: at the agent whose upstream
-would run the flow's requests. An agent without a free slot passes the packet on
-and notes its own load in it, so that the last agent asked can send it back to the
-least busy one. Load reports need not travel, however many upstreams a service has.
+The agent whose upstream would run the flow's requests decides, because it knows
+this load best. An agent without a free slot adds its load to the packet and passes
+it on, so that the last agent asked can return it to the least busy one. Agents
+needn't exchange load reports for this, however many upstreams a service has.
 """
 
 from __future__ import annotations
@@ -14,14 +14,14 @@
 from msgspec import Struct
 
 MAX_ASKED = 4
-"""Agents asked for a free slot; with independent loads four choices already leave
-little to gain, and each hop takes a crossing."""
+"""Agents asked for a free slot. With independent loads, more than four choices gain
+little, and each hop adds a network transit."""
 MAX_HOPS = 12
-"""Agents that one opening packet may visit at all, whatever they believe."""
+"""Agents that one opening packet may visit, whatever they know of each other."""
 
 
 class OpeningReason(enum.Enum):
-    """Why an opening packet went on or was refused."""
+    """Why an opening packet was passed on or refused."""
 
     BUSY = "busy"
     LEAVING = "leaving"
@@ -32,14 +32,14 @@
 
 
 class TakeOpening(Struct, kw_only=True, frozen=True):
-    """The upstream beside the agent gets the packet."""
+    """The agent's own upstream gets the packet."""
 
 
 class PassOpening(Struct, kw_only=True, frozen=True):
-    """Another agent is asked.
+    """The packet is passed on to another agent.
 
     :param tried: agents that the target need not ask.
-    :param final: True when the target should take the flow if it can at all.
+    :param final: True when the target takes the flow even without a free slot.
     """
 
     target: bytes
@@ -49,7 +49,7 @@
 
 
 class RefuseOpening(Struct, kw_only=True, frozen=True):
-    """No agent is left that could take the flow."""
+    """No other agent could take the flow."""
 
     reason: OpeningReason
 
@@ -58,7 +58,7 @@
 
 
 class BusyAgent(Struct, kw_only=True, frozen=True):
-    """An agent that was asked, with the load that it told.
+    """An agent that was asked before, with the load that it reported.
 
     :param load: requests running or expected at its upstream.
     """
@@ -68,7 +68,7 @@
 
 
 class AskedAgent(Struct, kw_only=True, frozen=True):
-    """What the asked agent knows of itself.
+    """The agent that decides, with its own load.
 
     :param inability: why its upstream can't take a flow at all, or None.
     :param load: requests running or expected at its upstream.
@@ -90,16 +90,16 @@
     best: BusyAgent | None,
     final: bool,
 ) -> OpeningDecision:
-    """Decide on an opening packet at one agent.
+    """Decide whether an agent takes, passes on or refuses an opening packet.
 
-    First a free slot is looked for at a few agents. Then the least busy of them is
-    asked to take the flow; if it can't, whichever agent can takes it.
+    Up to ``MAX_ASKED`` agents are asked for a free slot. Then the least busy of them
+    is asked to take the flow. If it can't, the first agent that can takes it.
 
     :param candidates: agents of the service in this flow's order.
     :param tried: agents that need not be asked.
     :param hops: agents that have passed the packet on.
     :param best: the least busy agent asked before.
-    :param final: True when a free slot is no longer looked for.
+    :param final: True when the agent takes the flow even without a free slot.
     """
     is_able = own.inability is None
     if is_able and (final or own.load < own.slots):
@@ -133,16 +133,16 @@
 ) -> bytes | None:
     """Return the agent that a balancer asks first.
 
-    A repeated opening packet goes to an agent not asked yet, because the one asked
-    first may be dark. Where an upstream has answered, its answer was lost on the
-    way, and it is the one asked again.
+    A repeated opening packet goes to an agent not asked yet, because the earlier ones
+    may be unreachable. If an upstream has answered, its answer was lost on the way,
+    and the first repeat goes to the same agent again.
 
     :param candidates: agents of the service in this flow's order.
-    :param copy: how often the client has repeated the packet.
+    :param copy: times that the client has repeated the packet.
     :param tried: agents asked for earlier copies.
     :param offered: agents whose upstream has answered an earlier copy.
-    :param avoided: agents that don't answer; a repeated packet goes to none of them
-        while there are others.
+    :param avoided: agents that don't answer; they get a repeated packet only when
+        there are no others.
     """
     if not candidates:
         return None
@@ -151,5 +151,5 @@
     if not tried:
         return candidates[copy % len(candidates)]
     usable = [agent for agent in candidates if agent not in avoided] or candidates
-    fresh = [agent for agent in usable if agent not in tried]
-    return fresh[0] if fresh else usable[copy % len(usable)]
+    untried = [agent for agent in usable if agent not in tried]
+    return untried[0] if untried else usable[copy % len(usable)]
--- a/packages/daisygauge-policy/src/daisygauge_policy/_rotation.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_rotation.py
@@ -1,18 +1,18 @@
-"""When a stopping balancer asks the fabric to leave it alone, and when it may end.
+"""How a stopping balancer leaves the fabric's rotation, and when it may exit.
 
-A fabric takes a balancer out of rotation after it has failed some checks. Where too
-few balancers of a failure domain are in rotation, it uses all of them, dead ones
-included. A stopping balancer notices that by packets that go on coming; it then
-reports ready once more, so that the dead ones stay out, and asks again later. The
-load it answers: rolling restarts that overlap in a small failure domain.
+A fabric takes a balancer out of rotation after some failed health checks. When too
+few balancers of a failure domain are in rotation, it uses all of them, including
+dead ones. A stopping balancer detects this by packets that keep arriving. It then
+reports ready for a while, so that dead balancers stay out of rotation, and leaves
+again later. This happens when rolling restarts overlap in a small failure domain.
 
 =========  ========================  ==========================================
 stage      reports                   next
 =========  ========================  ==========================================
-LEAVING    not ready                 FINISHED when no packets come; NEEDED when
-                                     they go on coming
-NEEDED     ready                     LEAVING after a while
-FINISHED   not ready                 the process ends
+LEAVING    not ready                 FINISHED when no packets arrive; NEEDED
+                                     when packets keep arriving
+NEEDED     ready                     LEAVING after ``NEEDED_SECONDS``
+FINISHED   not ready                 the process exits
 =========  ========================  ==========================================
 """
 
@@ -23,9 +23,9 @@
 from msgspec import Struct
 
 NOTICE_SECONDS = 1.4
-"""Two failed checks at two a second, and the way of packets sent before."""
+"""Two failed checks at two per second, and the transit of packets sent before."""
 NEEDED_SECONDS = 1.5
-"""About the time in which a process that ended comes back."""
+"""About the time that a restart of a process takes."""
 QUIET_SECONDS = 0.6
 """Twice the longest pause between packets of a balancer in light use."""
 ACTIVE_SECONDS = 0.3
@@ -33,7 +33,7 @@
 
 
 class RotationStage(enum.Enum):
-    """How far a stopping balancer is."""
+    """Stages of a stopping balancer; see the table of the module."""
 
     LEAVING = "leaving"
     NEEDED = "needed"
@@ -41,9 +41,9 @@
 
 
 class Rotation(Struct, kw_only=True):
-    """A stopping balancer's way out.
+    """The stage of a stopping balancer on its way out of rotation.
 
-    :param longest_seconds: time after which it ends in any case.
+    :param longest_seconds: time after which it exits in any case.
     :param began: monotonic time of the stop signal.
     :param since: monotonic time at which the present stage began.
     """
@@ -54,21 +54,21 @@
     stage: RotationStage = RotationStage.LEAVING
 
     def advance(self, *, last_packet: float, now: float) -> RotationStage:
-        """Return the stage at a time.
+        """Update and return the stage.
 
-        :param last_packet: monotonic time of the last packet of a client.
+        :param last_packet: monotonic time of the last packet from a client.
         """
-        following = self._next_stage(last_packet=last_packet, now=now)
-        if following is not self.stage:
-            self.stage = following
+        next_stage = self._next_stage(last_packet=last_packet, now=now)
+        if next_stage is not self.stage:
+            self.stage = next_stage
             self.since = now
         return self.stage
 
     def _next_stage(self, *, last_packet: float, now: float) -> RotationStage:
-        left = self.began + self.longest_seconds - now
-        if left <= 0.0 or self.stage is RotationStage.FINISHED:
+        remaining_seconds = self.began + self.longest_seconds - now
+        if remaining_seconds <= 0.0 or self.stage is RotationStage.FINISHED:
             return RotationStage.FINISHED
-        must_leave = left <= NOTICE_SECONDS
+        must_leave = remaining_seconds <= NOTICE_SECONDS
         elapsed = now - self.since
         if self.stage is RotationStage.NEEDED:
             is_over = must_leave or elapsed >= NEEDED_SECONDS
@@ -78,7 +78,7 @@
         silence = now - last_packet
         if silence >= QUIET_SECONDS:
             return RotationStage.FINISHED
-        # A second stay needs time to leave once more.
-        has_time = left > NEEDED_SECONDS + NOTICE_SECONDS
+        # After another NEEDED stage, the balancer needs time to leave again.
+        has_time = remaining_seconds > NEEDED_SECONDS + NOTICE_SECONDS
         is_used = silence <= ACTIVE_SECONDS
         return RotationStage.NEEDED if is_used and has_time else RotationStage.LEAVING
--- a/packages/daisygauge-policy/src/daisygauge_policy/_search.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_search.py
@@ -1,10 +1,10 @@
-"""How the agent of a flow is found, how often, and when a flow is nowhere.
+"""How the agent that holds a flow is searched for, and when a search gives up.
 
-It answers the load after many balancers or agents were lost at once: every open
-flow is then unknown somewhere. A balancer may have a slow processor and a narrow
-link, so it asks one agent, and that one asks the others. One packet of each flow
-finds its agent; packets of flows that nobody holds must not cost the fleet's size
-each time they are repeated.
+After many balancers or agents were lost at once, every open flow is unknown to some
+process. A balancer may have a slow processor and a narrow link, so it asks one agent,
+and that agent asks the others. One packet of each flow is enough to find its agent.
+Repeated packets of a flow that no agent holds must not reach the whole fleet each
+time.
 """
 
 from __future__ import annotations
@@ -15,22 +15,22 @@
 from msgspec import Struct, field
 
 BURST_PACKETS = 6
-"""Packets of one flow searched at once: a request rarely fills more."""
+"""Packets of one flow searched in one pause: a request rarely fills more."""
 FIRST_PAUSE_SECONDS = 0.15
 """Shorter than the first retransmission of a client (200 ms)."""
 LONGEST_PAUSE_SECONDS = 1.5
 """Just below the longest pause between retransmissions of a client (1.6 s)."""
 MAX_PENDING = 4_096
-"""Searches that an agent follows; more come only after everything died."""
+"""Searches that an agent keeps; more come only after the whole fleet has failed."""
 PENDING_SECONDS = 2.0
-"""A search is given up by then: its client has repeated the packet."""
+"""Time after which a search is dropped: the client has repeated the packet by then."""
 
 
 class SearchBudget(Struct, kw_only=True):
-    """What one flow may still cost in searches.
+    """Limits the searches that the packets of one flow cause.
 
     :param packets: packets searched since the pause began.
-    :param pause_seconds: time that the packets above are spread over.
+    :param pause_seconds: length of the present pause, in which ``packets`` is limited.
     :param since: when the present pause began, in monotonic seconds.
     :param rounds: pauses that are over; each asks another agent.
     """
@@ -41,7 +41,7 @@
     pause_seconds: float = FIRST_PAUSE_SECONDS
 
     def try_take(self, *, now: float) -> bool:
-        """Use one search, if one is left."""
+        """Count one search, and return whether it is within the budget."""
         if now - self.since >= self.pause_seconds:
             self.since = now
             self.packets = 0
@@ -54,11 +54,11 @@
 
 
 class SearchStep(enum.Enum):
-    """What the agent that carries out a search does next."""
+    """The next step of an agent that carries out a search."""
 
     WAIT = "wait"
     WIDEN = "widen"
-    """Ask the agents of all other services: a route may have named them before."""
+    """Ask the agents of all other services: the route may have named them before."""
     GIVE_UP = "give-up"
     """No agent holds the flow."""
 
@@ -66,12 +66,12 @@
 class PendingSearch(Struct, kw_only=True):
     """A search that an agent carries out for a balancer.
 
-    :param balancer: who is told the outcome.
+    :param balancer: the balancer that gets the outcome.
     :param service: tag of the service at which the flow most likely is.
     :param packet: the latest packet of the flow, for agents that are asked later.
-    :param since: monotonic time at which it began.
-    :param is_wide: True once agents of services that the flow's route doesn't name
-        are asked, too.
+    :param since: monotonic time at which the search began.
+    :param is_wide: True once the agents of services that the flow's route doesn't
+        name are asked, too.
     :param absent: agents whose upstream doesn't hold the flow.
     :param unanswered: agents that were asked and have not answered.
     """
@@ -85,7 +85,7 @@
     unanswered: set[bytes] = field(default_factory=set)
 
     def select_unanswered(self, agents: Iterable[bytes]) -> list[bytes]:
-        """Return those of the agents that have not answered; they are asked now."""
+        """Return the agents that have not answered, and record that they are asked."""
         asked = [agent for agent in agents if agent not in self.absent]
         self.unanswered.update(asked)
         return asked
@@ -97,11 +97,12 @@
         all_agents: Collection[bytes],
         own: bytes,
     ) -> SearchStep:
-        """Return what follows from the answers so far.
+        """Return the step that follows from the answers so far.
 
         :param route_agents: agents of the services that the flow's route names.
-        :param all_agents: every agent of the fleet, as the asking agent knows them. A
-            list without the asking agent itself is not to be trusted.
+        :param all_agents: every agent of the fleet that the asking agent knows. A
+            list without the asking agent itself is incomplete and proves nothing.
+        :param own: the asking agent.
         """
         if own not in all_agents or not self.absent.issuperset(route_agents):
             return SearchStep.WAIT
@@ -111,7 +112,7 @@
 
 
 class PendingSearches:
-    """Gathers what agents say of searched flows."""
+    """The searches that one agent carries out, by flow."""
 
     def __init__(self) -> None:
         self.searches: dict[bytes, PendingSearch] = {}
@@ -119,8 +120,8 @@
     def begin(
         self, flow: bytes, *, balancer: bytes, service: int, packet: bytes, now: float
     ) -> PendingSearch:
-        """Follow a search; a repeated one goes on with what is known."""
-        self._forget_old(now=now)
+        """Begin a search; a repeated one keeps the answers received so far."""
+        self._drop_expired(now=now)
         search = self.searches.get(flow)
         if search is None:
             search = self.searches[flow] = PendingSearch(
@@ -132,13 +133,13 @@
         return search
 
     def end(self, flow: bytes) -> None:
-        """Forget a search that is over."""
+        """Delete a search."""
         self.searches.pop(flow, None)
 
     def record_absent(self, flow: bytes, agent: bytes) -> PendingSearch | None:
-        """Note an agent that doesn't hold a flow.
+        """Record that an agent doesn't hold a flow.
 
-        :return: the search, once no answer is missing.
+        :return: the search if every asked agent has answered, else None.
         """
         search = self.searches.get(flow)
         if search is None:
@@ -147,11 +148,11 @@
         search.unanswered.discard(agent)
         return None if search.unanswered else search
 
-    def _forget_old(self, *, now: float) -> None:
-        """Drop searches that are over; the oldest stand first."""
+    def _drop_expired(self, *, now: float) -> None:
+        """Delete expired searches, and the oldest ones beyond ``MAX_PENDING``."""
         while self.searches:
             flow, search = next(iter(self.searches.items()))
-            is_over = now - search.since > PENDING_SECONDS
-            if not is_over and len(self.searches) < MAX_PENDING:
+            is_expired = now - search.since > PENDING_SECONDS
+            if not is_expired and len(self.searches) < MAX_PENDING:
                 return
             del self.searches[flow]
--- a/testing/policy/test_opening.py
+++ b/testing/policy/test_opening.py
@@ -16,14 +16,14 @@
 ALL = (A, B, C, D, E)
 
 
-def decide(own, *, load=0, slots=2, inability=None, tried=(), hops=None, **more):
+def decide(own, *, load=0, slots=2, inability=None, tried=(), hops=None, **options):
     return decide_opening(
         own=AskedAgent(agent=own, load=load, slots=slots, inability=inability),
-        candidates=more.pop("candidates", ALL),
+        candidates=options.pop("candidates", ALL),
         tried=tried,
         hops=len(tried) if hops is None else hops,
-        best=more.pop("best", None),
-        final=more.pop("final", False),
+        best=options.pop("best", None),
+        final=options.pop("final", False),
     )
 
 
@@ -51,13 +51,13 @@
     assert decide(D, load=5, tried=(A, B, C), best=best) == TakeOpening()
 
 
-def test_a_final_choice_that_turns_out_unable_asks_any_other():
+def test_a_final_agent_that_is_unable_asks_any_other():
     decision = decide(B, inability=OpeningReason.FULL, final=True, hops=4)
 
     assert (decision.target, decision.final) == (A, True)
 
 
-def test_a_flow_is_refused_when_nobody_is_left():
+def test_a_flow_is_refused_when_no_agent_is_left():
     decision = decide(A, inability=OpeningReason.LEAVING, candidates=(A,), final=False)
 
     assert decision == RefuseOpening(reason=OpeningReason.LEAVING)
@@ -74,7 +74,7 @@
     st.integers(0, 11),
 )
 def test_every_opening_ends_at_an_able_agent_or_is_refused(agents, start):
-    """Follow one packet through agents of any load and ability."""
+    """Pass one packet on between agents of any load and ability."""
     names = [bytes([10, 0, 1, n]) for n in range(len(agents))]
     own = start % len(agents)
     tried, hops, best, final = (), 0, None, False
@@ -122,9 +122,9 @@
     assert chosen == D
 
 
-def test_silent_agents_are_asked_when_all_are():
+def test_silent_agents_are_asked_when_all_are_silent():
     assert choose_candidate((A, B), copy=1, tried=[A], offered=[], avoided=[A, B]) == B
 
 
-def test_nobody_is_asked_when_there_is_nobody():
+def test_no_agent_is_asked_without_candidates():
     assert choose_candidate((), copy=0, tried=[], offered=[]) is None
--- a/testing/policy/test_return_paths.py
+++ b/testing/policy/test_return_paths.py
@@ -24,7 +24,7 @@
     return paths
 
 
-def test_replies_are_sprayed_over_all_that_answer():
+def test_replies_are_spread_over_all_balancers_that_answer():
     paths = make_paths(3)
     for path in paths.known:
         paths.report_answer(path, now=10.0)
@@ -34,7 +34,7 @@
     assert sorted(counts.values()) == [10, 10, 10]
 
 
-def test_a_dead_balancer_drops_out_after_a_second():
+def test_a_dead_balancer_is_not_used_after_a_second():
     paths = make_paths(3)
     for path in paths.known:
         paths.report_answer(path, now=10.0)
@@ -45,7 +45,7 @@
     assert paths.known[0] not in paths.usable(now=11.1)
 
 
-def test_all_known_are_used_when_none_is_heard():
+def test_all_known_balancers_are_used_when_none_answers():
     paths = make_paths(3)
 
     assert {paths.choose(now=10.0) for _ in range(9)} == set(paths.known)
@@ -55,7 +55,7 @@
     assert ReturnPaths(agent="host-1").choose(now=10.0) is None
 
 
-def test_a_balancer_that_never_answers_probes_carries_no_replies():
+def test_a_balancer_that_never_answers_probes_gets_no_replies():
     paths = make_paths(2)
 
     paths.report_answer(paths.known[0], now=10.0)
@@ -92,7 +92,7 @@
     assert len(used) == 40
 
 
-def test_a_leaving_balancer_is_used_only_when_no_other_is_heard():
+def test_a_leaving_balancer_is_used_only_when_no_other_answers():
     paths = ReturnPaths(agent="host-1")
     leaving, staying = make_balancer(0, leaving=True), make_balancer(1)
     paths.update_balancers([leaving, staying])
@@ -103,13 +103,13 @@
     assert paths.usable(now=2.5) == (leaving.inner,)
 
 
-@given(known=st.sets(st.integers(0, 30)), heard=st.sets(st.integers(0, 30)))
-def test_only_known_balancers_are_ever_chosen(known, heard):
+@given(known=st.sets(st.integers(0, 30)), answered=st.sets(st.integers(0, 30)))
+def test_only_known_balancers_are_ever_chosen(known, answered):
     paths = ReturnPaths(agent="host-1")
-    for number in heard:
+    for number in answered:
         paths.report_answer(make_balancer(number).inner, now=1.0)
     paths.update_balancers([make_balancer(number) for number in known])
 
     usable = paths.usable(now=1.0)
 
-    assert {path.port - 7000 for path in usable} == (known & heard or known)
+    assert {path.port - 7000 for path in usable} == (known & answered or known)
--- a/testing/policy/test_search.py
+++ b/testing/policy/test_search.py
@@ -1,4 +1,4 @@
-"""How often flows are searched, and when a flow is nowhere."""
+"""The budget for the searches of a flow, and the steps of a search."""
 
 from daisygauge_policy import PendingSearches, SearchBudget, SearchStep
 from daisygauge_policy._search import BURST_PACKETS, MAX_PENDING, PENDING_SECONDS
@@ -25,14 +25,14 @@
             rounds.append(budget.rounds)
 
     assert sorted(set(rounds)) == list(range(rounds[-1] + 1))
-    assert max(rounds.count(turn) for turn in rounds) <= BURST_PACKETS
+    assert max(rounds.count(number) for number in rounds) <= BURST_PACKETS
 
 
 def step(search, *, route_agents=(OWN, OTHER), all_agents=(OWN, OTHER)):
     return search.next_step(route_agents=route_agents, all_agents=all_agents, own=OWN)
 
 
-def test_a_flow_is_nowhere_once_every_agent_has_said_so():
+def test_a_search_gives_up_once_every_agent_has_answered():
     searches = PendingSearches()
     search = begin(searches, b"flow", ask=(OWN, OTHER))
 
@@ -43,7 +43,7 @@
     assert step(search) is SearchStep.GIVE_UP
 
 
-def test_agents_of_other_services_are_asked_before_a_flow_is_nowhere():
+def test_a_search_widens_to_other_services_before_it_gives_up():
     searches = PendingSearches()
     search = begin(searches, b"flow", ask=(OWN, OTHER))
     all_agents = (OWN, OTHER, FAR)
@@ -59,7 +59,7 @@
     assert step(search, all_agents=all_agents) is SearchStep.GIVE_UP
 
 
-def test_an_agent_that_joined_since_is_asked_too():
+def test_an_agent_that_joined_during_a_search_is_asked():
     searches = PendingSearches()
     search = begin(searches, b"flow", ask=(OWN, OTHER))
     searches.record_absent(b"flow", OWN)
@@ -71,7 +71,7 @@
     assert search.select_unanswered(joined) == [FAR]
 
 
-def test_a_list_without_the_asking_agent_proves_nothing():
+def test_a_search_waits_while_the_list_lacks_the_asking_agent():
     searches = PendingSearches()
     search = begin(searches, b"flow", ask=(OTHER,))
     searches.record_absent(b"flow", OTHER)
@@ -80,7 +80,7 @@
     assert step(search, route_agents=[], all_agents=[]) is SearchStep.WAIT
 
 
-def test_a_repeated_search_asks_only_those_who_have_not_answered():
+def test_a_repeated_search_asks_only_agents_that_have_not_answered():
     searches = PendingSearches()
     begin(searches, b"flow", ask=(OWN, OTHER))
     searches.record_absent(b"flow", OTHER)
@@ -92,7 +92,7 @@
     assert step(search) is SearchStep.GIVE_UP
 
 
-def test_late_answers_of_a_search_that_is_over_count_for_nothing():
+def test_answers_to_an_expired_search_are_ignored():
     searches = PendingSearches()
     begin(searches, b"old")
     begin(searches, b"new", now=PENDING_SECONDS + 0.1)
@@ -100,7 +100,7 @@
     assert searches.record_absent(b"old", OWN) is None
 
 
-def test_the_oldest_search_makes_room():
+def test_the_oldest_search_is_dropped_at_the_limit():
     searches = PendingSearches()
     for number in range(MAX_PENDING + 5):
         begin(searches, b"%d" % number)
