--- a/packages/daisygauge-policy/src/daisygauge_policy/_admission.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_admission.py
@@ -152,11 +152,11 @@
         return self.waiting.pop(0) if self.waiting else None
 
     def refuse_late(self, *, slots: SlotUse, now: float) -> tuple[Refuse, ...]:
-        """Refuse the requests that are no longer expected to be in time."""
+        """Remove and return the requests no longer expected to be in time."""
         return tuple(self._refuse_late(slots=slots, now=now))
 
     def refuse_all(self, *, slots: SlotUse, now: float) -> tuple[Refuse, ...]:
-        """Refuse every request because the host leaves."""
+        """Remove and return every request because the host leaves."""
         return tuple(
             self._refuse(request, reason=RefusalReason.LEAVING, slots=slots, now=now)
             for request in tuple(self.waiting)
--- a/packages/daisygauge-policy/src/daisygauge_policy/_first_flight.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_first_flight.py
@@ -63,8 +63,9 @@
 ) -> FlightDecision:
     """Decide whether an agent accepts, passes on or refuses a new flow.
 
-    An agent that is not ready still accepts when no other agent can be asked:
-    requests then get a truthful answer instead of none.
+    The decision is made at the agent, where its load is known best. An agent that is
+    not ready still accepts when no other agent can be asked: requests then get a
+    truthful answer instead of none.
 
     :param own: the agent's present load report.
     :param candidates: other agents named by the balancer, in order.
