--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -1,4 +1,4 @@
-"""The agent: stands between the balancers and one upstream."""
+"""The agent: forwards packets between the balancers and one upstream."""
 
 from __future__ import annotations
 
@@ -34,17 +34,17 @@
 from ._searches import Searches
 from ._settings import RelayAgentSettings, parse_address
 from ._sockets import RoleSockets
-from ._strays import Strays
+from ._unknown_flows import UnknownFlows
 from ._upstream import Upstream
 
-CLOSED_SECONDS = 5.0
-"""Late packets of a closed flow still belong to its upstream."""
-LEAST_DRAIN_SECONDS = 0.5
-"""Opening packets on their way when the drain begins still arrive."""
+CLOSED_FLOW_SECONDS = 5.0
+"""How long a closed flow is kept: late packets of it still go to its upstream."""
+MIN_DRAIN_SECONDS = 0.5
+"""Minimum drain time: opening packets in transit when it begins still arrive."""
 
 
 class RelayAgent:
-    """One agent's sockets and its upstream's flows."""
+    """Owns an agent's sockets and the state of its upstream's flows."""
 
     def __init__(
         self, *, runtime: RelayRuntime, settings: RelayAgentSettings, codec: PacketCodec
@@ -52,12 +52,12 @@
         self.runtime = runtime
         self.settings = settings
         self.codec = codec
-        self.own = inet_aton(settings.host)
+        self.own_address = inet_aton(settings.host)
         self.client_port = settings.client_port
         self.inner_port = settings.inner_port
         self.upstream = Upstream(runtime=runtime, settings=settings)
         self.flows: FlowTable[AgentFlow] = FlowTable(
-            is_over=self.is_over, forgotten=self.forget
+            is_expired=self.is_expired, on_removed=self.release_flow
         )
         self.gate = RequestGate(slots=lambda: self.upstream.slots)
         self.requests = Requests(
@@ -77,9 +77,9 @@
             runtime=runtime,
             candidates=self.openings.candidates,
             send=self.send,
-            ask_own=self.query_own,
+            query_self=self.answer_own_query,
         )
-        self.strays = Strays(
+        self.unknown_flows = UnknownFlows(
             runtime=runtime,
             codec=codec,
             upstream=self.upstream,
@@ -96,29 +96,32 @@
         )
 
     async def start(self, sockets: RoleSockets) -> None:
-        """Begin to read the sockets."""
+        """Start reading the sockets and checking the request gate."""
         await self.outbound.open(sockets.outer)
         await self.inner.open(sockets.inner)
-        self.runtime.tasks.keep(self.requests.run, name="requests")
+        self.runtime.tasks.supervise(self.requests.run, name="requests")
 
     async def drain(self) -> None:
-        """Pass new flows on, and stay while the upstream still has some."""
+        """Wait until the upstream has no open flow, for at most ``max_drain_seconds``.
+
+        New flows go to other agents meanwhile.
+        """
         began = self.runtime.now()
-        longest = self.settings.longest_drain_seconds
+        longest = self.settings.max_drain_seconds
         while self.runtime.now() - began < longest:
             await self.runtime.sleep(DRAIN_POLL_SECONDS)
             now = self.runtime.now()
-            if now - began > LEAST_DRAIN_SECONDS and not self.count_open(now=now):
+            if now - began > MIN_DRAIN_SECONDS and not self.count_open(now=now):
                 return
 
     def stop(self) -> None:
-        """Close every socket."""
-        self.requests.let_go()
+        """Deliver the held requests and close every socket."""
+        self.requests.release_all()
         self.inner.close()
         self.outbound.close()
 
     def gauges(self) -> tuple[Gauge, ...]:
-        """Return what the metrics page shows of this role."""
+        """Return the agent's gauges for the metrics page."""
         return (
             Gauge(
                 name="flows",
@@ -148,32 +151,35 @@
         )
 
     def count_open(self, *, now: float) -> int:
-        """Return the flows that are still in use."""
+        """Return the number of open flows that have not expired.
+
+        :param now: monotonic time in seconds.
+        """
         return sum(
             1
             for flow in self.flows.entries.values()
-            if flow.stage is FlowStage.OPEN and not self.is_over(flow, now)
+            if flow.stage is FlowStage.OPEN and not self.is_expired(flow, now)
         )
 
     def refresh(self) -> None:
-        """Take the directory's present view into use."""
+        """Update the candidate lists from the directory's current view."""
         self.openings.candidates.update(self.runtime.directory.view)
 
-    def is_over(self, flow: AgentFlow, now: float) -> bool:
-        """Tell whether a flow may be forgotten."""
+    def is_expired(self, flow: AgentFlow, now: float) -> bool:
+        """Return True when a flow has been idle long enough to be removed."""
         if flow.stage is FlowStage.CLOSED:
-            return now - flow.seen > CLOSED_SECONDS
-        return now - flow.seen > self.settings.flow_seconds
+            return now - flow.last_packet_at > CLOSED_FLOW_SECONDS
+        return now - flow.last_packet_at > self.settings.flow_seconds
 
-    def forget(self, flow: bytes, entry: AgentFlow) -> None:
-        """Drop what hangs on a flow."""
-        self.openings.asked.pop(flow, None)
+    def release_flow(self, flow: bytes, entry: AgentFlow) -> None:
+        """Discard the pending opening packet and the requests of a removed flow."""
+        self.openings.pending.pop(flow, None)
         self.requests.forget(flow)
 
     # Frames from balancers and other agents.
 
     def receive_frame(self, data: bytes, sender: tuple[str, int]) -> None:
-        """Handle a frame."""
+        """Handle a frame from a balancer or another agent."""
         now = self.runtime.now()
         self.refresh()
         try:
@@ -190,29 +196,31 @@
                     searcher = inet_aton(sender[0])
                     self.receive_packet(frame, packet, searcher=searcher, now=now)
                 case AbsentFrame():
-                    self.searches.note_absent(frame.flow, inet_aton(sender[0]), now=now)
+                    self.searches.record_absent(
+                        frame.flow, inet_aton(sender[0]), now=now
+                    )
                 case OpenFrame():
                     packet = self.codec.read_from_client(frame.packet)
                     self.openings.receive(frame, packet, now=now)
                 case _:
-                    self.runtime.counters.drop("unexpected-frame")
+                    self.runtime.counters.count_dropped("unexpected-frame")
         except MalformedFrameError:
-            self.runtime.counters.drop("malformed-frame")
+            self.runtime.counters.count_dropped("malformed-frame")
         except MalformedPacketError:
-            self.runtime.counters.drop("malformed-packet")
+            self.runtime.counters.count_dropped("malformed-packet")
 
     def search(self, frame: SearchFrame, packet: RelayedPacket, *, now: float) -> None:
-        """Find the agent that holds a flow, for a balancer."""
+        """Search on behalf of a balancer for the agent that holds a flow."""
         flow = self.flows.get(packet.flow)
-        if flow is not None and is_chosen(flow, packet):
-            self.receive_packet(frame, packet, searcher=self.own, now=now)
+        if flow is not None and selects_upstream(flow, packet):
+            self.receive_packet(frame, packet, searcher=self.own_address, now=now)
         else:
             self.searches.begin(frame, packet, now=now)
 
-    def query_own(self, frame: QueryFrame, now: float) -> None:
-        """Tell this agent's own search whether the flow is here."""
+    def answer_own_query(self, frame: QueryFrame, now: float) -> None:
+        """Answer a query of this agent's own search."""
         packet = self.codec.read_from_client(frame.packet)
-        self.receive_packet(frame, packet, searcher=self.own, now=now)
+        self.receive_packet(frame, packet, searcher=self.own_address, now=now)
 
     def receive_packet(
         self,
@@ -222,18 +230,19 @@
         searcher: bytes | None,
         now: float,
     ) -> None:
-        """Handle a packet of a flow that may be here.
+        """Handle a client's packet of a flow that this agent may hold.
 
-        :param searcher: the agent that looks for the flow, or None when it is known.
+        :param searcher: the agent that searches for the flow, or None when a balancer
+            forwarded the packet to this agent.
         """
         flow = self.flows.get(packet.flow)
-        if flow is None or not is_chosen(flow, packet):
-            self.strays.receive(frame, packet, searcher=searcher, now=now)
+        if flow is None or not selects_upstream(flow, packet):
+            self.unknown_flows.receive(frame, packet, searcher=searcher, now=now)
             return
         if searcher is not None:
             self.send(frame.balancer, OwnerFrame(flow=packet.flow))
         flow.balancer = frame.balancer
-        flow.seen = now
+        flow.last_packet_at = now
         if flow.stage is FlowStage.OFFERED:
             flow.stage = FlowStage.OPEN
         self.requests.receive(flow, packet, frame.packet, now=now)
@@ -248,23 +257,23 @@
         try:
             packet = self.codec.read_from_upstream(data)
         except MalformedPacketError:
-            self.runtime.counters.drop("malformed-packet")
+            self.runtime.counters.count_dropped("malformed-packet")
             return
-        self.upstream.note_heard(now=now)
+        self.upstream.record_received(now=now)
         if packet.returned:
             if packet.opening:
-                self.openings.note_returned(packet.flow, now=now)
+                self.openings.handle_returned(packet.flow, now=now)
             else:
-                self.strays.note_returned(packet, data, now=now)
+                self.unknown_flows.handle_returned(packet, data, now=now)
             return
         flow = self.flows.get(packet.flow)
         if flow is None:
-            flow = self.strays.discover(packet, now=now)
-        flow.seen = now
+            flow = self.unknown_flows.add_discovered(packet, now=now)
+        flow.last_packet_at = now
         if packet.accepting:
-            self.openings.note_offer(flow, packet, now=now)
+            self.openings.report_offer(flow, packet, now=now)
         else:
-            self.strays.note_open(packet.flow, flow)
+            self.unknown_flows.mark_open(packet.flow, flow)
         if packet.length:
             self.requests.receive_answer(flow, packet, now=now)
         if packet.finishing or packet.resetting:
@@ -276,11 +285,11 @@
     # Sending.
 
     def deliver(self, data: bytes) -> None:
-        """Give a packet to the upstream."""
+        """Send a packet to the upstream."""
         self.outbound.send(data, self.upstream_address)
 
     def reset(self, flow: bytes) -> None:
-        """Reset a flow that isn't open."""
+        """Send a client the reset of a flow that isn't open."""
         address = (client_host(flow), self.client_port)
         self.outbound.send(self.codec.make_reset(flow), address)
 
@@ -290,10 +299,10 @@
         self.inner.send(encode_frame(frame), address)
 
 
-def is_chosen(flow: AgentFlow, packet: RelayedPacket) -> bool:
-    """Tell whether a client's packet may be for this upstream.
+def selects_upstream(flow: AgentFlow, packet: RelayedPacket) -> bool:
+    """Return True when a client's packet may belong to this upstream.
 
-    Two upstreams may answer one opening packet; the client acknowledges one.
+    Two upstreams may answer one opening packet; the client acknowledges one of them.
     """
     if flow.stage is not FlowStage.OFFERED:
         return flow.stage is not FlowStage.ASKED
--- a/packages/daisygauge-relay/src/daisygauge_relay/_candidates.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_candidates.py
@@ -1,4 +1,4 @@
-"""Agents of a service in the order in which a flow tries them."""
+"""The order in which a flow tries the agents of a service."""
 
 from __future__ import annotations
 
@@ -12,17 +12,17 @@
 
 from ._packet import service_host, service_port
 
-BUCKETS = 1_024
-"""Flows of a bucket share an order, which is worked out once for each view."""
+FLOW_BUCKETS = 1_024
+"""Number of flow buckets. Flows of a bucket share one order, computed once per view."""
 
 
 def service_tag(service: str) -> int:
-    """Return the number that names a service in frames."""
+    """Return the 32-bit hash that identifies a service in frames."""
     return xxh32_intdigest(service.encode())
 
 
 def choose_service(route: RouteRecord, flow: bytes) -> str:
-    """Return the service of a new flow, by the weights of the route's shares."""
+    """Return the service of a new flow, by its hash and the weights of the shares."""
     total = sum(share.weight for share in route.shares)
     point = (xxh3_64_intdigest(flow, seed=1) % 1_000_000) / 1_000_000 * total
     for share in route.shares:
@@ -33,27 +33,27 @@
 
 
 def find_route(view: DirectoryView, flow: bytes) -> RouteRecord | None:
-    """Return the route that a flow was opened to, if it is there."""
+    """Return the route to the address that a flow was opened to, or None."""
     return view.routes.get((service_host(flow), service_port(flow)))
 
 
 class CandidateLists:
-    """Orders by view; equal views give equal orders in every process.
+    """Candidate orders for one view; equal views give equal orders in every process.
 
     :ivar ejected: packed addresses of agents that are tried last.
-    :ivar tags: the service of the newest host at each agent, by packed address.
+    :ivar service_tags: service tag of the newest host at each agent, by packed address.
     """
 
     def __init__(self) -> None:
         self.view = DirectoryView()
         self.ejected: frozenset[bytes] = frozenset()
         self.agents: dict[int, tuple[bytes, ...]] = {}
-        self.tags: dict[bytes, int] = {}
+        self.service_tags: dict[bytes, int] = {}
         self.ready: dict[int, tuple[HostRecord, ...]] = {}
         self._orders: dict[tuple[int, int], tuple[bytes, ...]] = {}
 
     def update(self, view: DirectoryView) -> None:
-        """Take a new view into use."""
+        """Recompute the lists when the view has changed."""
         if view is self.view:
             return
         self.view = view
@@ -64,7 +64,7 @@
             )
             for service, hosts in view.hosts.items()
         }
-        self.tags = {
+        self.service_tags = {
             inet_aton(address): service_tag(host.service)
             for address, host in view.residents.items()
         }
@@ -74,19 +74,19 @@
         }
 
     def eject(self, agents: Iterable[bytes]) -> None:
-        """Change which agents are tried last."""
+        """Set the agents that are tried last."""
         ejected = frozenset(agents)
         if ejected != self.ejected:
             self.ejected = ejected
             self._orders.clear()
 
-    def all_agents(self, service: int) -> tuple[bytes, ...]:
-        """Return every agent of a service, leaving ones included."""
+    def list_agents(self, service: int) -> tuple[bytes, ...]:
+        """Return every agent of a service, including those that drain."""
         return self.agents.get(service, ())
 
     def order(self, service: int, flow: bytes) -> tuple[bytes, ...]:
-        """Return the agents of a service that may get a new flow."""
-        bucket = xxh3_64_intdigest(flow) % BUCKETS
+        """Return the agents of a service that may get a new flow, best first."""
+        bucket = xxh3_64_intdigest(flow) % FLOW_BUCKETS
         key = (service, bucket)
         order = self._orders.get(key)
         if order is None:
@@ -94,9 +94,9 @@
         return order
 
     def order_all(self, service: int, flow: bytes) -> tuple[bytes, ...]:
-        """Return every agent of a service, the likeliest to hold a flow first."""
+        """Return every agent of a service, those likeliest to hold a flow first."""
         likely = self.order(service, flow)
-        return (*likely, *(a for a in self.all_agents(service) if a not in likely))
+        return (*likely, *(a for a in self.list_agents(service) if a not in likely))
 
     def _rank(self, service: int, bucket: int) -> tuple[bytes, ...]:
         addresses = {
@@ -110,7 +110,7 @@
 def _select_ready(
     hosts: tuple[HostRecord, ...], *, view: DirectoryView
 ) -> tuple[HostRecord, ...]:
-    """Return hosts that may get new flows and still own their address."""
+    """Return the ready hosts that are the newest ones at their address."""
     return tuple(
         host
         for host in hosts
--- a/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
@@ -1,4 +1,4 @@
-"""What a process counts of its work."""
+"""Counters and histograms of a process."""
 
 from __future__ import annotations
 
@@ -11,13 +11,15 @@
 ANSWER_BOUNDS_SECONDS = (
     0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 5.0,
 )  # fmt: skip
-"""Upper bounds of the histogram's buckets: finest where targets for answers lie."""
+"""Upper bounds of the buckets, finest in the range of the target latencies."""
 
 
 class Histogram(Struct, kw_only=True):
-    """Durations by bucket.
+    """Histogram of durations.
 
-    :param counts: one for each bound, and one above the last.
+    :param bounds: upper bounds of the buckets in seconds.
+    :param counts: durations in each bucket; the last one counts those above all bounds.
+    :param total_seconds: sum of the durations.
     """
 
     bounds: tuple[float, ...] = ANSWER_BOUNDS_SECONDS
@@ -28,13 +30,16 @@
         self.counts = [0] * (len(self.bounds) + 1)
 
     def observe(self, seconds: float) -> None:
-        """Count one duration."""
+        """Add one duration."""
         self.counts[bisect_left(self.bounds, seconds)] += 1
         self.total_seconds += seconds
 
 
 class Gauge(Struct, kw_only=True, frozen=True):
-    """A number that may fall, read when the metrics page is asked for."""
+    """A metric of type gauge, read when the metrics page is requested.
+
+    :param text: help text of the metric.
+    """
 
     name: str
     text: str
@@ -42,11 +47,11 @@
 
 
 class RelayCounters(Struct, kw_only=True):
-    """Counters of one process; plain numbers, since each packet changes some.
+    """Counters of one process; plain integers, since every packet increments some.
 
     :ivar failures: unexpected errors of tasks, by the task's name.
-    :ivar answers: time from a request's first packet to its answer's first.
-    :ivar platform_calls: time of calls to the platform beyond the wait asked for.
+    :ivar answers: time from a request's first packet to its answer's first packet.
+    :ivar platform_calls: time of calls to the platform beyond the requested wait.
     """
 
     packets_in: int = 0
@@ -56,7 +61,7 @@
     queried: int = 0
     taken: int = 0
     passed: int = 0
-    strays: int = 0
+    unknown_flows: int = 0
     requests: int = 0
     dropped: Counter = field(default_factory=Counter)
     refused: Counter = field(default_factory=Counter)
@@ -65,14 +70,14 @@
     answers: Histogram = field(default_factory=Histogram)
     platform_calls: Histogram = field(default_factory=Histogram)
 
-    def drop(self, reason: str) -> None:
-        """Count a datagram that went nowhere."""
+    def count_dropped(self, reason: str) -> None:
+        """Count a datagram that was dropped."""
         self.dropped[reason] += 1
 
-    def refuse(self, reason: str) -> None:
+    def count_refused(self, reason: str) -> None:
         """Count a flow that was refused."""
         self.refused[reason] += 1
 
-    def answer(self, seconds: float) -> None:
+    def count_answered(self, seconds: float) -> None:
         """Count an answered request."""
         self.answers.observe(seconds)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_endpoint.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_endpoint.py
@@ -1,4 +1,4 @@
-"""UDP sockets."""
+"""UDP sockets on the event loop."""
 
 from __future__ import annotations
 
@@ -12,10 +12,11 @@
 class Endpoint(asyncio.DatagramProtocol):
     """A bound socket that hands each datagram to a function.
 
-    :param receive: takes a datagram and its sender.
-    :param report: takes an error that ``receive`` raised. The event loop would close
-        the socket for it, and one datagram must not make a process deaf.
-    :ivar errors: errors that the network reported for datagrams sent.
+    :param receive: called with each datagram and its sender's address.
+    :param report: called with an exception that ``receive`` raised. Left uncaught, it
+        would make the event loop close the socket, and the process would receive
+        nothing more.
+    :ivar errors: number of errors that the network reported for sent datagrams.
     """
 
     def __init__(
@@ -27,23 +28,23 @@
         self.transport: asyncio.DatagramTransport | None = None
 
     async def open(self, bound: socket.socket) -> None:
-        """Begin to read a bound socket; datagrams may come before this returns."""
+        """Start reading a bound socket; datagrams may arrive before this returns."""
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, sock=bound)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
+        """Store the transport."""
         self.transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Hand a datagram on."""
+        """Pass a datagram to ``receive``."""
         try:
             self.receive(data, addr)
         except Exception as error:
             self.report(error)
 
     def error_received(self, exc: Exception) -> None:
-        """Count an error; what was lost is sent again by its sender."""
+        """Count an error; the sender of a lost packet retransmits it."""
         self.errors += 1
 
     def send(self, data: bytes, address: tuple[str, int]) -> None:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_events.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_events.py
@@ -1,15 +1,16 @@
-"""Events of balancers and agents that carry relayed flows.
+"""Events of balancers and agents of relayed flows.
 
-Those that a client or an upstream can cause at any rate are limited; how many lines
-were left out stands in the next one.
+Events that a client or an upstream can cause at any rate are rate-limited; the next
+line reports how many were suppressed.
 """
 
 from __future__ import annotations
 
 from daisygauge_daemon import Event, Level
 
-BELIEF = ("version", "as_of", "age_seconds")
-"""Configuration in force, revision of the directory, and the age of its knowledge."""
+KNOWN_STATE_FIELDS = ("version", "as_of", "age_seconds")
+"""Fields of the state that a decision was based on: configuration version, revision of
+the directory, and the directory's age in seconds."""
 
 _FLOW_LINES_PER_SECOND = 40.0
 _FLOW_LINES_BURST = 200.0
@@ -38,49 +39,49 @@
     600,
     "opening-placed",
     "An opening packet was sent to an agent.",
-    ("flow", "service", "agent", "copy", "candidates", "suspects", *BELIEF),
+    ("flow", "service", "agent", "copy", "candidates", "suspects", *KNOWN_STATE_FIELDS),
 )
 OPENING_REFUSED = _flow_event(
     601,
     "opening-refused",
     "A flow that isn't open was reset; its requests have not run.",
-    ("flow", "reason", *BELIEF),
+    ("flow", "reason", *KNOWN_STATE_FIELDS),
     Level.WARNING,
 )
 OPENING_UNCERTAIN = _flow_event(
     616,
     "opening-uncertain",
-    "No upstream takes a flow now; one that was asked before may still answer, so the "
-    "client isn't told.",
-    ("flow", "reason", *BELIEF),
+    "No upstream takes a new flow; one that was asked earlier may still answer, so the "
+    "flow isn't reset.",
+    ("flow", "reason", *KNOWN_STATE_FIELDS),
     Level.WARNING,
 )
 FLOW_SEARCHED = _flow_event(
     602,
     "flow-searched",
-    "A packet of a flow whose agent isn't known was sent to an agent, which asks the "
-    "others.",
-    ("flow", "service", "agent", "agents", *BELIEF),
+    "A packet of a flow whose agent isn't known was sent to an agent, which queries "
+    "the others.",
+    ("flow", "service", "agent", "agents", *KNOWN_STATE_FIELDS),
 )
 FLOW_FOUND = _flow_event(
-    603, "flow-found", "An agent holds a flow that was searched.", ("flow", "agent")
+    603, "flow-found", "A search found the agent that holds a flow.", ("flow", "agent")
 )
 OPENING_TAKEN = _flow_event(
     604,
     "opening-taken",
-    "The upstream was given an opening packet.",
-    ("flow", "load", "slots", "hops", *BELIEF),
+    "An opening packet was delivered to the upstream.",
+    ("flow", "load", "slots", "hops", *KNOWN_STATE_FIELDS),
 )
 OPENING_PASSED = _flow_event(
     605,
     "opening-passed",
-    "Another agent was asked to take a new flow.",
-    ("flow", "reason", "target", "load", "hops", *BELIEF),
+    "An opening packet was passed on to another agent.",
+    ("flow", "reason", "target", "load", "hops", *KNOWN_STATE_FIELDS),
 )
 REQUEST_BEGUN = _flow_event(
     606,
     "request-begun",
-    "A request arrived; it goes to the upstream when there is room.",
+    "A request arrived; it is delivered when the request gate releases it.",
     ("flow", "request", "running", "waiting"),
 )
 REQUEST_ANSWERED = _flow_event(
@@ -99,14 +100,14 @@
 FLOW_TRIED = _flow_event(
     609,
     "flow-tried",
-    "A packet of a flow that this agent doesn't know was given to the upstream, which "
-    "takes or returns it.",
+    "A packet of an unknown flow was delivered to the upstream, which accepts or "
+    "returns it.",
     ("flow", "balancer", "carried"),
 )
 FLOW_RETURNED = _flow_event(
     613,
     "flow-returned",
-    "The upstream doesn't hold a flow.",
+    "The upstream returned a packet because it doesn't hold the flow.",
     ("flow", "was_known"),
 )
 FLOW_CLAIMED = _flow_event(
@@ -118,8 +119,8 @@
 FLOW_LOST = _flow_event(
     615,
     "flow-lost",
-    "A flow was reset because no upstream holds it; 'reason' tells who said so.",
-    ("flow", "reason", "absent", *BELIEF),
+    "A flow was reset because no upstream holds it; 'reason' says how this is known.",
+    ("flow", "reason", "absent", *KNOWN_STATE_FIELDS),
     Level.WARNING,
 )
 UPSTREAM_SILENT = Event(
@@ -127,7 +128,7 @@
     name="upstream-silent",
     level=Level.WARNING,
     text="The upstream left an opening packet unanswered; new flows go to others until "
-    "it is heard. Check that it runs.",
+    "it sends a packet. Check that it runs.",
     fields=("upstream", "heard_seconds"),
 )
 UPSTREAM_HEARD = Event(
@@ -143,7 +144,7 @@
     level=Level.WARNING,
     text="The agents that leave opening packets unanswered changed; they are tried "
     "last. Check that they run and can be reached.",
-    fields=("suspects", *BELIEF),
+    fields=("suspects", *KNOWN_STATE_FIELDS),
     limited=True,
 )
 DIRECTORY_MOVED = Event(
@@ -157,7 +158,7 @@
     number=621,
     name="host-gone",
     level=Level.INFO,
-    text="A host whose entry lapsed while the platform was away has not come back.",
+    text="A host whose entry expired during a platform outage has not returned.",
     fields=("host",),
 )
 SOURCE_LOST = Event(
--- a/packages/daisygauge-relay/src/daisygauge_relay/_exit_codes.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_exit_codes.py
@@ -1,4 +1,4 @@
-"""Exit codes of a relayed process."""
+"""Exit codes of balancers and agents of relayed flows."""
 
 EXIT_STOPPED = 0
 EXIT_FAILED = 1
--- a/packages/daisygauge-relay/src/daisygauge_relay/_flows.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_flows.py
@@ -1,4 +1,4 @@
-"""Soft state of flows in balancers and agents."""
+"""Soft state of flows at balancers and agents."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
 from daisygauge_policy import SearchBudget
 
 SWEEP_ENTRIES = 64
-"""Entries looked at for each new one, so that no sweep delays a packet."""
+"""Entries checked for each new one; a full sweep would delay packets."""
 
 Entry = TypeVar("Entry")
 
 
-class SeenOffer(Struct, kw_only=True):
+class ReceivedOffer(Struct, kw_only=True):
     """An upstream that has answered a flow's opening packet.
 
     :param sequence: the upstream's first sequence number.
@@ -27,26 +27,34 @@
 
 
 class BalancerFlow(Struct, kw_only=True):
-    """What a balancer knows of one flow; losing it costs one search.
+    """State of one flow at a balancer; a search restores it after a loss.
 
     :param service: name of the service that the flow was placed for.
-    :param asked: agents that were sent its opening packet.
-    :param owner: the agent that holds the flow, once known.
-    :param acknowledged: what the client's last packet acknowledges.
-    :param seen: monotonic time of the last packet.
+    :param asked: agents that its opening packet was sent to.
+    :param offers: answers of upstreams to its opening packet.
+    :param owner: the agent that holds the flow, or None while that is unknown.
+    :param acknowledged: acknowledgement number of the client's latest packet.
+    :param last_packet_at: monotonic time of the last packet.
+    :param budget: limit on searches, set by the first search.
     """
 
     service: str
-    seen: float
+    last_packet_at: float
     asked: list[bytes] = field(default_factory=list)
-    offers: list[SeenOffer] = field(default_factory=list)
+    offers: list[ReceivedOffer] = field(default_factory=list)
     owner: bytes | None = None
     acknowledged: int = 0
     budget: SearchBudget | None = None
 
 
 class FlowStage(enum.Enum):
-    """How far a flow is at its agent."""
+    """Stage of a flow at its agent.
+
+    ASKED: the upstream was sent the opening packet and has not answered.
+    OFFERED: the upstream has answered; the client has not chosen yet.
+    OPEN: the client has chosen this upstream.
+    CLOSED: either end has finished or reset the flow.
+    """
 
     ASKED = "asked"
     OFFERED = "offered"
@@ -55,73 +63,75 @@
 
 
 class AgentFlow(Struct, kw_only=True):
-    """What an agent knows of one flow of its upstream.
+    """State of one flow at an agent.
 
-    :param balancer: who sent its last packet.
-    :param began: monotonic time at which the client began to open it.
-    :param seen: monotonic time of the last packet in either direction.
+    :param balancer: the balancer that sent its last packet.
+    :param opening_at: monotonic time at which the client sent the first opening packet.
+    :param last_packet_at: monotonic time of the last packet in either direction.
     :param sequence: the upstream's first sequence number.
-    :param client_next: sequence number after the client's newest byte.
-    :param upstream_next: the same of the upstream's.
-    :param asked_at: monotonic time at which the running request began, or None.
-    :param request: id of the running request, where its bytes told it.
+    :param client_next: sequence number after the client's newest byte, or None.
+    :param upstream_next: sequence number after the upstream's newest byte, or None.
+    :param request_started_at: monotonic time at which the current request arrived, or
+        None.
+    :param request_id: id of the current request, if its packet holds one.
+    :param answered: number of answered requests.
     """
 
     balancer: bytes
-    began: float
-    seen: float
+    opening_at: float
+    last_packet_at: float
     stage: FlowStage = FlowStage.ASKED
     sequence: int = 0
     client_next: int | None = None
     upstream_next: int | None = None
-    asked_at: float | None = None
-    request: str | None = None
-    served: int = 0
+    request_started_at: float | None = None
+    request_id: str | None = None
+    answered: int = 0
 
 
 class FlowTable(Generic[Entry]):
-    """Flows by key, forgetting those that are over a few at a time.
+    """Flows by key; each insertion removes some expired ones.
 
-    :param is_over: tells at a monotonic time whether an entry may be forgotten.
-    :param forgotten: called with each entry that is dropped.
+    :param is_expired: returns True when an entry has expired at a monotonic time.
+    :param on_removed: called with each entry after its removal.
     """
 
     def __init__(
         self,
         *,
-        is_over: Callable[[Entry, float], bool],
-        forgotten: Callable[[bytes, Entry], None] | None = None,
+        is_expired: Callable[[Entry, float], bool],
+        on_removed: Callable[[bytes, Entry], None] | None = None,
     ) -> None:
         self.entries: dict[bytes, Entry] = {}
-        self.is_over = is_over
-        self.forgotten = forgotten
-        self._due: list[bytes] = []
+        self.is_expired = is_expired
+        self.on_removed = on_removed
+        self._unswept: list[bytes] = []
 
     def get(self, flow: bytes) -> Entry | None:
-        """Return a flow's entry, if there is one."""
+        """Return a flow's entry, or None."""
         return self.entries.get(flow)
 
     def add(self, flow: bytes, entry: Entry, *, now: float) -> Entry:
-        """Hold a new entry, and drop some old ones."""
+        """Add an entry, and remove some expired ones."""
         self.entries[flow] = entry
         self.sweep(now=now)
         return entry
 
     def drop(self, flow: bytes) -> None:
-        """Forget a flow."""
+        """Remove a flow's entry, if there is one."""
         entry = self.entries.pop(flow, None)
-        if entry is not None and self.forgotten is not None:
-            self.forgotten(flow, entry)
+        if entry is not None and self.on_removed is not None:
+            self.on_removed(flow, entry)
 
     def sweep(self, *, now: float) -> None:
-        """Look at the next few entries and drop those that are over."""
-        if not self._due:
-            self._due = list(self.entries)
-        for flow in self._due[-SWEEP_ENTRIES:]:
+        """Check the next ``SWEEP_ENTRIES`` entries and remove the expired ones."""
+        if not self._unswept:
+            self._unswept = list(self.entries)
+        for flow in self._unswept[-SWEEP_ENTRIES:]:
             entry = self.entries.get(flow)
-            if entry is not None and self.is_over(entry, now):
+            if entry is not None and self.is_expired(entry, now):
                 self.drop(flow)
-        del self._due[-SWEEP_ENTRIES:]
+        del self._unswept[-SWEEP_ENTRIES:]
 
     def __len__(self) -> int:
         return len(self.entries)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_log.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_log.py
@@ -1,7 +1,7 @@
-"""Logging that never delays a packet.
+"""Logging that doesn't delay packets.
 
-Events are queued as they happen. A task formats some of them now and then, and
-writes what standard output takes without waiting.
+Events are queued as they happen. A task periodically formats some of them and writes
+as much as standard output accepts without blocking.
 """
 
 from __future__ import annotations
@@ -20,13 +20,14 @@
 
 from . import _events as events
 
-QUEUED_LINES = 4_000
-"""About a second of the busiest process's lines, and 2 MB."""
+MAX_QUEUED_LINES = 4_000
+"""About one second of the busiest process's lines, which take 2 MB."""
 FLUSH_SECONDS = 0.1
 LINES_PER_FLUSH = 40
-"""Formatting them takes a few milliseconds, which no packet may wait longer."""
-PENDING_BYTES = 256 * 1024
-"""Formatted lines that wait for a slow reader."""
+"""Formatting this many takes a few milliseconds, the longest time that a packet may
+wait."""
+MAX_PENDING_BYTES = 256 * 1024
+"""Limit on the formatted bytes that wait for a slow reader."""
 
 
 class QueuedLog(EventLog):
@@ -34,11 +35,12 @@
 
     :param descriptor: file descriptor that lines are written to.
     :param delay_seconds: time after the start before the first line is written: a
-        process that follows a failure serves first, and loads the logging library
-        afterwards.
+        process that restarts after a failure serves first, and loads the logging
+        library afterwards.
+    :param clock: monotonic time in seconds.
     :param wall: Unix time in seconds, for the lines.
-    :ivar dropped: lines lost since the last line that told so.
-    :ivar lost: lines lost since the start.
+    :ivar unreported: lines dropped since the last line that reported a number.
+    :ivar total_dropped: lines dropped since the start.
     """
 
     def __init__(
@@ -57,48 +59,51 @@
         self.queue: deque[tuple[Event, dict[str, Any]]] = deque()
         self.buffer = io.StringIO()
         self.pending = b""
-        self.dropped = 0
-        self.lost = 0
-        self.has_begun = False
+        self.unreported = 0
+        self.total_dropped = 0
+        self.is_started = False
 
     def emit(self, event: Event, fields: dict[str, Any]) -> None:
-        """Queue one line."""
-        if len(self.queue) >= QUEUED_LINES:
-            self.dropped += 1
-            self.lost += 1
+        """Queue one line, or drop it when the queue is full."""
+        if len(self.queue) >= MAX_QUEUED_LINES:
+            self.unreported += 1
+            self.total_dropped += 1
             return
         fields["at"] = round(self.wall(), 4)
         self.queue.append((event, fields))
 
     async def run(self) -> None:
-        """Write queued lines until cancelled."""
+        """Load the logging library, then write queued lines until cancelled."""
         await asyncio.sleep(self.delay_seconds)
-        # The import of the library takes longer than a packet may wait.
+        # Importing the library takes longer than a packet may wait.
         await asyncio.to_thread(importlib.import_module, "eliot")
-        self.begin()
+        self.start()
         while True:
             self.flush()
             await asyncio.sleep(FLUSH_SECONDS)
 
-    def begin(self) -> None:
-        """Send the logging library's lines to the buffer."""
-        self.has_begun = True
+    def start(self) -> None:
+        """Direct the logging library's output to the buffer."""
+        self.is_started = True
         write_events_to(self.buffer)
         mode = os.fstat(self.descriptor).st_mode
         if not stat.S_ISREG(mode):
             os.set_blocking(self.descriptor, False)
 
     def flush(self, *, lines: int = LINES_PER_FLUSH) -> None:
-        """Format some lines and write what can be written at once."""
-        if len(self.pending) < PENDING_BYTES:
+        """Format some lines and write what can be written without blocking."""
+        if len(self.pending) < MAX_PENDING_BYTES:
             self.format_lines(lines)
         self.write_pending()
 
     def format_lines(self, lines: int) -> None:
-        """Turn queued events into bytes."""
-        if self.dropped:
-            self.queue.appendleft((events.LINES_SUPPRESSED, {"lines": self.dropped}))
-            self.dropped = 0
+        """Format queued events into the pending bytes.
+
+        :param lines: the most lines to format.
+        """
+        if self.unreported:
+            self.queue.appendleft((events.LINES_SUPPRESSED, {"lines": self.unreported}))
+            self.unreported = 0
         for _ in range(min(lines, len(self.queue))):
             emit_line(*self.queue.popleft())
         text = self.buffer.getvalue()
@@ -107,20 +112,20 @@
         self.pending += text.encode()
 
     def write_pending(self) -> None:
-        """Write bytes as far as the reader takes them."""
+        """Write pending bytes until the reader blocks."""
         while self.pending:
             try:
                 written = os.write(self.descriptor, self.pending)
             except BlockingIOError:
                 return
             except OSError:
-                # Nobody reads any more; there is nowhere left to tell it.
+                # The reader has closed the pipe; there is no other place to report it.
                 self.pending = b""
                 return
             self.pending = self.pending[written:]
 
     def close(self) -> None:
-        """Write what is left, as far as that can be done at once."""
-        if not self.has_begun:
-            self.begin()
+        """Write the remaining lines as far as possible without blocking."""
+        if not self.is_started:
+            self.start()
         self.flush(lines=len(self.queue) + 1)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_main.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_main.py
@@ -1,4 +1,4 @@
-"""Start of a balancer or agent of relayed flows."""
+"""Entry point of a balancer or agent of relayed flows."""
 
 from __future__ import annotations
 
@@ -27,37 +27,37 @@
     "balancer": RelayBalancerSettings,
     "agent": RelayAgentSettings,
 }
-"""Model of each role's settings."""
+"""Settings model of each role."""
 
 
 class EarlySignals:
-    """Takes signals that come before the event loop does.
+    """Handles signals that arrive before the event loop runs.
 
-    Without it they would end the process as if it had failed.
+    Their default action would end the process as if it had failed.
 
-    :ivar must_reload: True once SIGHUP has come.
+    :ivar reload_requested: True after a SIGHUP.
     """
 
     def __init__(self) -> None:
-        self.must_reload = False
+        self.reload_requested = False
 
     def install(self) -> None:
-        """Take signals from now on."""
+        """Install the handlers."""
         signal.signal(signal.SIGTERM, self.stop)
         signal.signal(signal.SIGINT, self.stop)
-        signal.signal(signal.SIGHUP, self.note_reload)
+        signal.signal(signal.SIGHUP, self.record_reload)
 
     def stop(self, number: int, frame: FrameType | None) -> NoReturn:
-        """End a process that carries nothing yet.
+        """End a process that serves no flow yet.
 
-        At once: an exception may be raised inside any import, which can take it for
-        a failure of its own.
+        It ends at once: an exception raised here could surface inside any import, which
+        might handle it as its own failure.
         """
         os._exit(EXIT_STOPPED)
 
-    def note_reload(self, number: int, frame: FrameType | None) -> None:
-        """Remember that the settings may have changed since they were read."""
-        self.must_reload = True
+    def record_reload(self, number: int, frame: FrameType | None) -> None:
+        """Record that the settings may have changed since they were read."""
+        self.reload_requested = True
 
 
 def run_relay(
@@ -66,7 +66,8 @@
     """Run a process of relayed flows until SIGTERM.
 
     :param role: ``balancer`` or ``agent``.
-    :param load_platform: loads the adapter; called once the sockets are bound.
+    :param settings_path: path of the settings file.
+    :param load_platform: loads the adapter; called after the sockets are bound.
     :return: the exit code.
     """
     if role not in SETTINGS:
@@ -74,8 +75,8 @@
         return EXIT_MISUSE
     early = EarlySignals()
     early.install()
-    # What is loaded now stays for good; looking through it for garbage would only
-    # make the start longer.
+    # Modules loaded now stay for the process's lifetime; collecting garbage among them
+    # would only lengthen the start.
     gc.disable()
     try:
         settings = load_relay_settings(settings_path, SETTINGS[role])
@@ -91,7 +92,7 @@
             settings_path=settings_path,
             sockets=sockets,
             platform=platform,
-            must_reload=lambda: early.must_reload,
+            reload_requested=lambda: early.reload_requested,
         )
     except RelaySettingsError as error:
         print(error, file=sys.stderr)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
@@ -1,6 +1,6 @@
-"""Counters as a page for Prometheus.
+"""The metrics page in Prometheus format.
 
-The client library is loaded when the page is first asked for, and in a thread, since
+The client library is loaded by the first request for the page, and in a thread, since
 loading it takes longer than a packet may wait.
 """
 
@@ -21,9 +21,9 @@
 
 
 class MetricsPage:
-    """Answers the metrics address.
+    """Answers requests for the metrics page.
 
-    :param gauges: further gauges of the role.
+    :param gauges: gauges of the role, shown after the common ones.
     """
 
     def __init__(self, *, runtime: RelayRuntime, gauges: tuple[Gauge, ...]) -> None:
@@ -33,7 +33,7 @@
         self.loading: asyncio.Task[None] | None = None
 
     def answer(self) -> Page:
-        """Return the page, or 503 while the library is being loaded."""
+        """Return the page, or status 503 while the library is being loaded."""
         if self.registry is None:
             if self.loading is None:
                 self.loading = asyncio.create_task(self.load(), name="metrics")
@@ -46,14 +46,14 @@
         )
 
     async def load(self) -> None:
-        """Load the library and register what is counted."""
+        """Load the library and register this collector."""
         prometheus = await asyncio.to_thread(importlib.import_module, LIBRARY)
         registry = prometheus.CollectorRegistry()
         registry.register(self)
         self.registry = registry
 
     def collect(self) -> Iterator[Any]:
-        """Yield every metric, as the library asks for them."""
+        """Yield every metric; the library calls this for each page."""
         core = importlib.import_module(f"{LIBRARY}.core")
         counters = self.runtime.counters
         for name, text, value in (
@@ -64,10 +64,10 @@
             ("agents_queried", "Agents asked for a searched flow.", counters.queried),
             ("openings_taken", "Opening packets given upstream.", counters.taken),
             ("openings_passed", "Opening packets passed on.", counters.passed),
-            ("strays", "Packets given back to balancers.", counters.strays),
+            ("strays", "Packets given back to balancers.", counters.unknown_flows),
             ("requests", "Requests seen.", counters.requests),
             ("platform_calls", "Calls to the platform.", self.platform_calls()),
-            ("log_lines_dropped", "Log lines dropped.", self.runtime.log.lost),
+            ("log_lines_dropped", "Log lines dropped.", self.runtime.log.total_dropped),
         ):
             metric = core.CounterMetricFamily(f"{PREFIX}_{name}", text)
             metric.add_metric([], value)
@@ -102,13 +102,13 @@
             yield metric
 
     def platform_calls(self) -> int:
-        """Return the calls made to the platform."""
+        """Return the number of calls to the platform."""
         return self.runtime.follower.reader.calls
 
     def make_histogram(
         self, core: Any, name: str, text: str, histogram: Histogram
     ) -> Any:
-        """Return a histogram in the library's terms."""
+        """Return a histogram as a metric of the library."""
         metric = core.HistogramMetricFamily(f"{PREFIX}_{name}", text)
         below = 0
         buckets = []
@@ -121,7 +121,7 @@
         return metric
 
     def all_gauges(self) -> tuple[Gauge, ...]:
-        """Return the gauges of every role and those of this one."""
+        """Return the gauges that all roles share, then those of this role."""
         directory = self.runtime.directory
         return (
             Gauge(
--- a/packages/daisygauge-relay/src/daisygauge_relay/_observer.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_observer.py
@@ -1,4 +1,4 @@
-"""Log lines and counts of what keeps a process's directory current."""
+"""Log lines and counters of directory updates."""
 
 from __future__ import annotations
 
@@ -21,12 +21,12 @@
 from ._counters import RelayCounters
 from ._log import QueuedLog
 
-LONGEST_CHANGES = 20
-"""Changes named in one line of the log."""
+MAX_LOGGED_CHANGES = 20
+"""Most changes that one log line lists."""
 
 
 class DirectoryObserver:
-    """Writes down what the follower of the directory reports."""
+    """Logs and counts the events of the directory's follower."""
 
     def __init__(
         self, *, log: QueuedLog, counters: RelayCounters, directory: Directory
@@ -36,10 +36,10 @@
         self.directory = directory
 
     def observe(self, event: DirectoryEvent) -> None:
-        """Log what the follower of the directory reports."""
+        """Log or count one event."""
         match event:
             case PlatformCalled():
-                # A wait that ended without news took its whole time by intent.
+                # A long poll without changes lasts its whole wait by design.
                 waited = 0.0 if event.news else WATCH_SECONDS
                 seconds = max(event.seconds - waited, 0.0)
                 self.counters.platform_calls.observe(seconds)
@@ -60,19 +60,19 @@
                 )
 
     def log_changes(self, moved: DirectoryMoved) -> None:
-        """Log merged changes."""
+        """Log the changes that were merged into the directory."""
         self.log.write(
             events.DIRECTORY_MOVED,
             source=moved.source,
             as_of=moved.as_of,
             source_age_seconds=round(moved.age_seconds, 3),
             version=self.directory.view.version,
-            changes=[describe_item(item) for item in moved.items[:LONGEST_CHANGES]],
+            changes=[describe_item(item) for item in moved.items[:MAX_LOGGED_CHANGES]],
         )
 
 
 def describe_item(item: DirectoryItem) -> str:
-    """Return a change as a few words."""
+    """Return a short description of a change."""
     match item.content:
         case None:
             return f"{item.key}@{item.revision} removed"
--- a/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
@@ -1,4 +1,4 @@
-"""Opening packets at an agent: given to the upstream, passed on or refused."""
+"""Opening packets at an agent: delivered to the upstream, passed on or refused."""
 
 from __future__ import annotations
 
@@ -23,34 +23,35 @@
 from . import _events as events
 from ._candidates import CandidateLists
 from ._flows import AgentFlow, FlowStage, FlowTable
-from ._packet import PacketCodec, RelayedPacket, flow_name
+from ._packet import PacketCodec, RelayedPacket, format_flow
 from ._runtime import RelayRuntime
 from ._upstream import Upstream
 
-OFFER_SECONDS = 0.05
-"""An upstream on the same instance answers an opening packet within a millisecond;
-one that has not by now is down or stands still."""
-EXPECTED_SECONDS = 0.1
-"""A flow's first request follows its opening within two crossings."""
-COPY_SECONDS = (0.0, 0.2, 0.6)
-"""Age of a flow when its client sends each copy of the opening packet."""
-UNKNOWN_SLOTS = 2
-"""Slots of an upstream that has not announced itself."""
+OFFER_TIMEOUT_SECONDS = 0.05
+"""Timeout for the upstream's answer to an opening packet. It runs on the same instance
+and answers within a millisecond, so one that exceeds this is down or stalled."""
+EXPECTED_REQUEST_SECONDS = 0.1
+"""How long an accepted flow counts as load before its first request, which follows the
+opening within two network crossings."""
+COPY_AGES_SECONDS = (0.0, 0.2, 0.6)
+"""Age of a flow when its client sends each copy of its opening packet."""
+DEFAULT_SLOTS = 2
+"""Assumed slots of an upstream that is not in the directory."""
 
 
-class AskedOpening(Struct, kw_only=True):
-    """An opening packet that the upstream has not answered yet."""
+class PendingOpening(Struct, kw_only=True):
+    """An opening packet that was delivered to the upstream and not answered yet."""
 
     frame: OpenFrame
     packet: RelayedPacket
 
 
 class Openings:
-    """Decides on opening packets and follows those that the upstream was given.
+    """Decides on opening packets and tracks those delivered to the upstream.
 
-    :param running: tells how many requests are at the upstream or wait for it, at a
-        monotonic time.
-    :param deliver: gives a packet to the upstream.
+    :param running: returns the number of requests that run at the upstream or wait for
+        it, at a monotonic time.
+    :param deliver: sends a packet to the upstream.
     :param send: sends a frame to another instance.
     :param reset: sends a client the reset of a flow that isn't open.
     """
@@ -75,35 +76,35 @@
         self.deliver = deliver
         self.send = send
         self.reset = reset
-        self.own = inet_aton(runtime.settings.host)
+        self.own_address = inet_aton(runtime.settings.host)
         self.candidates = CandidateLists()
-        self.asked: dict[bytes, AskedOpening] = {}
+        self.pending: dict[bytes, PendingOpening] = {}
         self.expected: deque[tuple[float, bytes]] = deque()
 
     def receive(self, frame: OpenFrame, packet: RelayedPacket, *, now: float) -> None:
-        """Take an opening packet, or pass it on."""
+        """Handle an opening packet from a balancer or another agent."""
         flow = self.flows.get(packet.flow)
         if flow is not None and flow.stage in (FlowStage.OFFERED, FlowStage.OPEN):
-            # The upstream's answer was lost; it gives the same one again.
+            # The upstream's answer was lost; it sends the same one again.
             self.deliver(frame.packet)
             return
         own = AskedAgent(
-            agent=self.own,
+            agent=self.own_address,
             load=self.load(now=now),
-            slots=UNKNOWN_SLOTS if self.upstream.slots is None else self.upstream.slots,
+            slots=DEFAULT_SLOTS if self.upstream.slots is None else self.upstream.slots,
             inability=self.upstream.find_inability(frame.service),
         )
         self.decide(frame, packet, own, now=now)
 
     def load(self, *, now: float) -> int:
-        """Return the requests that run at the upstream or are about to."""
-        while self.expected and now - self.expected[0][0] > EXPECTED_SECONDS:
+        """Return the number of requests that run, wait or are expected soon."""
+        while self.expected and now - self.expected[0][0] > EXPECTED_REQUEST_SECONDS:
             self.expected.popleft()
         expected = sum(1 for _, flow in self.expected if self.is_expected(flow))
         return self.running(now) + expected
 
     def is_expected(self, flow: bytes) -> bool:
-        """Tell whether a flow's first request is on its way."""
+        """Return True while a flow's first request has not arrived."""
         entry = self.flows.get(flow)
         return (
             entry is not None
@@ -114,7 +115,7 @@
     def decide(
         self, frame: OpenFrame, packet: RelayedPacket, own: AskedAgent, *, now: float
     ) -> None:
-        """Carry out the decision on an opening packet."""
+        """Decide on an opening packet and carry the decision out."""
         order = self.candidates.order(frame.service, packet.flow)
         best = frame.best and BusyAgent(agent=frame.best.agent, load=frame.best.load)
         decision = decide_opening(
@@ -130,7 +131,7 @@
                 self.take(frame, packet, own, now=now)
             case PassOpening():
                 if own.inability is OpeningReason.SILENT:
-                    frame = self.try_upstream(frame, now=now)
+                    frame = self.probe_upstream(frame, now=now)
                 self.pass_on(frame, packet, own, decision)
             case RefuseOpening():
                 self.refuse(frame, packet, decision)
@@ -138,54 +139,64 @@
     def take(
         self, frame: OpenFrame, packet: RelayedPacket, own: AskedAgent, *, now: float
     ) -> None:
-        """Give an opening packet to the upstream."""
-        age = COPY_SECONDS[min(packet.copy, len(COPY_SECONDS) - 1)]
-        entry = AgentFlow(balancer=frame.balancer, began=now - age, seen=now)
+        """Deliver an opening packet to the upstream."""
+        age = COPY_AGES_SECONDS[min(packet.copy, len(COPY_AGES_SECONDS) - 1)]
+        entry = AgentFlow(
+            balancer=frame.balancer, opening_at=now - age, last_packet_at=now
+        )
         self.flows.add(packet.flow, entry, now=now)
-        self.asked[packet.flow] = AskedOpening(frame=frame, packet=packet)
+        self.pending[packet.flow] = PendingOpening(frame=frame, packet=packet)
         self.expected.append((now, packet.flow))
         self.runtime.counters.taken += 1
         self.runtime.log.write(
             events.OPENING_TAKEN,
-            flow=flow_name(packet.flow),
+            flow=format_flow(packet.flow),
             load=own.load,
             slots=own.slots,
             hops=frame.hops,
-            **self.runtime.belief(),
+            **self.runtime.known_state(),
         )
         self.deliver(frame.packet)
-        self.runtime.call_later(OFFER_SECONDS, lambda: self.check_offer(packet.flow))
+        self.runtime.call_later(
+            OFFER_TIMEOUT_SECONDS, lambda: self.check_offer(packet.flow)
+        )
 
     def check_offer(self, flow: bytes) -> None:
-        """Pass an opening packet on that the upstream has left unanswered."""
-        asked = self.asked.pop(flow, None)
-        if asked is None:
+        """Pass on an opening packet that the upstream has not answered in time."""
+        opening = self.pending.pop(flow, None)
+        if opening is None:
             return
         now = self.runtime.now()
-        # The flow stays known: an answer that comes late must reach its balancer.
-        self.upstream.note_silence(now=now)
-        asked.frame = replace(asked.frame, unanswered=True)
-        self.decide_again(asked, OpeningReason.SILENT, now=now)
+        # The entry stays: a late answer must still be reported to its balancer.
+        self.upstream.record_silence(now=now)
+        opening.frame = replace(opening.frame, unanswered=True)
+        self.decide_again(opening, OpeningReason.SILENT, now=now)
 
-    def note_returned(self, flow: bytes, *, now: float) -> None:
-        """Pass an opening packet on that the upstream has given back."""
-        asked = self.asked.pop(flow, None)
+    def handle_returned(self, flow: bytes, *, now: float) -> None:
+        """Pass on an opening packet that the upstream has returned."""
+        opening = self.pending.pop(flow, None)
         self.flows.drop(flow)
-        if asked is not None:
-            self.decide_again(asked, OpeningReason.FULL, now=now)
+        if opening is not None:
+            self.decide_again(opening, OpeningReason.FULL, now=now)
 
     def decide_again(
-        self, asked: AskedOpening, reason: OpeningReason, *, now: float
+        self, opening: PendingOpening, reason: OpeningReason, *, now: float
     ) -> None:
-        """Decide anew on an opening packet that the upstream doesn't take."""
+        """Decide again on an opening packet that the upstream did not accept.
+
+        :param reason: why this agent can't take it.
+        """
         own = AskedAgent(
-            agent=self.own, load=self.load(now=now), slots=0, inability=reason
+            agent=self.own_address, load=self.load(now=now), slots=0, inability=reason
         )
-        self.decide(asked.frame, asked.packet, own, now=now)
+        self.decide(opening.frame, opening.packet, own, now=now)
 
-    def try_upstream(self, frame: OpenFrame, *, now: float) -> OpenFrame:
-        """Give a silent upstream a packet that others get too, now and then."""
-        if not self.upstream.begin_trial(now=now):
+    def probe_upstream(self, frame: OpenFrame, *, now: float) -> OpenFrame:
+        """Probe a silent upstream with a packet that is passed on as well.
+
+        At most one probe is sent in ``PROBE_INTERVAL_SECONDS``.
+        """
+        if not self.upstream.begin_probe(now=now):
             return frame
         self.deliver(frame.packet)
         return replace(frame, unanswered=True)
@@ -197,20 +208,20 @@
         own: AskedAgent,
         decision: PassOpening,
     ) -> None:
-        """Ask another agent."""
+        """Pass an opening packet on to another agent."""
         self.runtime.counters.passed += 1
         self.runtime.log.write(
             events.OPENING_PASSED,
-            flow=flow_name(packet.flow),
+            flow=format_flow(packet.flow),
             reason=decision.reason.value,
             target=inet_ntoa(decision.target),
             load=own.load,
             hops=frame.hops,
-            **self.runtime.belief(),
+            **self.runtime.known_state(),
         )
         best = frame.best
         if own.inability is None and (best is None or own.load < best.load):
-            best = AgentLoad(agent=self.own, load=own.load)
+            best = AgentLoad(agent=self.own_address, load=own.load)
         passed = replace(
             frame,
             tried=decision.tried[-MAX_TRIED:],
@@ -223,28 +234,30 @@
     def refuse(
         self, frame: OpenFrame, packet: RelayedPacket, decision: RefuseOpening
     ) -> None:
-        """Tell the client at once that no upstream takes its flow, if that is sure.
+        """Reset a flow that no upstream takes, unless one may still answer.
 
-        An upstream that was given this packet, or an earlier copy, may still answer;
+        An upstream that received this packet or an earlier copy may still answer, and
         a reset would then cut an open flow.
         """
         is_uncertain = frame.unanswered or packet.copy > 0
         event = events.OPENING_UNCERTAIN if is_uncertain else events.OPENING_REFUSED
         self.runtime.log.write(
             event,
-            flow=flow_name(packet.flow),
+            flow=format_flow(packet.flow),
             reason=decision.reason.value,
-            **self.runtime.belief(),
+            **self.runtime.known_state(),
         )
         if is_uncertain:
-            self.runtime.counters.drop("opening-uncertain")
+            self.runtime.counters.count_dropped("opening-uncertain")
             return
-        self.runtime.counters.refuse(decision.reason.value)
+        self.runtime.counters.count_refused(decision.reason.value)
         self.reset(packet.flow)
 
-    def note_offer(self, flow: AgentFlow, packet: RelayedPacket, *, now: float) -> None:
-        """Tell the balancer that the upstream has answered."""
-        self.asked.pop(packet.flow, None)
+    def report_offer(
+        self, flow: AgentFlow, packet: RelayedPacket, *, now: float
+    ) -> None:
+        """Report the upstream's answer to the balancer."""
+        self.pending.pop(packet.flow, None)
         flow.sequence = packet.sequence
         if flow.stage is FlowStage.ASKED:
             flow.stage = FlowStage.OFFERED
@@ -252,6 +265,6 @@
             flow=packet.flow,
             sequence=packet.sequence,
             load=self.load(now=now),
-            slots=self.upstream.slots or UNKNOWN_SLOTS,
+            slots=self.upstream.slots or DEFAULT_SLOTS,
         )
         self.send(flow.balancer, offer)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_packet.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_packet.py
@@ -1,4 +1,4 @@
-"""Packets of relayed flows, as the product sees them."""
+"""Packets of relayed flows, independent of the platform's format."""
 
 from __future__ import annotations
 
@@ -10,26 +10,28 @@
 from daisygauge_wire import ADDRESS_BYTES
 
 PORT_BYTES = 2
-END_BYTES = ADDRESS_BYTES + PORT_BYTES
+ENDPOINT_BYTES = ADDRESS_BYTES + PORT_BYTES
 SEQUENCE_RANGE = 2**32
-FIRST_ACKNOWLEDGED = 2
-"""Numbers that a client acknowledges while its upstream has sent no data: the
-upstream's first one or the one after it. A wider range would take in another upstream's
-flow now and then, since both choose their first numbers at random."""
+ACKNOWLEDGED_RANGE = 2
+"""Size of the range of numbers that a client acknowledges before its upstream has sent
+data: the upstream's first sequence number and the next. A wider range would sometimes
+match another upstream, since each chooses its first number at random."""
 
 
 class RelayedPacket(Struct, kw_only=True):
-    """The fields of one packet that decide where it goes.
+    """The fields of one packet that routing uses.
 
     :param flow: packed address and port of the client, then of the service; equal
         for both directions.
     :param opening: True for a client's request for a new flow.
-    :param copy: how often the client has repeated its opening packet.
+    :param copy: number of copies of the opening packet that the client sent before.
     :param accepting: True for an upstream's answer to an opening packet.
     :param sequence: the sender's sequence number.
     :param acknowledged: the next sequence number that the sender expects.
     :param length: bytes of data.
-    :param returned: True when the upstream gives the packet back untouched.
+    :param finishing: True when the sender closes the flow.
+    :param resetting: True when the sender resets the flow.
+    :param returned: True for a client's packet that the upstream returned.
     """
 
     flow: bytes
@@ -45,45 +47,48 @@
 
 
 class MalformedPacketError(ValueError):
-    """A datagram is no packet; it is dropped and counted."""
+    """A datagram can't be read as a packet; it is dropped and counted."""
 
 
 class PacketCodec(Protocol):
-    """Reads packets and makes the few that the system may send itself."""
+    """Reads the platform's packets and creates resets."""
 
     def read_from_client(self, data: bytes) -> RelayedPacket:
         """Read a packet that a client sent.
 
-        :raises MalformedPacketError: the bytes are no packet.
+        :raises MalformedPacketError: the bytes can't be read as a packet.
         """
         ...
 
     def read_from_upstream(self, data: bytes) -> RelayedPacket:
         """Read a packet that an upstream sent or returned.
 
-        :raises MalformedPacketError: the bytes are no packet.
+        :raises MalformedPacketError: the bytes can't be read as a packet.
         """
         ...
 
     def restore(self, data: bytes) -> bytes:
-        """Return a returned packet as its sender wrote it."""
+        """Return the original bytes of a packet that the upstream returned."""
         ...
 
     def make_reset(self, flow: bytes, *, sequence: int = 0) -> bytes:
-        """Return a packet that ends a flow at its client.
+        """Create a packet that resets a flow at its client.
 
-        :param sequence: what the client acknowledged last, for a flow that was open.
+        :param sequence: the client's latest acknowledgement, for a flow that was open.
         """
         ...
 
     def find_request_id(self, data: bytes) -> str | None:
-        """Return the id of the request that begins in a packet, if one does."""
+        """Return the id of the request that begins in a packet, or None."""
         ...
 
 
 def acknowledges(packet: RelayedPacket, sequence: int) -> bool:
-    """Tell whether a client's packet chooses the upstream that began at a sequence."""
-    return (packet.acknowledged - sequence) % SEQUENCE_RANGE < FIRST_ACKNOWLEDGED
+    """Return True when a packet acknowledges an upstream's first sequence number.
+
+    :param sequence: the upstream's first sequence number.
+    """
+    return (packet.acknowledged - sequence) % SEQUENCE_RANGE < ACKNOWLEDGED_RANGE
 
 
 def client_host(flow: bytes) -> str:
@@ -92,16 +97,16 @@
 
 
 def service_host(flow: bytes) -> str:
-    """Return the IPv4 address of the service that a flow was opened to."""
-    return inet_ntoa(flow[END_BYTES : END_BYTES + ADDRESS_BYTES])
+    """Return the IPv4 address that a flow was opened to."""
+    return inet_ntoa(flow[ENDPOINT_BYTES : ENDPOINT_BYTES + ADDRESS_BYTES])
 
 
 def service_port(flow: bytes) -> int:
-    """Return the port of the service that a flow was opened to."""
-    return int.from_bytes(flow[END_BYTES + ADDRESS_BYTES :], "big")
+    """Return the port that a flow was opened to."""
+    return int.from_bytes(flow[ENDPOINT_BYTES + ADDRESS_BYTES :], "big")
 
 
-def flow_name(flow: bytes) -> str:
-    """Return a flow's two ends as text, for logs."""
-    port = int.from_bytes(flow[ADDRESS_BYTES:END_BYTES], "big")
+def format_flow(flow: bytes) -> str:
+    """Return a flow's two addresses and ports as text, for logs."""
+    port = int.from_bytes(flow[ADDRESS_BYTES:ENDPOINT_BYTES], "big")
     return f"{client_host(flow)}:{port}>{service_host(flow)}:{service_port(flow)}"
--- a/packages/daisygauge-relay/src/daisygauge_relay/_pages.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_pages.py
@@ -1,4 +1,4 @@
-"""The small HTTP server for readiness and metrics."""
+"""A small HTTP server for the readiness and metrics pages."""
 
 from __future__ import annotations
 
@@ -11,11 +11,12 @@
 from daisygauge_control import listen_tcp
 
 MAX_REQUEST_BYTES = 8_192
-"""Requests for a page have no body and few headers."""
+"""A longer request closes the connection: requests for a page have no body and few
+headers."""
 
 
 class Page(Struct, kw_only=True, frozen=True):
-    """What a path answers."""
+    """The response to a request for a path."""
 
     status: int
     body: bytes = b""
@@ -42,7 +43,7 @@
 class PageConnection(asyncio.Protocol):
     """Answers the requests of one connection.
 
-    :param pages: what each path answers.
+    :param pages: function that creates the page of each path.
     """
 
     def __init__(self, pages: dict[str, GetPage]) -> None:
@@ -53,11 +54,11 @@
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
+        """Store the transport."""
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
-        """Read a part of a request."""
+        """Parse a part of a request."""
         self.received += len(data)
         try:
             self.parser.feed_data(data)
@@ -68,7 +69,7 @@
             self.transport.close()
 
     def on_url(self, url: bytes) -> None:
-        """Take a part of the request's target."""
+        """Append a part of the request's target."""
         self.url += url
 
     def on_message_complete(self) -> None:
@@ -88,6 +89,8 @@
 ) -> asyncio.Server:
     """Serve pages at an address.
 
+    :param pages: function that creates the page of each path.
+    :return: the running server.
     :raises OSError: the address can't be bound.
     """
     loop = asyncio.get_running_loop()
--- a/packages/daisygauge-relay/src/daisygauge_relay/_placement.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_placement.py
@@ -1,4 +1,4 @@
-"""Opening packets at a balancer: sent to an agent, or refused."""
+"""Opening packets at a balancer: sent to an agent or refused."""
 
 from __future__ import annotations
 
@@ -12,15 +12,15 @@
 from . import _events as events
 from ._candidates import CandidateLists, choose_service, find_route, service_tag
 from ._flows import BalancerFlow, FlowTable
-from ._packet import RelayedPacket, flow_name
+from ._packet import RelayedPacket, format_flow
 from ._runtime import RelayRuntime
 
-SILENCE_SECONDS = 0.15
-"""An agent that has not offered by then counts as silent; clients repeat an opening
-packet after 200 ms."""
+OFFER_TIMEOUT_SECONDS = 0.15
+"""Timeout for an agent's offer; an agent that exceeds it counts as silent. It is below
+the 200 ms after which clients repeat an opening packet."""
 EARLY_COPY_SECONDS = 0.1
-"""Copies are sent 0.2 s apart; one that comes sooner waited together with the one
-before, which an agent has just been sent."""
+"""Clients send copies 0.2 s apart. One that arrives sooner was queued together with the
+previous one, which has just been sent to an agent."""
 
 
 class BalancerRefusal(enum.Enum):
@@ -34,13 +34,13 @@
     """Why a repeated opening packet isn't sent to an agent."""
 
     LATE = "late-opening"
-    """The client has gone on since it sent the copy."""
+    """The flow has opened since the client sent the copy."""
     EARLY = "early-opening"
-    """An agent may still answer the copy before."""
+    """An agent may still answer the previous copy."""
 
 
 class Placement:
-    """Chooses the agent of each new flow, and knows which agents don't answer.
+    """Chooses the agent of each new flow and tracks the agents that don't answer.
 
     :param send: sends a frame to an agent.
     :param reset: sends a client the reset of a flow that isn't open.
@@ -58,58 +58,60 @@
         self.flows = flows
         self.send = send
         self.reset = reset
-        self.own = inet_aton(runtime.settings.host)
+        self.own_address = inet_aton(runtime.settings.host)
         self.candidates = CandidateLists()
         self.suspects = SuspectList()
-        # Monotonic time of each agent's last frame.
-        self.heard: dict[bytes, float] = {}
+        # Monotonic time of the last frame from each agent.
+        self.last_received: dict[bytes, float] = {}
 
     def refresh(self) -> None:
-        """Take the directory's present view into use."""
+        """Apply the directory's current view and discard removed agents' state."""
         view = self.runtime.directory.view
         if view is self.candidates.view:
             return
         self.candidates.update(view)
         self.suspects.retain(view.residents)
         agents = frozenset(map(inet_aton, view.residents))
-        self.heard = {agent: at for agent, at in self.heard.items() if agent in agents}
+        self.last_received = {
+            agent: at for agent, at in self.last_received.items() if agent in agents
+        }
 
-    def note_answer(self, agent: bytes, *, now: float) -> None:
-        """Clear an agent of suspicion."""
+    def record_answer(self, agent: bytes, *, now: float) -> None:
+        """Clear the suspicion of an agent that has answered."""
         name = inet_ntoa(agent)
         if name in self.suspects.suspicions:
             self.suspects.report_answer(name)
             self.update_ejected(now=now)
 
     def place(self, packet: RelayedPacket, data: bytes, *, now: float) -> None:
-        """Offer a new flow to an agent, or refuse it."""
+        """Send a new flow's opening packet to an agent, or refuse the flow."""
         route = find_route(self.runtime.directory.view, packet.flow)
         if route is None:
             self.refuse(packet, BalancerRefusal.NO_ROUTE)
             return
         flow = self.flows.get(packet.flow)
         if flow is not None and packet.copy:
-            needless = find_needless(flow, now=now)
+            needless = find_needless_copy(flow, now=now)
             if needless is not None:
-                self.runtime.counters.drop(needless.value)
+                self.runtime.counters.count_dropped(needless.value)
                 return
         if flow is None or flow.owner is not None:
             service = choose_service(route, packet.flow)
-            flow = BalancerFlow(service=service, seen=now)
+            flow = BalancerFlow(service=service, last_packet_at=now)
             self.flows.add(packet.flow, flow, now=now)
-        self.note_silence(flow, packet, now=now)
+        self.record_silence(flow, packet, now=now)
         if self.candidates.ejected:
             self.update_ejected(now=now)
-        flow.seen = now
-        self.ask_agent(flow, packet, data, now=now)
+        flow.last_packet_at = now
+        self.send_opening(flow, packet, data, now=now)
 
-    def ask_agent(
+    def send_opening(
         self, flow: BalancerFlow, packet: RelayedPacket, data: bytes, *, now: float
     ) -> None:
-        """Send an opening packet to the agent that is to be asked first."""
+        """Choose an agent for an opening packet and send it there."""
         tag = service_tag(flow.service)
         candidates = self.candidates.order(tag, packet.flow)
-        silent = self.list_silent(candidates)
+        silent = self.list_suspects(candidates)
         agent = choose_candidate(
             candidates,
             copy=packet.copy,
@@ -127,21 +129,23 @@
         self.runtime.counters.placed += 1
         self.runtime.log.write(
             events.OPENING_PLACED,
-            flow=flow_name(packet.flow),
+            flow=format_flow(packet.flow),
             service=flow.service,
             agent=inet_ntoa(agent),
             copy=packet.copy,
             candidates=len(candidates),
             suspects=len(self.candidates.ejected),
-            **self.runtime.belief(),
+            **self.runtime.known_state(),
         )
-        # Nobody needs to pass the packet to an agent that doesn't answer.
+        # Other agents needn't pass the packet to one that doesn't answer.
         tried = tuple(other for other in silent if other != agent)
-        frame = OpenFrame(balancer=self.own, service=tag, packet=data, tried=tried)
+        frame = OpenFrame(
+            balancer=self.own_address, service=tag, packet=data, tried=tried
+        )
         self.send(agent, frame)
 
-    def list_silent(self, candidates: tuple[bytes, ...]) -> tuple[bytes, ...]:
-        """Return the agents of a service that don't answer."""
+    def list_suspects(self, candidates: tuple[bytes, ...]) -> tuple[bytes, ...]:
+        """Return the candidates that are under suspicion, at most ``MAX_TRIED``."""
         if not self.suspects.suspicions:
             return ()
         unproven = self.suspects.unproven(map(inet_ntoa, candidates))
@@ -150,44 +154,45 @@
     def refuse_without_host(self, packet: RelayedPacket) -> None:
         """Refuse a new flow of a service without hosts.
 
-        An upstream that left since may have been given an earlier copy; a reset would
-        then cut an open flow.
+        A copy of an opening packet is dropped without a reset: an upstream that has
+        left since may have received an earlier copy, and a reset would then cut an open
+        flow.
         """
         if packet.copy:
-            self.runtime.counters.drop("opening-uncertain")
+            self.runtime.counters.count_dropped("opening-uncertain")
             return
         self.refuse(packet, BalancerRefusal.NO_HOST)
 
     def refuse(self, packet: RelayedPacket, reason: BalancerRefusal) -> None:
-        """Reset a flow that isn't open, unless nothing is known yet."""
+        """Reset a flow that isn't open, once there is a configuration."""
         if not self.runtime.directory.view.is_complete:
-            self.runtime.counters.drop("no-configuration")
+            self.runtime.counters.count_dropped("no-configuration")
             return
-        self.runtime.counters.refuse(reason.value)
+        self.runtime.counters.count_refused(reason.value)
         self.runtime.log.write(
             events.OPENING_REFUSED,
-            flow=flow_name(packet.flow),
+            flow=format_flow(packet.flow),
             reason=reason.value,
-            **self.runtime.belief(),
+            **self.runtime.known_state(),
         )
         self.reset(packet.flow)
 
-    def note_silence(
+    def record_silence(
         self, flow: BalancerFlow, packet: RelayedPacket, *, now: float
     ) -> None:
-        """Hold it against the agent asked last when no offer has come."""
+        """Suspect the agent asked last when it has not offered in time."""
         if packet.copy == 0 or flow.offers or not flow.asked:
             return
-        if now - flow.seen < SILENCE_SECONDS:
+        if now - flow.last_packet_at < OFFER_TIMEOUT_SECONDS:
             return
-        if self.heard.get(flow.asked[-1], float("-inf")) >= flow.seen:
-            # It lives, and has passed the packet to one that may not.
+        if self.last_received.get(flow.asked[-1], float("-inf")) >= flow.last_packet_at:
+            # The agent is alive; it has passed the packet on to one that may not be.
             return
         self.suspects.report_silence(inet_ntoa(flow.asked[-1]), now=now)
         self.update_ejected(now=now)
 
     def update_ejected(self, *, now: float) -> None:
-        """Work out which agents are tried last; back-offs end with time."""
+        """Recompute which agents are tried last, since back-offs expire."""
         ejected: set[bytes] = set()
         for agents in self.candidates.agents.values():
             names = [inet_ntoa(agent) for agent in agents]
@@ -196,16 +201,16 @@
             self.runtime.log.write(
                 events.SUSPECTS_CHANGED,
                 suspects=sorted(map(inet_ntoa, ejected)),
-                **self.runtime.belief(),
+                **self.runtime.known_state(),
             )
         self.candidates.eject(ejected)
 
 
-def find_needless(flow: BalancerFlow, *, now: float) -> NeedlessCopy | None:
-    """Return why a copy of a flow's opening packet goes nowhere, if it is so."""
+def find_needless_copy(flow: BalancerFlow, *, now: float) -> NeedlessCopy | None:
+    """Return why a copy of a flow's opening packet needn't be sent, or None."""
     if flow.owner is not None:
         return NeedlessCopy.LATE
     is_asked = bool(flow.asked) and not flow.offers
-    if is_asked and now - flow.seen < EARLY_COPY_SECONDS:
+    if is_asked and now - flow.last_packet_at < EARLY_COPY_SECONDS:
         return NeedlessCopy.EARLY
     return None
--- a/packages/daisygauge-relay/src/daisygauge_relay/_platform.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_platform.py
@@ -1,4 +1,4 @@
-"""What an adapter brings for one platform."""
+"""Interface of a platform adapter."""
 
 from __future__ import annotations
 
@@ -13,11 +13,11 @@
 
 
 class Platform(Struct, kw_only=True, frozen=True):
-    """What an adapter brings for one platform.
+    """What an adapter provides for one platform.
 
-    :param codec: its packets.
-    :param create_reader: makes the reader of its store from the settings.
-    :param readiness_path: where it asks whether a process wants traffic.
+    :param codec: reads and creates the platform's packets.
+    :param create_reader: creates the reader of the platform's store from the settings.
+    :param readiness_path: HTTP path that the platform requests to check readiness.
     """
 
     codec: PacketCodec
--- a/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
@@ -1,4 +1,4 @@
-"""Requests inside the flows of one upstream: seen, held and let go."""
+"""Requests inside the flows of one upstream: tracked, held and released."""
 
 from __future__ import annotations
 
@@ -15,22 +15,24 @@
     SEQUENCE_RANGE,
     PacketCodec,
     RelayedPacket,
-    flow_name,
+    format_flow,
 )
 from ._runtime import RelayRuntime
 
-TICK_SECONDS = 0.05
-"""How often the gate is looked at without an answer; a tenth of the shortest time in
-which a held request can become too late."""
-LONGEST_OPENING_SECONDS = 2.0
-"""Clients give an opening up after 1.4 s; the rest is for a repeated first packet."""
+GATE_POLL_SECONDS = 0.05
+"""Interval at which the gate is polled between answers: a tenth of the shortest time in
+which a held request can expire."""
+MAX_OPENING_SECONDS = 2.0
+"""Clients give up on an opening after 1.4 s; the rest allows for a retransmitted first
+packet."""
 MAX_HELD_PACKETS = 16
-"""A client has no more packets in flight."""
+"""Limit on the held packets of one request; a client has no more in flight."""
 
 
 class HeldRequest(Struct, kw_only=True):
-    """Packets of a request that waits for the upstream.
+    """Packets of a request that waits at the gate.
 
+    :param packets: the packets in order of arrival.
     :param sequences: sequence numbers of the packets, so that none is held twice.
     """
 
@@ -39,9 +41,10 @@
 
 
 class Requests:
-    """Follows the requests of all flows of one upstream.
+    """Tracks the requests in all flows of one upstream.
 
-    :param deliver: gives a packet to the upstream.
+    :param gate: decides when each request is delivered.
+    :param deliver: sends a packet to the upstream.
     """
 
     def __init__(
@@ -59,23 +62,23 @@
         self.held: dict[bytes, HeldRequest] = {}
 
     async def run(self) -> None:
-        """Look at the gate now and then."""
+        """Poll the gate while requests wait; runs until cancelled."""
         while True:
-            await self.runtime.sleep(TICK_SECONDS)
+            await self.runtime.sleep(GATE_POLL_SECONDS)
             if self.gate.waiting:
                 self.apply(self.gate.release(now=self.runtime.now()))
 
     def receive(
         self, flow: AgentFlow, packet: RelayedPacket, data: bytes, *, now: float
     ) -> None:
-        """Handle a client's packet: it goes on, or waits with its request."""
+        """Deliver a client's packet, or hold it with its request."""
         if not packet.length:
             self.deliver(data)
             return
         held = self.held.get(packet.flow)
         if held is not None:
             hold_packet(held, packet, data)
-        elif note_progress(flow, packet) and flow.asked_at is None:
+        elif record_progress(flow, packet) and flow.request_started_at is None:
             self.begin(flow, packet, data, now=now)
         else:
             self.deliver(data)
@@ -83,28 +86,30 @@
     def begin(
         self, flow: AgentFlow, packet: RelayedPacket, data: bytes, *, now: float
     ) -> None:
-        """Take a new request to the gate."""
-        flow.asked_at = now
-        flow.request = self.codec.find_request_id(data)
+        """Hold the first packet of a new request and add the request to the gate."""
+        flow.request_started_at = now
+        flow.request_id = self.codec.find_request_id(data)
         self.runtime.counters.requests += 1
         held = self.held[packet.flow] = HeldRequest()
         hold_packet(held, packet, data)
-        change = self.gate.arrive(self.describe(flow, packet, now=now), now=now)
+        change = self.gate.arrive(
+            self.make_gated_request(flow, packet, now=now), now=now
+        )
         self.runtime.log.write(
             events.REQUEST_BEGUN,
-            flow=flow_name(packet.flow),
-            request=flow.request,
+            flow=format_flow(packet.flow),
+            request=flow.request_id,
             running=len(self.gate.running),
             waiting=len(self.gate.waiting),
         )
         self.apply(change)
 
-    def describe(
+    def make_gated_request(
         self, flow: AgentFlow, packet: RelayedPacket, *, now: float
     ) -> GatedRequest:
-        """Return what the gate orders a request by."""
+        """Return the request with the priority and times that the gate orders by."""
         route = find_route(self.runtime.directory.view, packet.flow)
-        began = find_start(flow, now=now)
+        began = find_request_start(flow, now=now)
         request = GatedRequest(flow=packet.flow, priority=0)
         if route is None:
             return request
@@ -116,17 +121,17 @@
         return request
 
     def apply(self, change: GateChange) -> None:
-        """Send on and drop what the gate says."""
+        """Deliver the requests that the gate released and drop the expired ones."""
         for flow in change.sent:
             held = self.held.pop(flow, None)
             for data in held.packets if held is not None else ():
                 self.deliver(data)
         for flow in change.expired:
             self.held.pop(flow, None)
-            self.runtime.counters.drop("request-expired")
+            self.runtime.counters.count_dropped("request-expired")
             self.runtime.log.write(
                 events.REQUEST_EXPIRED,
-                flow=flow_name(flow),
+                flow=format_flow(flow),
                 service_seconds=round(self.gate.service_seconds, 4),
                 running=len(self.gate.running),
                 waiting=len(self.gate.waiting),
@@ -137,68 +142,68 @@
     ) -> None:
         """Handle an upstream's packet with data.
 
-        A repeated one belongs to an answer that was noted before, and says nothing of
-        the request that runs now.
+        A retransmitted packet belongs to an earlier answer and is ignored: it doesn't
+        answer the current request.
         """
         end = find_progress(flow.upstream_next, packet)
         if end is None:
             return
         flow.upstream_next = end
-        if flow.asked_at is not None:
+        if flow.request_started_at is not None:
             self.answer(packet.flow, flow, now=now)
 
     def answer(self, key: bytes, flow: AgentFlow, *, now: float) -> None:
-        """Note that the upstream answers a flow's request."""
-        seconds = now - flow.asked_at
+        """Record that the upstream has begun to answer a flow's request."""
+        seconds = now - flow.request_started_at
         began = self.gate.running.get(key)
         if began is not None:
             self.gate.note_service(now - began)
-        self.runtime.counters.answer(seconds)
+        self.runtime.counters.count_answered(seconds)
         self.runtime.log.write(
             events.REQUEST_ANSWERED,
-            flow=flow_name(key),
-            request=flow.request,
+            flow=format_flow(key),
+            request=flow.request_id,
             seconds=round(seconds, 4),
             running=len(self.gate.running),
             waiting=len(self.gate.waiting),
         )
-        flow.asked_at = None
-        flow.served += 1
+        flow.request_started_at = None
+        flow.answered += 1
         self.apply(self.gate.end(key, now=now))
 
     def forget(self, flow: bytes) -> None:
-        """Drop a flow that is over."""
+        """Remove the requests of a flow that was removed."""
         self.held.pop(flow, None)
         self.apply(self.gate.end(flow, now=self.runtime.now()))
 
-    def let_go(self) -> None:
-        """Send on whatever waits: nobody will be here to do it later."""
+    def release_all(self) -> None:
+        """Deliver every held packet; a stopping process can't do it later."""
         for held in self.held.values():
             for data in held.packets:
                 self.deliver(data)
         self.held.clear()
 
 
-def find_start(flow: AgentFlow, *, now: float) -> float:
-    """Return when a request that arrives now began at its client.
+def find_request_start(flow: AgentFlow, *, now: float) -> float:
+    """Return the monotonic time at which the client began a request that arrives now.
 
-    The first request of a flow mostly began with the opening. One that comes much
-    later was sent over a flow that stood ready.
+    The first request of a flow usually began with the opening. One that arrives much
+    later was sent on a flow that had been opened in advance.
     """
-    is_first = not flow.served and now - flow.began <= LONGEST_OPENING_SECONDS
-    return flow.began if is_first else now
+    is_first = not flow.answered and now - flow.opening_at <= MAX_OPENING_SECONDS
+    return flow.opening_at if is_first else now
 
 
 def hold_packet(held: HeldRequest, packet: RelayedPacket, data: bytes) -> None:
-    """Keep a packet of a waiting request once."""
+    """Add a packet to a held request, unless it is there already."""
     if packet.sequence in held.sequences or len(held.packets) >= MAX_HELD_PACKETS:
         return
     held.sequences.add(packet.sequence)
     held.packets.append(data)
 
 
-def note_progress(flow: AgentFlow, packet: RelayedPacket) -> bool:
-    """Note a client's bytes; returns whether they were not sent before."""
+def record_progress(flow: AgentFlow, packet: RelayedPacket) -> bool:
+    """Record a client's packet; return True when it holds bytes not seen before."""
     end = find_progress(flow.client_next, packet)
     if end is not None:
         flow.client_next = end
@@ -206,9 +211,9 @@
 
 
 def find_progress(known: int | None, packet: RelayedPacket) -> int | None:
-    """Return the sequence number after a packet's bytes, or None for repeated ones.
+    """Return the sequence number after a packet's bytes, or None for a retransmission.
 
-    :param known: the number after the newest byte of the same sender before.
+    :param known: sequence number after the newest byte from the same sender, or None.
     """
     end = (packet.sequence + packet.length) % SEQUENCE_RANGE
     if known is None:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
@@ -1,4 +1,4 @@
-"""What the tasks of one process share, and the order of its start and end."""
+"""Services that the tasks of a process share, and its start and shutdown."""
 
 from __future__ import annotations
 
@@ -40,33 +40,34 @@
 
 METRICS_PATH = "/metrics"
 DRAIN_POLL_SECONDS = 0.1
-"""How often a stopping process looks whether it may end."""
-SETTINGS_SECONDS = 1.0
-"""How often the settings file is looked at; it may change without a signal."""
+"""Interval at which a draining process checks whether it may end."""
+SETTINGS_POLL_SECONDS = 1.0
+"""Interval at which the settings file is checked; it may change without a signal."""
 
 
 class RelayRole(Protocol):
     """A balancer or an agent."""
 
     async def start(self, sockets: RoleSockets) -> None:
-        """Begin to read the sockets."""
+        """Start reading the sockets."""
 
     async def drain(self) -> None:
-        """Finish what was begun; returns when the process may end."""
+        """Finish the work in progress; return when the process may end."""
 
     def stop(self) -> None:
         """Close every socket."""
 
     def gauges(self) -> tuple[Gauge, ...]:
-        """Return what the metrics page shows of this role."""
+        """Return the role's gauges for the metrics page."""
 
 
 class RelayRuntime:
-    """One process's surroundings.
+    """Clock, log, directory, settings and tasks of one process.
 
     :param name: role, for logs.
     :param settings_path: file that the settings were read from.
-    :param reader: reader of the platform.
+    :param reader: reads the directory from the platform.
+    :param incarnation: number that grows with each start of the process.
     """
 
     def __init__(
@@ -110,11 +111,11 @@
         )
         self.stopping = asyncio.Event()
         self.is_leaving = False
-        # A stopping balancer that the fabric can't do without yet reports ready.
+        # A draining balancer that the fabric still needs reports ready.
         self.is_needed = False
         self.exit_code = EXIT_STOPPED
         self.tasks = Tasks(
-            log=log, failures=self.counters.failures, failed=self.stop_failed
+            log=log, failures=self.counters.failures, on_failure=self.stop_after_failure
         )
 
     def load_settings(self) -> RelaySettings:
@@ -125,34 +126,34 @@
         return load_relay_settings(self.settings_path, type(self.settings))
 
     def now(self) -> float:
-        """Monotonic time in seconds."""
+        """Return the monotonic time in seconds."""
         return self.loop.time()
 
     def call_later(self, seconds: float, call: Callable[[], None]) -> None:
-        """Call a function after a time."""
+        """Call a function after a delay in seconds."""
         self.loop.call_later(seconds, call)
 
     async def sleep(self, seconds: float) -> None:
-        """Pause a task."""
+        """Pause the current task."""
         await asyncio.sleep(seconds)
 
     @property
     def is_ready(self) -> bool:
-        """True while this process wants traffic."""
+        """True while this process accepts traffic."""
         wants_traffic = self.is_needed or not self.is_leaving
         return self.directory.view.is_complete and wants_traffic
 
     def report_error(self, error: Exception) -> None:
-        """Log a defect that one datagram has shown; the process goes on."""
-        self.counters.drop("defect")
+        """Log an unexpected error of one datagram; the process continues."""
+        self.counters.count_dropped("defect")
         self.log.write(
             events.DATAGRAM_FAILED,
             error=repr(error),
             traceback="".join(traceback.format_exception(error)),
         )
 
-    def belief(self) -> dict[str, Any]:
-        """Return what decisions rest on, for the log."""
+    def known_state(self) -> dict[str, Any]:
+        """Return the state that decisions are based on, for the log."""
         age = self.now() - self.directory.confirmed
         return {
             "version": self.directory.view.version,
@@ -161,16 +162,19 @@
         }
 
     def readiness_page(self) -> Page:
-        """Answer whether this process wants traffic."""
+        """Return status 200 while this process accepts traffic, else 503."""
         return Page(status=200 if self.is_ready else 503)
 
-    def stop_failed(self) -> None:
-        """Stop, and tell the platform by the exit code that something failed."""
+    def stop_after_failure(self) -> None:
+        """Stop with an exit code that reports a failure to the platform."""
         self.exit_code = EXIT_FAILED
         self.stopping.set()
 
-    async def wait_complete(self, *, seconds: float) -> None:
-        """Wait until there is a configuration to route by, for a bounded time."""
+    async def wait_for_configuration(self, *, seconds: float) -> None:
+        """Wait until there is a configuration to route by, or the process stops.
+
+        :param seconds: longest wait.
+        """
         until = self.now() + seconds
         while not self.directory.view.is_complete and not self.stopping.is_set():
             left = until - self.now()
@@ -185,31 +189,32 @@
         sockets: RoleSockets,
         pages: dict[str, GetPage],
         metrics: GetPage,
-        must_reload: Callable[[], bool],
+        reload_requested: Callable[[], bool],
     ) -> int:
-        """Run a role until it is told to stop, then drain it.
+        """Run a role until SIGTERM or SIGINT, then drain it.
 
         :param sockets: the role's sockets, bound already.
-        :param pages: pages at the address of the readiness page.
+        :param pages: pages at the readiness address.
         :param metrics: the page at the metrics address.
-        :param must_reload: tells whether SIGHUP came before this one could take it.
+        :param reload_requested: returns True when a SIGHUP arrived before this method
+            installed its handler.
         :return: the exit code.
         """
-        self.tasks.keep(self.follower.run, name="directory")
-        self.tasks.keep(self.follower.expire, name="directory-expiry")
+        self.tasks.supervise(self.follower.run, name="directory")
+        self.tasks.supervise(self.follower.expire, name="directory-expiry")
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         self.loop.add_signal_handler(signal.SIGINT, self.stopping.set)
-        if must_reload():
+        if reload_requested():
             self.reload()
         ready = parse_address(self.settings.ready)
         server = await serve_pages(host=ready.host, port=ready.port, pages=pages)
         self.tasks.spawn(self.serve_peers(metrics), name="peers")
         await role.start(sockets)
         self.log_start()
-        self.tasks.keep(self.log.run, name="log")
-        self.tasks.keep(self.log_readiness, name="readiness")
-        self.tasks.keep(self.watch_settings, name="settings")
+        self.tasks.supervise(self.log.run, name="log")
+        self.tasks.supervise(self.log_readiness, name="readiness")
+        self.tasks.supervise(self.watch_settings, name="settings")
         await self.stopping.wait()
         self.is_leaving = True
         self.log.write(DRAINING, role=self.name, id=self.settings.id)
@@ -225,7 +230,7 @@
         return self.exit_code
 
     def reload(self) -> None:
-        """Read the settings file again; the last good settings stay if it is bad."""
+        """Read the settings file again; an invalid file changes nothing."""
         try:
             fresh = self.load_settings()
         except RelaySettingsError as error:
@@ -241,23 +246,23 @@
 
     async def watch_settings(self) -> None:
         """Reload settings whose file changed without a signal."""
-        modified = self.settings_time()
+        modified = self.settings_modified_ns()
         while True:
-            await self.sleep(SETTINGS_SECONDS)
-            latest = self.settings_time()
+            await self.sleep(SETTINGS_POLL_SECONDS)
+            latest = self.settings_modified_ns()
             if latest != modified:
                 modified = latest
                 self.reload()
 
-    def settings_time(self) -> int:
-        """Return when the settings file was changed, or 0 when it is away."""
+    def settings_modified_ns(self) -> int:
+        """Return the file's modification time in ns, or 0 when it doesn't exist."""
         try:
             return os.stat(self.settings_path).st_mtime_ns
         except OSError:
             return 0
 
     async def serve_peers(self, metrics: GetPage) -> None:
-        """Answer other processes and those who read the metrics."""
+        """Serve the directory to peers, and the metrics page."""
         host = self.settings.host
         await self.server.start(host=host, port=self.settings.peer_port)
         await serve_pages(
@@ -265,7 +270,7 @@
         )
 
     async def log_readiness(self) -> None:
-        """Log the first configuration in force."""
+        """Log the first complete configuration."""
         while not self.directory.view.is_complete:
             await self.changed.wait(seconds=1.0)
         self.log.write(
@@ -275,7 +280,7 @@
         )
 
     def log_start(self) -> None:
-        """Log that this process serves."""
+        """Log that this process has started."""
         self.log.write(
             STARTED,
             role=self.name,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
@@ -1,10 +1,10 @@
 """Searches that an agent carries out for balancers.
 
-Agents are many, with wide links; a balancer may be small. So a balancer hands the
-packet of a flow that it doesn't know to one agent, and that one asks the others: first
-those of the services that the flow's route names, then, when none of them holds the
-flow, all others. A route may have named another service when the flow was opened, in
-a version that no process remembers.
+There are many agents, with wide links, while a balancer may be small. So a balancer
+sends the packet of a flow whose agent it doesn't know to one agent, and that agent
+queries the others: first those of the services that the flow's route names, then, when
+none of them holds the flow, all others. An older version of the route, which no process
+keeps, may have named another service when the flow was opened.
 """
 
 from __future__ import annotations
@@ -21,11 +21,11 @@
 
 
 class Searches:
-    """Asks other agents who holds a flow, and gathers the answers.
+    """Queries agents for the holder of a flow and collects the answers.
 
     :param candidates: agents by service.
     :param send: sends a frame to another instance.
-    :param ask_own: asks this agent itself, at a monotonic time.
+    :param query_self: handles a query to this agent itself, at a monotonic time.
     """
 
     def __init__(
@@ -34,17 +34,17 @@
         runtime: RelayRuntime,
         candidates: CandidateLists,
         send: Callable[[bytes, Frame], None],
-        ask_own: Callable[[QueryFrame, float], None],
+        query_self: Callable[[QueryFrame, float], None],
     ) -> None:
         self.runtime = runtime
         self.candidates = candidates
         self.send = send
-        self.ask_own = ask_own
-        self.own = inet_aton(runtime.settings.host)
+        self.query_self = query_self
+        self.own_address = inet_aton(runtime.settings.host)
         self.pending = PendingSearches()
 
     def begin(self, frame: SearchFrame, packet: RelayedPacket, *, now: float) -> None:
-        """Ask who holds a flow; the agent that does tells the balancer."""
+        """Query for a flow's holder, which reports to the balancer itself."""
         flow = packet.flow
         search = self.pending.begin(
             flow,
@@ -53,64 +53,72 @@
             packet=frame.packet,
             now=now,
         )
-        asked = self.candidates.tags if search.is_wide else self.near(search, flow)
-        self.ask(flow, search, asked, now=now)
+        asked = (
+            self.candidates.service_tags
+            if search.is_wide
+            else self.list_route_agents(search, flow)
+        )
+        self.query(flow, search, asked, now=now)
         self.advance(flow, search, now=now)
 
-    def near(self, search: PendingSearch, flow: bytes) -> frozenset[bytes]:
-        """Return the agents of the services that a flow's route names."""
+    def list_route_agents(self, search: PendingSearch, flow: bytes) -> frozenset[bytes]:
+        """Return the agents of the flow's service and of those that its route names."""
         route = find_route(self.runtime.directory.view, flow)
         shares = () if route is None else route.shares
         tags = {search.service, *(service_tag(share.service) for share in shares)}
-        return frozenset(a for tag in tags for a in self.candidates.all_agents(tag))
+        return frozenset(a for tag in tags for a in self.candidates.list_agents(tag))
 
-    def ask(
+    def query(
         self, flow: bytes, search: PendingSearch, agents: Iterable[bytes], *, now: float
     ) -> None:
-        """Ask agents that have not answered yet; this one itself comes last."""
+        """Query the agents that have not answered yet, this one last."""
         asked = search.list_missing(agents)
         for agent in asked:
-            if agent != self.own:
+            if agent != self.own_address:
                 self.runtime.counters.queried += 1
                 self.send(agent, self.make_query(search, agent))
-        if self.own in asked:
-            self.ask_own(self.make_query(search, self.own), now)
+        if self.own_address in asked:
+            self.query_self(self.make_query(search, self.own_address), now)
 
     def make_query(self, search: PendingSearch, agent: bytes) -> QueryFrame:
-        """Return the question to one agent, which checks that the service is its."""
+        """Return the query to one agent, which checks that the service is its own."""
         return QueryFrame(
             balancer=search.balancer,
-            service=self.candidates.tags.get(agent, search.service),
+            service=self.candidates.service_tags.get(agent, search.service),
             packet=search.packet,
         )
 
-    def note_absent(self, flow: bytes, agent: bytes, *, now: float) -> None:
-        """Note the answer of an agent that doesn't hold a flow."""
+    def record_absent(self, flow: bytes, agent: bytes, *, now: float) -> None:
+        """Record that an agent doesn't hold a flow."""
         search = self.pending.note_absent(flow, agent)
         if search is not None:
             self.advance(flow, search, now=now)
 
     def advance(self, flow: bytes, search: PendingSearch, *, now: float) -> None:
-        """Do what follows from the answers so far."""
+        """Widen or end the search, as the answers so far require."""
         if self.pending.searches.get(flow) is not search:
             return
         step = search.next_step(
-            near=self.near(search, flow), everyone=self.candidates.tags, own=self.own
+            near=self.list_route_agents(search, flow),
+            everyone=self.candidates.service_tags,
+            own=self.own_address,
         )
         if step is SearchStep.WIDEN:
             search.is_wide = True
-            self.ask(flow, search, self.candidates.tags, now=now)
+            self.query(flow, search, self.candidates.service_tags, now=now)
         elif step is SearchStep.GIVE_UP:
-            self.give_up(flow, search, now=now)
+            self.report_not_found(flow, search, now=now)
 
-    def give_up(self, flow: bytes, search: PendingSearch, *, now: float) -> None:
-        """Tell the balancer that nobody holds a flow.
+    def report_not_found(
+        self, flow: bytes, search: PendingSearch, *, now: float
+    ) -> None:
+        """Report to the balancer that no agent holds a flow.
 
-        The list of agents must name every live upstream, or the flow may be at one
-        that was not asked.
+        Nothing is reported unless the directory lists every host: the flow may be at an
+        upstream that was not queried.
         """
         if not self.runtime.directory.lists_every_host(now=now):
             return
         self.pending.end(flow)
-        agents = len(self.candidates.tags)
+        agents = len(self.candidates.service_tags)
         self.send(search.balancer, NotFoundFrame(flow=flow, agents=agents))
--- a/packages/daisygauge-relay/src/daisygauge_relay/_serve.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_serve.py
@@ -1,4 +1,4 @@
-"""The part of a relayed process that needs the event loop; loading it takes long."""
+"""The part of a process that needs the event loop; importing it is slow."""
 
 from __future__ import annotations
 
@@ -18,8 +18,8 @@
 from ._settings import RelaySettings
 from ._sockets import RoleSockets
 
-# Names in the package, whose modules are loaded when they are asked for: a process
-# needs one of the two.
+# Names in the package. Their modules are loaded on first access, since a process needs
+# only one of the two.
 _ROLES = {"balancer": "RelayBalancer", "agent": "RelayAgent"}
 
 
@@ -30,12 +30,14 @@
     settings_path: str,
     sockets: RoleSockets,
     platform: Platform,
-    must_reload: Callable[[], bool],
+    reload_requested: Callable[[], bool],
 ) -> int:
-    """Run a role until SIGTERM; returns the exit code.
+    """Run a role until SIGTERM.
 
-    :param must_reload: tells whether the settings may have changed since they were
-        read.
+    :param role: ``balancer`` or ``agent``.
+    :param reload_requested: returns True when the settings may have changed since they
+        were read.
+    :return: the exit code.
     :raises OSError: an address can't be bound.
     """
 
@@ -60,7 +62,7 @@
             sockets=sockets,
             pages=pages,
             metrics=metrics.answer,
-            must_reload=must_reload,
+            reload_requested=reload_requested,
         )
 
     return uvloop.run(serve())
--- a/packages/daisygauge-relay/src/daisygauge_relay/_settings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_settings.py
@@ -1,4 +1,4 @@
-"""Settings of a process that carries relayed flows: JSON with comments."""
+"""Settings of balancers and agents of relayed flows: JSON with comments."""
 
 from __future__ import annotations
 
@@ -9,10 +9,11 @@
 from msgspec import Struct
 
 MAX_PORT = 65_535
-GRACE_SHARE = 0.87
-"""Part of the grace period that draining may use; closing needs the rest."""
-NARROW_MEGABITS = 50.0
-"""A configuration of 2,000 routes is 0.5 MB at the platform: 0.08 s on such a link."""
+DRAIN_SHARE = 0.87
+"""Share of the grace period that draining may use; closing needs the rest."""
+NARROW_LINK_MEGABITS = 50.0
+"""Links below this are narrow. A configuration of 2,000 routes is 0.5 MB at the
+platform and takes 0.08 s on a link of this rate."""
 
 
 class RelaySettingsError(ValueError):
@@ -27,45 +28,47 @@
 
 
 def parse_address(text: str) -> Address:
-    """Read an address such as ``10.1.0.10:7720``.
+    """Parse an address such as ``10.1.0.10:7720``.
 
-    :raises ValueError: the text is no such address.
+    :raises ValueError: the text isn't an IPv4 address with a port.
     """
     host, _, port = text.rpartition(":")
     check_host(host)
     if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"{text!r}: no port from 1 to {MAX_PORT}")
+        raise ValueError(f"{text!r}: port must be from 1 to {MAX_PORT}")
     return Address(host=host, port=int(port))
 
 
 def check_host(text: str) -> None:
     """Check a dotted IPv4 address.
 
-    :raises ValueError: the text is none.
+    :raises ValueError: the text isn't a dotted IPv4 address.
     """
     try:
         socket.inet_pton(socket.AF_INET, text)
     except OSError as error:
-        raise ValueError(f"{text!r}: no dotted IPv4 address") from error
+        raise ValueError(f"{text!r}: not a dotted IPv4 address") from error
 
 
 class RelaySettings(Struct, kw_only=True, frozen=True):
-    """What both roles share; addresses are written ``10.1.0.10:7720``.
+    """Settings that both roles share; addresses are written ``10.1.0.10:7720``.
 
     :param id: name of this instance.
     :param host: IPv4 address of this instance.
-    :param client_address: an address whose UDP port is that at which every client
-        takes packets.
-    :param ready: where the platform asks whether this process wants traffic.
-    :param inner_ports: first and last port open between instances; equal on all.
-    :param platform: the platform's store.
-    :param first_peers: instances that may be asked while the platform is away.
+    :param client_address: an address with the UDP port on which every client receives
+        packets.
+    :param ready: address of the readiness page, which the platform requests.
+    :param inner_ports: first and last port that instances may use between each other;
+        equal on all.
+    :param platform: address of the platform's store.
+    :param first_peers: addresses of instances to query while the platform is
+        unavailable.
     :param first_start: True when the whole system starts for the first time.
-    :param flow_seconds: age at which a flow may be forgotten.
+    :param flow_seconds: idle time after which an agent removes a flow.
     :param grace_seconds: time from SIGTERM to SIGKILL.
-    :param link_megabits: what the instance's link carries, in Mbit/s.
-    :param log_delay_seconds: time after the start before lines are written; those of
-        a process that is killed sooner are lost.
+    :param link_megabits: bandwidth of the instance's link in Mbit/s.
+    :param log_delay_seconds: time after the start before log lines are written; those
+        of a process that is killed earlier are lost.
     """
 
     id: str
@@ -87,7 +90,9 @@
         check_host(self.host)
         first, last = self.inner_ports
         if not 0 < first < last <= MAX_PORT:
-            raise ValueError("inner_ports: give two rising ports, such as [7720, 7735]")
+            raise ValueError(
+                "inner_ports: give two ports in rising order, such as [7720, 7735]"
+            )
         if self.log_delay_seconds < 0.0:
             raise ValueError("log_delay_seconds: give a time of 0 or more")
         for text in (self.client_address, self.ready, self.platform, *self.first_peers):
@@ -95,22 +100,22 @@
 
     @property
     def outer(self) -> Address:
-        """Where the role takes packets that are no frames of other instances."""
+        """Address on which the role receives packets of clients or the upstream."""
         raise NotImplementedError
 
     @property
-    def longest_drain_seconds(self) -> float:
-        """Time that a stopping process may take for what it has begun."""
-        return self.grace_seconds * GRACE_SHARE
+    def max_drain_seconds(self) -> float:
+        """Longest time that a stopping process may drain."""
+        return self.grace_seconds * DRAIN_SHARE
 
     @property
     def has_narrow_link(self) -> bool:
-        """True where whole configurations take long to arrive."""
-        return self.link_megabits < NARROW_MEGABITS
+        """True when a whole configuration takes long to transfer."""
+        return self.link_megabits < NARROW_LINK_MEGABITS
 
     @property
     def client_port(self) -> int:
-        """UDP port at which every client takes packets."""
+        """UDP port on which every client receives packets."""
         return parse_address(self.client_address).port
 
     @property
@@ -120,7 +125,7 @@
 
     @property
     def peer_port(self) -> int:
-        """TCP port at which a process tells its peers what it knows."""
+        """TCP port on which a process serves its directory to peers."""
         return self.inner_ports[0] + 1
 
     @property
@@ -132,7 +137,7 @@
 class RelayBalancerSettings(RelaySettings, kw_only=True, frozen=True):
     """Settings of a balancer.
 
-    :param ingress: where the fabric sends clients' packets.
+    :param ingress: address to which the fabric sends clients' packets.
     """
 
     ingress: str
@@ -143,7 +148,7 @@
 
     @property
     def outer(self) -> Address:
-        """Where the fabric sends clients' packets."""
+        """Address to which the fabric sends clients' packets."""
         return parse_address(self.ingress)
 
 
@@ -151,8 +156,8 @@
     """Settings of an agent.
 
     :param service: the service that the upstream beside the agent belongs to.
-    :param upstream: where the upstream takes packets.
-    :param outbound: where the upstream sends its packets.
+    :param upstream: address on which the upstream receives packets.
+    :param outbound: address to which the upstream sends its packets.
     """
 
     service: str
@@ -166,14 +171,16 @@
 
     @property
     def outer(self) -> Address:
-        """Where the upstream sends its packets."""
+        """Address to which the upstream sends its packets."""
         return parse_address(self.outbound)
 
 
 def load_relay_settings(path: str, model: type[RelaySettings]) -> RelaySettings:
     """Read the settings file of a role.
 
-    :raises RelaySettingsError: naming the file, the fault and the remedy.
+    :param model: class of the role's settings.
+    :raises RelaySettingsError: the file can't be used; the message names the file, the
+        fault and the remedy.
     """
     try:
         with open(path, encoding="utf-8") as file:
@@ -186,9 +193,12 @@
 def parse_relay_settings(
     text: str, model: type[RelaySettings], *, name: str
 ) -> RelaySettings:
-    """Check a document against the settings of a role; unknown fields are ignored.
+    """Parse the settings of a role; unknown fields are ignored.
 
-    :raises RelaySettingsError: naming the file, the fault and the remedy.
+    :param model: class of the role's settings.
+    :param name: name of the document in errors.
+    :raises RelaySettingsError: the text is invalid; the message names the document, the
+        fault and the remedy.
     """
     try:
         return msgspec.convert(decode_document(text), model)
@@ -199,17 +209,18 @@
 
 
 def decode_document(text: str) -> Any:
-    """Read JSON, with comments if there are any.
+    """Parse JSON with or without comments.
 
     :raises ValueError: the text is neither.
     """
     try:
         return msgspec.json.decode(text)
     except msgspec.DecodeError:
-        # Files that the platform fills in have no comments and need no second reader.
+        # Files that the platform fills in have no comments, so most processes needn't
+        # load the second parser.
         import pyjson5
 
         try:
             return pyjson5.decode(text)
         except pyjson5.Json5Exception as error:
-            raise ValueError(f"no JSON with comments: {error}") from error
+            raise ValueError(f"not JSON with comments: {error}") from error
--- a/packages/daisygauge-relay/src/daisygauge_relay/_sockets.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_sockets.py
@@ -1,8 +1,8 @@
 """UDP sockets of a process, bound before the slow part of its start.
 
-Loading the event loop takes most of a start, up to a second on a small instance.
-Packets that arrive meanwhile wait in the sockets' buffers in place of being lost,
-which would cost their clients a repetition or the request.
+Importing the event loop takes most of the start, up to a second on a small instance.
+Packets that arrive meanwhile wait in the sockets' buffers. Losing them would cost their
+clients a retransmission or the request.
 """
 
 from __future__ import annotations
@@ -14,14 +14,15 @@
 from ._settings import Address, RelaySettings
 
 RECEIVE_BUFFER_BYTES = 2 * 1024 * 1024
-"""A pause of the process must not cost the packets that arrive meanwhile."""
+"""Large enough to hold the packets that arrive while the process pauses."""
 
 
 class RoleSockets(Struct, kw_only=True, frozen=True):
     """The sockets of a role.
 
-    :param inner: takes frames of other instances.
-    :param outer: takes packets of clients at a balancer, of the upstream at an agent.
+    :param inner: receives frames from other instances.
+    :param outer: receives packets from clients at a balancer, from the upstream at an
+        agent.
     """
 
     inner: socket.socket
@@ -38,7 +39,7 @@
 
 
 def bind_udp(address: Address) -> socket.socket:
-    """Return a UDP socket that takes datagrams from now on.
+    """Return a bound UDP socket, which buffers datagrams from now on.
 
     :raises OSError: the address can't be bound.
     """
--- a/packages/daisygauge-relay/src/daisygauge_relay/_tasks.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_tasks.py
@@ -1,4 +1,4 @@
-"""The tasks of one process, and what an unexpected error in one does."""
+"""The tasks of one process, and the handling of unexpected errors in them."""
 
 from __future__ import annotations
 
@@ -13,37 +13,40 @@
 from . import _events as events
 from ._log import QueuedLog
 
-TASK_PAUSE_SECONDS = 0.5
-"""Pause before a task that failed begins again."""
+RESTART_DELAY_SECONDS = 0.5
+"""Delay before a failed task is restarted."""
 
 
 class Tasks:
     """Runs the tasks of a process.
 
-    :param failures: counts unexpected errors by the task's name.
-    :param failed: called when a task ended that the process can't go on without.
+    :param failures: counter of unexpected errors by task name.
+    :param on_failure: called when a task fails that the process can't run without.
     """
 
     def __init__(
-        self, *, log: QueuedLog, failures: Counter, failed: Callable[[], None]
+        self, *, log: QueuedLog, failures: Counter, on_failure: Callable[[], None]
     ) -> None:
         self.log = log
         self.failures = failures
-        self.failed = failed
+        self.on_failure = on_failure
         self.running: set[asyncio.Task[None]] = set()
 
-    def keep(self, work: Callable[[], Coroutine[Any, Any, None]], *, name: str) -> None:
-        """Run a task that an unexpected error doesn't end.
+    def supervise(
+        self, work: Callable[[], Coroutine[Any, Any, None]], *, name: str
+    ) -> None:
+        """Run a task and restart it after an unexpected error.
+
+        Otherwise one unforeseen message could end the process with all its flows.
 
-        :param work: begins the task, and begins it again after an error. One message
-            that nobody thought of must not cost the flows of the whole process.
+        :param work: starts the task; called again after each error.
         """
-        self.spawn(self.repeat(work, name=name), name=name)
+        self.spawn(self.run_with_restarts(work, name=name), name=name)
 
-    async def repeat(
+    async def run_with_restarts(
         self, work: Callable[[], Coroutine[Any, Any, None]], *, name: str
     ) -> None:
-        """Run a task until it ends without an error."""
+        """Run a task until it ends without an error, logging each error."""
         while True:
             try:
                 return await work()
@@ -55,16 +58,16 @@
                     error=repr(error),
                     traceback="".join(traceback.format_exception(error)),
                 )
-            await asyncio.sleep(TASK_PAUSE_SECONDS)
+            await asyncio.sleep(RESTART_DELAY_SECONDS)
 
     def spawn(self, work: Coroutine[Any, Any, None], *, name: str) -> None:
-        """Run a task that must not end with an error."""
+        """Run a task whose failure stops the process."""
         task = asyncio.create_task(work, name=name)
         self.running.add(task)
         task.add_done_callback(self.finish_task)
 
     def finish_task(self, task: asyncio.Task[None]) -> None:
-        """Account for a task that ended; an unexpected error stops the process."""
+        """Remove a finished task; log its error, if any, and stop the process."""
         self.running.discard(task)
         if task.cancelled() or task.exception() is None:
             return
@@ -75,9 +78,9 @@
             error=repr(error),
             traceback="".join(traceback.format_exception(error)),
         )
-        self.failed()
+        self.on_failure()
 
     def cancel(self) -> None:
-        """Cancel whatever still runs."""
+        """Cancel every running task."""
         for task in tuple(self.running):
             task.cancel()
--- a/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
@@ -1,4 +1,4 @@
-"""What an agent knows of the upstream beside it."""
+"""State of the upstream on the agent's own instance."""
 
 from __future__ import annotations
 
@@ -10,17 +10,19 @@
 from ._runtime import RelayRuntime
 from ._settings import RelayAgentSettings
 
-TRIAL_SECONDS = 0.5
-"""How often a silent upstream is tried with an opening packet that others get too."""
-LONGEST_AGE_SECONDS = 9_999.0
-"""Stands in the log for an upstream that was never heard."""
+PROBE_INTERVAL_SECONDS = 0.5
+"""Interval at which a silent upstream is probed with an opening packet that is passed
+on as well."""
+MAX_LOGGED_AGE_SECONDS = 9_999.0
+"""Highest age in the log, also logged for an upstream that has sent nothing yet."""
 
 
 class Upstream:
-    """The upstream's announcement and its signs of life.
+    """The upstream's directory entry and its liveness.
 
-    :ivar silent_since: monotonic time at which it left an opening packet unanswered,
-        or None while it answers.
+    :ivar silent_since: monotonic time at which an opening packet timed out, or None
+        while the upstream answers.
+    :ivar last_received: monotonic time of its last packet.
     """
 
     def __init__(self, *, runtime: RelayRuntime, settings: RelayAgentSettings) -> None:
@@ -28,46 +30,46 @@
         self.settings = settings
         self.started = runtime.now()
         self.silent_since: float | None = None
-        self.last_trial = float("-inf")
-        self.heard = float("-inf")
+        self.last_probe = float("-inf")
+        self.last_received = float("-inf")
 
     @property
-    def resident(self) -> HostRecord | None:
-        """The host that the directory knows at this address."""
+    def host_record(self) -> HostRecord | None:
+        """The host that the directory lists at this address, or None."""
         return self.runtime.directory.view.residents.get(self.settings.host)
 
     @property
     def service(self) -> str:
-        """The service of the upstream."""
+        """Name of the upstream's service in the settings."""
         return self.runtime.settings.service
 
-    def is_of(self, service: int) -> bool:
-        """Tell whether the upstream belongs to a service, by all that is known.
+    def belongs_to(self, service: int) -> bool:
+        """Return True when both directory and settings place the upstream in a service.
 
-        The entry of an earlier host may still stand at the address, or the settings
-        may not tell of the present one yet. A flow that came by either alone could
-        reach another service.
+        The directory may still list an earlier host at the address, and the settings
+        may not name the current one yet. Either one alone could let a flow reach
+        another service.
 
         :param service: tag of the service.
         """
-        host = self.resident
+        host = self.host_record
         is_resident = host is None or service_tag(host.service) == service
         return is_resident and service_tag(self.service) == service
 
     @property
     def slots(self) -> int | None:
-        """Requests that it runs at a time, or None while that isn't known."""
-        host = self.resident
+        """Requests that it runs concurrently, or None while unknown."""
+        host = self.host_record
         return None if host is None else host.slots
 
     def find_inability(self, service: int) -> OpeningReason | None:
-        """Return why it can't take a flow of a service, if it can't.
+        """Return why the upstream can't take a flow of a service, or None.
 
         :param service: tag of the service.
         """
-        if not self.is_of(service):
+        if not self.belongs_to(service):
             return OpeningReason.OTHER_SERVICE
-        host = self.resident
+        host = self.host_record
         is_leaving = host is not None and host.state is HostState.DRAINING
         if self.runtime.is_leaving or is_leaving:
             return OpeningReason.LEAVING
@@ -75,18 +77,19 @@
             return OpeningReason.SILENT
         return None
 
-    def is_known(self, *, now: float) -> bool:
-        """Tell whether the agent knows every flow that may still be open.
+    def knows_every_flow(self, *, now: float) -> bool:
+        """Return True when the agent knows every flow that may still be open.
 
-        An entry that names a new life of the upstream says nothing about that: it may
-        come late, when flows of that life are open already.
+        That is so after the system's first start, and once the agent has run for
+        ``flow_seconds``. A directory entry with a new incarnation of the upstream
+        proves nothing: it may arrive after flows have opened at that incarnation.
         """
         is_first = self.settings.first_start
         return is_first or now - self.started > self.settings.flow_seconds
 
-    def note_heard(self, *, now: float) -> None:
-        """Note that it lives."""
-        self.heard = now
+    def record_received(self, *, now: float) -> None:
+        """Record a packet from the upstream."""
+        self.last_received = now
         if self.silent_since is None:
             return
         self.runtime.log.write(
@@ -94,21 +97,23 @@
         )
         self.silent_since = None
 
-    def note_silence(self, *, now: float) -> None:
-        """Note that it left an opening packet unanswered."""
+    def record_silence(self, *, now: float) -> None:
+        """Record that the upstream left an opening packet unanswered."""
         if self.silent_since is not None:
             return
         self.silent_since = now
-        self.last_trial = now
+        self.last_probe = now
         self.runtime.log.write(
             events.UPSTREAM_SILENT,
             upstream=self.settings.upstream,
-            heard_seconds=round(min(now - self.heard, LONGEST_AGE_SECONDS), 3),
+            heard_seconds=round(
+                min(now - self.last_received, MAX_LOGGED_AGE_SECONDS), 3
+            ),
         )
 
-    def begin_trial(self, *, now: float) -> bool:
-        """Tell whether it is to be tried while silent, now and then."""
-        if now - self.last_trial < TRIAL_SECONDS:
+    def begin_probe(self, *, now: float) -> bool:
+        """Return True and start a probe when the probe interval has passed."""
+        if now - self.last_probe < PROBE_INTERVAL_SECONDS:
             return False
-        self.last_trial = now
+        self.last_probe = now
         return True
--- a/testing/relay/network.py
+++ b/testing/relay/network.py
@@ -104,7 +104,7 @@
     def report_error(self, error):
         raise error
 
-    def belief(self):
+    def known_state(self):
         return {"version": self.directory.view.version, "as_of": 1, "age_seconds": 0.0}
 
 
--- a/testing/relay/test_log.py
+++ b/testing/relay/test_log.py
@@ -4,7 +4,7 @@
 import pytest
 
 from daisygauge_relay import _events as events
-from daisygauge_relay._log import PENDING_BYTES, QUEUED_LINES, QueuedLog
+from daisygauge_relay._log import MAX_PENDING_BYTES, MAX_QUEUED_LINES, QueuedLog
 
 
 @pytest.fixture
@@ -36,22 +36,22 @@
 def test_a_reader_that_stops_reading_blocks_nothing_and_costs_bounded_memory(pipe):
     _, write = pipe
     log = QueuedLog(descriptor=write)
-    log.begin()
-    for number in range(3 * QUEUED_LINES):
+    log.start()
+    for number in range(3 * MAX_QUEUED_LINES):
         log.emit(events.SOURCE_REGAINED, {"source": f"peer-{number}", "failures": 1})
         if number % 10 == 0:
             log.flush()
 
-    assert len(log.pending) < 2 * PENDING_BYTES
-    assert len(log.queue) <= QUEUED_LINES + 1
-    assert log.lost > 0
+    assert len(log.pending) < 2 * MAX_PENDING_BYTES
+    assert len(log.queue) <= MAX_QUEUED_LINES + 1
+    assert log.total_dropped > 0
 
 
 def test_lost_lines_are_told_when_the_reader_comes_back(pipe):
     read, write = pipe
     log = QueuedLog(descriptor=write)
-    log.begin()
-    for number in range(QUEUED_LINES + 7):
+    log.start()
+    for number in range(MAX_QUEUED_LINES + 7):
         log.emit(events.SOURCE_REGAINED, {"source": f"peer-{number}", "failures": 1})
     log.flush(lines=3)
 
--- a/testing/relay/test_metrics.py
+++ b/testing/relay/test_metrics.py
@@ -16,7 +16,7 @@
         counters=RelayCounters(),
         directory=Directory(),
         follower=SimpleNamespace(reader=SimpleNamespace(calls=4)),
-        log=SimpleNamespace(lost=2),
+        log=SimpleNamespace(total_dropped=2),
         is_ready=True,
         now=lambda: 10.0,
     )
@@ -36,8 +36,8 @@
 
 
 async def test_counters_reasons_and_gauges_are_shown(runtime):
-    runtime.counters.refuse("no-route")
-    runtime.counters.drop("late-opening")
+    runtime.counters.count_refused("no-route")
+    runtime.counters.count_dropped("late-opening")
     gauge = Gauge(name="flows", text="Flows known.", read=lambda: 7.0)
 
     text = await load(MetricsPage(runtime=runtime, gauges=(gauge,)))
@@ -54,7 +54,7 @@
 
 async def test_the_histogram_counts_each_answer_once(runtime):
     for seconds in (0.001, 0.07, 0.07, 99.0):
-        runtime.counters.answer(seconds)
+        runtime.counters.count_answered(seconds)
 
     text = await load(MetricsPage(runtime=runtime, gauges=()))
 
--- a/testing/relay/test_start.py
+++ b/testing/relay/test_start.py
@@ -87,7 +87,7 @@
         super().__init__(Clock(), directory, settings)
         self.complete = asyncio.Event()
 
-    async def wait_complete(self, *, seconds):
+    async def wait_for_configuration(self, *, seconds):
         await self.complete.wait()
 
 
--- a/testing/relay/test_tasks.py
+++ b/testing/relay/test_tasks.py
@@ -43,7 +43,7 @@
 async def test_a_task_that_failed_begins_again(runtime, error):
     work = FailingOnce(error)
 
-    runtime.tasks.keep(work.run, name="directory")
+    runtime.tasks.supervise(work.run, name="directory")
 
     await asyncio.wait_for(work.done.wait(), 5.0)
     assert not runtime.stopping.is_set()
