--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
@@ -14,14 +14,14 @@
     Kind,
     MalformedDatagramError,
     decode_datagram,
-    decode_gauge,
+    decode_load_report,
     encode_datagram,
     is_reply,
     read_reply,
     unpack_endpoint,
 )
 
-from .._datagrams import GuardedDatagrams
+from .._datagrams import ResilientDatagramProtocol
 from .._events import EventLog
 from . import _events as events
 from ._metrics import BalancerCounts
@@ -29,7 +29,7 @@
 from ._placer import Placer
 
 
-class InnerSocket(GuardedDatagrams):
+class InnerSocket(ResilientDatagramProtocol):
     """Takes what agents send: replies, answers to first flights and probes.
 
     :param local: inner address of this balancer.
@@ -81,7 +81,7 @@
         data = encode_datagram(datagram, key=key)
         self.transport.sendto(data, (receiver.host, receiver.port))
 
-    def take_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
+    def handle_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
         """Handle one inner datagram."""
         try:
             if is_reply(data):
@@ -99,7 +99,7 @@
             raise MalformedDatagramError("unknown-service")
         outer.send_reply(reply.packet, unpack_endpoint(reply.caller))
 
-    def note_defect(self) -> None:
+    def record_defect(self) -> None:
         """Count a datagram that met an unexpected error."""
         self.drops["inner-defect"] += 1
 
@@ -118,10 +118,10 @@
         )
 
     def take_probe(self, datagram: Datagram, sender: Endpoint) -> None:
-        """Answer a probe and learn the agent's gauge."""
+        """Answer a probe and learn the agent's load report."""
         host = self.hosts.get((datagram.service, sender))
         if host is not None and datagram.payload:
-            self.take_gauge(host.id, datagram)
+            self.handle_load_report(host.id, datagram)
         if not self.answers_probes:
             return
         answer = Datagram(
@@ -132,14 +132,14 @@
         )
         self.send(answer, sender)
 
-    def take_gauge(self, host: str, datagram: Datagram) -> None:
+    def handle_load_report(self, host: str, datagram: Datagram) -> None:
         """Learn the load of an agent."""
         try:
-            gauge = decode_gauge(datagram.payload)
+            report = decode_load_report(datagram.payload)
         except ValueError as error:
             raise MalformedDatagramError("gauge") from error
-        self.placer.hosts.take_gauge(
-            host, incarnation=datagram.incarnation, gauge=gauge, now=time.time()
+        self.placer.hosts.record_load_report(
+            host, incarnation=datagram.incarnation, report=report, now=time.time()
         )
 
     def drop(self, sender: tuple[str, int], reason: str) -> None:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -4,7 +4,7 @@
 
 from socket import inet_aton, inet_ntoa
 
-from daisygauge_policy import RequestGate
+from daisygauge_policy import RequestScheduler
 from daisygauge_wire import (
     AbsentFrame,
     ForwardFrame,
@@ -59,16 +59,16 @@
         self.flows: FlowTable[AgentFlow] = FlowTable(
             is_expired=self.is_expired, on_removed=self.release_flow
         )
-        self.gate = RequestGate(slots=lambda: self.upstream.slots)
+        self.scheduler = RequestScheduler(slots=lambda: self.upstream.slots)
         self.requests = Requests(
-            runtime=runtime, codec=codec, gate=self.gate, deliver=self.deliver
+            runtime=runtime, codec=codec, scheduler=self.scheduler, deliver=self.deliver
         )
         self.openings = Openings(
             runtime=runtime,
             codec=codec,
             upstream=self.upstream,
             flows=self.flows,
-            running=lambda now: self.gate.load(now=now),
+            running=lambda now: self.scheduler.load(now=now),
             deliver=self.deliver,
             send=self.send,
             reset=self.reset,
@@ -96,7 +96,7 @@
         )
 
     async def start(self, sockets: RoleSockets) -> None:
-        """Start reading the sockets and checking the request gate."""
+        """Start reading the sockets and dispatching requests."""
         await self.outbound.open(sockets.outer)
         await self.inner.open(sockets.inner)
         self.runtime.tasks.supervise(self.requests.run, name="requests")
@@ -131,17 +131,17 @@
             Gauge(
                 name="requests_running",
                 text="Requests at the upstream.",
-                read=lambda: len(self.gate.running),
+                read=lambda: len(self.scheduler.running),
             ),
             Gauge(
                 name="requests_waiting",
                 text="Requests that wait for the upstream.",
-                read=lambda: len(self.gate.waiting),
+                read=lambda: len(self.scheduler.waiting),
             ),
             Gauge(
                 name="service_seconds",
                 text="Mean time of the upstream's latest answers.",
-                read=lambda: self.gate.service_seconds,
+                read=lambda: self.scheduler.service_seconds,
             ),
             Gauge(
                 name="upstream_silent",
--- a/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
@@ -183,7 +183,7 @@
         """Ask an agent to search for a flow's owner, if the flow's budget allows it."""
         if flow.budget is None:
             flow.budget = SearchBudget(since=now)
-        if not flow.budget.take(now=now):
+        if not flow.budget.try_take(now=now):
             self.runtime.counters.count_dropped("search-budget")
             return
         flow.acknowledged = packet.acknowledged
--- a/packages/daisygauge-relay/src/daisygauge_relay/_events.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_events.py
@@ -81,7 +81,7 @@
 REQUEST_BEGUN = _flow_event(
     606,
     "request-begun",
-    "A request arrived; it is delivered when the request gate releases it.",
+    "A request arrived; it is delivered when the scheduler dispatches it.",
     ("flow", "request", "running", "waiting"),
 )
 REQUEST_ANSWERED = _flow_event(
--- a/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct, field
 
-from daisygauge_policy import GateChange, GatedRequest, RequestGate
+from daisygauge_policy import RequestScheduler, ScheduledRequest, SchedulerChange
 
 from . import _events as events
 from ._candidates import find_route
@@ -19,9 +19,9 @@
 )
 from ._runtime import RelayRuntime
 
-GATE_POLL_SECONDS = 0.05
-"""Interval at which the gate is polled between answers: a tenth of the shortest time in
-which a held request can expire."""
+DISPATCH_INTERVAL_SECONDS = 0.05
+"""Interval of dispatches between answers: a tenth of the shortest time in which a held
+request can expire."""
 MAX_OPENING_SECONDS = 2.0
 """Clients give up on an opening after 1.4 s; the rest allows for a retransmitted first
 packet."""
@@ -30,7 +30,7 @@
 
 
 class HeldRequest(Struct, kw_only=True):
-    """Packets of a request that waits at the gate.
+    """Packets of a request that waits for its dispatch.
 
     :param packets: the packets in order of arrival.
     :param sequences: sequence numbers of the packets, so that none is held twice.
@@ -43,7 +43,7 @@
 class Requests:
     """Tracks the requests in all flows of one upstream.
 
-    :param gate: decides when each request is delivered.
+    :param scheduler: decides when each request is delivered.
     :param deliver: sends a packet to the upstream.
     """
 
@@ -52,21 +52,21 @@
         *,
         runtime: RelayRuntime,
         codec: PacketCodec,
-        gate: RequestGate,
+        scheduler: RequestScheduler,
         deliver: Callable[[bytes], None],
     ) -> None:
         self.runtime = runtime
         self.codec = codec
-        self.gate = gate
+        self.scheduler = scheduler
         self.deliver = deliver
         self.held: dict[bytes, HeldRequest] = {}
 
     async def run(self) -> None:
-        """Poll the gate while requests wait; runs until cancelled."""
+        """Dispatch and expire waiting requests periodically, until cancelled."""
         while True:
-            await self.runtime.sleep(GATE_POLL_SECONDS)
-            if self.gate.waiting:
-                self.apply(self.gate.release(now=self.runtime.now()))
+            await self.runtime.sleep(DISPATCH_INTERVAL_SECONDS)
+            if self.scheduler.waiting:
+                self.apply(self.scheduler.dispatch(now=self.runtime.now()))
 
     def receive(
         self, flow: AgentFlow, packet: RelayedPacket, data: bytes, *, now: float
@@ -86,42 +86,42 @@
     def begin(
         self, flow: AgentFlow, packet: RelayedPacket, data: bytes, *, now: float
     ) -> None:
-        """Hold the first packet of a new request and add the request to the gate."""
+        """Hold the first packet of a new request and submit the request."""
         flow.request_started_at = now
         flow.request_id = self.codec.find_request_id(data)
         self.runtime.counters.requests += 1
         held = self.held[packet.flow] = HeldRequest()
         hold_packet(held, packet, data)
-        change = self.gate.arrive(
-            self.make_gated_request(flow, packet, now=now), now=now
+        change = self.scheduler.submit(
+            self.make_scheduled_request(flow, packet, now=now), now=now
         )
         self.runtime.log.write(
             events.REQUEST_BEGUN,
             flow=format_flow(packet.flow),
             request=flow.request_id,
-            running=len(self.gate.running),
-            waiting=len(self.gate.waiting),
+            running=len(self.scheduler.running),
+            waiting=len(self.scheduler.waiting),
         )
         self.apply(change)
 
-    def make_gated_request(
+    def make_scheduled_request(
         self, flow: AgentFlow, packet: RelayedPacket, *, now: float
-    ) -> GatedRequest:
-        """Return the request with the priority and times that the gate orders by."""
+    ) -> ScheduledRequest:
+        """Return the request with the values that the scheduler orders by."""
         route = find_route(self.runtime.directory.view, packet.flow)
         began = find_request_start(flow, now=now)
-        request = GatedRequest(flow=packet.flow, priority=0)
+        request = ScheduledRequest(flow=packet.flow, priority=0)
         if route is None:
             return request
         request.priority = route.priority
-        if route.target_seconds:
-            request.aim_at = began + route.target_seconds
+        if route.target_latency_seconds:
+            request.target_at = began + route.target_latency_seconds
         if route.timeout_seconds:
             request.deadline_at = began + route.timeout_seconds
         return request
 
-    def apply(self, change: GateChange) -> None:
-        """Deliver the requests that the gate released and drop the expired ones."""
+    def apply(self, change: SchedulerChange) -> None:
+        """Deliver the dispatched requests and drop the expired ones."""
         for flow in change.sent:
             held = self.held.pop(flow, None)
             for data in held.packets if held is not None else ():
@@ -132,9 +132,9 @@
             self.runtime.log.write(
                 events.REQUEST_EXPIRED,
                 flow=format_flow(flow),
-                service_seconds=round(self.gate.service_seconds, 4),
-                running=len(self.gate.running),
-                waiting=len(self.gate.waiting),
+                service_seconds=round(self.scheduler.service_seconds, 4),
+                running=len(self.scheduler.running),
+                waiting=len(self.scheduler.waiting),
             )
 
     def receive_answer(
@@ -155,26 +155,26 @@
     def answer(self, key: bytes, flow: AgentFlow, *, now: float) -> None:
         """Record that the upstream has begun to answer a flow's request."""
         seconds = now - flow.request_started_at
-        began = self.gate.running.get(key)
+        began = self.scheduler.running.get(key)
         if began is not None:
-            self.gate.note_service(now - began)
+            self.scheduler.record_service_time(now - began)
         self.runtime.counters.count_answered(seconds)
         self.runtime.log.write(
             events.REQUEST_ANSWERED,
             flow=format_flow(key),
             request=flow.request_id,
             seconds=round(seconds, 4),
-            running=len(self.gate.running),
-            waiting=len(self.gate.waiting),
+            running=len(self.scheduler.running),
+            waiting=len(self.scheduler.waiting),
         )
         flow.request_started_at = None
         flow.answered += 1
-        self.apply(self.gate.end(key, now=now))
+        self.apply(self.scheduler.end(key, now=now))
 
     def forget(self, flow: bytes) -> None:
         """Remove the requests of a flow that was removed."""
         self.held.pop(flow, None)
-        self.apply(self.gate.end(flow, now=self.runtime.now()))
+        self.apply(self.scheduler.end(flow, now=self.runtime.now()))
 
     def release_all(self) -> None:
         """Deliver every held packet; a stopping process can't do it later."""
--- a/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
@@ -154,7 +154,7 @@
 
     def known_state(self) -> dict[str, Any]:
         """Return the state that decisions are based on, for the log."""
-        age = self.now() - self.directory.confirmed
+        age = self.now() - self.directory.confirmed_at
         return {
             "version": self.directory.view.version,
             "as_of": self.directory.as_of,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
@@ -72,7 +72,7 @@
         self, flow: bytes, search: PendingSearch, agents: Iterable[bytes], *, now: float
     ) -> None:
         """Query the agents that have not answered yet, this one last."""
-        asked = search.list_missing(agents)
+        asked = search.select_unanswered(agents)
         for agent in asked:
             if agent != self.own_address:
                 self.runtime.counters.queried += 1
@@ -90,7 +90,7 @@
 
     def record_absent(self, flow: bytes, agent: bytes, *, now: float) -> None:
         """Record that an agent doesn't hold a flow."""
-        search = self.pending.note_absent(flow, agent)
+        search = self.pending.record_absent(flow, agent)
         if search is not None:
             self.advance(flow, search, now=now)
 
@@ -99,8 +99,8 @@
         if self.pending.searches.get(flow) is not search:
             return
         step = search.next_step(
-            near=self.list_route_agents(search, flow),
-            everyone=self.candidates.service_tags,
+            route_agents=self.list_route_agents(search, flow),
+            all_agents=self.candidates.service_tags,
             own=self.own_address,
         )
         if step is SearchStep.WIDEN:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
@@ -36,7 +36,7 @@
     @property
     def host_record(self) -> HostRecord | None:
         """The host that the directory lists at this address, or None."""
-        return self.runtime.directory.view.residents.get(self.settings.host)
+        return self.runtime.directory.view.hosts_by_address.get(self.settings.host)
 
     @property
     def service(self) -> str:
