--- a/packages/daisygauge-control/src/daisygauge_control/__init__.py
+++ b/packages/daisygauge-control/src/daisygauge_control/__init__.py
@@ -1,8 +1,8 @@
-"""Configuration reading, spreading and membership."""
+"""Configuration reading, propagation and membership."""
 
 import lazy_loader
 
-# A process pays at its start only for the modules that its role uses.
+# Modules are imported on first use, which keeps the start of a process short.
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
@@ -57,7 +57,7 @@
             "SourceEvent",
             "WatcherChanged",
         ],
-        "_fetch": [
+        "_status_client": [
             "NoAnswerError",
             "fetch_status",
         ],
--- a/packages/daisygauge-control/src/daisygauge_control/_budget.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_budget.py
@@ -1,4 +1,4 @@
-"""Budgets of one daemon for control traffic and platform reads."""
+"""Rate limits of one daemon for control traffic and platform reads."""
 
 from __future__ import annotations
 
@@ -13,19 +13,19 @@
 READS_PER_SECOND = 2.0
 READS_BURST = 20.0
 SYNC_RESERVE = 0.25
-"""Share of the burst that full copies for others leave to changes."""
-LONGEST_STEP_BYTES = 500_000.0
+"""Share of the burst that full copies leave to changes."""
+MAX_STEP_BYTES = 500_000.0
 
 
 class ControlBudget:
-    """Bounds what a daemon sends for control and how often it reads the platform.
+    """Limits the control traffic of a daemon and the rate of its platform reads.
 
-    When the budget binds, full copies for newborn daemons wait first; changes
-    and heartbeats wait only once nothing is left.
+    Full copies for starting daemons are delayed first. Changes and heartbeats are
+    delayed only once the whole budget is used up.
 
     :ivar sent_bytes: bytes sent to peers.
     :ivar received_bytes: bytes received from peers.
-    :ivar waited_seconds: time for which sending was held back.
+    :ivar waited_seconds: total time for which sending was delayed.
     """
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
@@ -43,11 +43,11 @@
     async def wait_to_send(self, size: int, *, is_sync: bool) -> None:
         """Wait until a message may be sent, and count it.
 
-        :param size: bytes on the stream.
-        :param is_sync: True for part of a full copy.
+        :param size: size of the message on the stream in bytes.
+        :param is_sync: True if the message is part of a full copy.
         """
         reserve = SYNC_RESERVE * CONTROL_BURST_BYTES if is_sync else 0.0
-        amount = min(float(size), LONGEST_STEP_BYTES)
+        amount = min(float(size), MAX_STEP_BYTES)
         while True:
             now = self.clock()
             seconds = self.bytes_bucket.wait_seconds(amount + reserve, now=now)
@@ -58,10 +58,10 @@
         self.sent_bytes += size
 
     async def wait_to_read(self) -> None:
-        """Wait until the platform may be read once more, and count it."""
+        """Wait until the platform may be read again, and count the read."""
         while not self.reads_bucket.try_take(now=self.clock()):
             await asyncio.sleep(self.reads_bucket.wait_seconds(now=self.clock()))
 
-    def note_received(self, size: int) -> None:
-        """Count a message from a peer."""
+    def record_received(self, size: int) -> None:
+        """Count a message that was received from a peer."""
         self.received_bytes += size
--- a/packages/daisygauge-control/src/daisygauge_control/_journal.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_change_log.py
@@ -1,4 +1,4 @@
-"""The order in which records changed here, and digests of what is in force."""
+"""Log of the changes of a record store, and digests of the records in force."""
 
 from __future__ import annotations
 
@@ -21,10 +21,10 @@
 
 @define(kw_only=True)
 class Summary:
-    """What a set of records amounts to.
+    """Digest and revision of a set of records.
 
-    :param digest: exclusive or of the records' hashes.
-    :param revision: sum of the records' revisions.
+    :param digest: XOR of the hashes of the records.
+    :param revision: sum of the revisions of the records.
     """
 
     digest: int = 0
@@ -33,9 +33,10 @@
 
 @frozen(kw_only=True)
 class Change:
-    """One record that changed.
+    """Change of one record.
 
-    :param groups: the groups of the record before and after.
+    :param sequence: position in the change log.
+    :param groups: groups of the record before and after the change.
     """
 
     sequence: int
@@ -50,10 +51,11 @@
     group: str
 
 
-class Journal:
-    """Follows a store's changes, so that peers are sent just those.
+class ChangeLog:
+    """Records the latest changes of a store, so that followers receive only those.
 
     :ivar sequence: number of the latest change.
+    :ivar summaries: summaries by group; ``"*"`` covers all records.
     """
 
     def __init__(self) -> None:
@@ -62,8 +64,8 @@
         self.entries: dict[RecordId, _Entry] = {}
         self.summaries: defaultdict[str, Summary] = defaultdict(Summary)
 
-    def note(self, record: Record) -> None:
-        """Take in a record that has come into force."""
+    def record(self, record: Record) -> None:
+        """Append the change of a record that has come into force."""
         id = (record.kind, record.id)
         entry = _Entry(
             hash=hash_record(record), revision=record.revision, group=group_of(record)
@@ -87,7 +89,10 @@
             summary.revision += sign * entry.revision
 
     def summarize(self, *, service: str) -> Summary:
-        """Summarize the records that a daemon with a scope needs."""
+        """Return the summary of the records that a daemon needs.
+
+        :param service: scope of the daemon, see :class:`Member`.
+        """
         if service == ALL_SERVICES:
             return self.summaries["*"]
         keys = self.summaries[KEYS_GROUP]
@@ -97,33 +102,33 @@
         )
 
     def changes_after(self, sequence: int) -> list[Change] | None:
-        """Return the changes after a number, or None when they are forgotten."""
+        """Return the changes after a sequence number, or None if some were dropped."""
         if sequence < self.sequence - len(self.changes):
             return None
         missing = self.sequence - sequence
         return list(self.changes)[len(self.changes) - missing :]
 
     def bucket_digests(self) -> list[int]:
-        """Return the exclusive or of the hashes in each bucket of ids."""
+        """Return the XOR of the hashes in each bucket of ids."""
         digests = [0] * BUCKETS
         for id, entry in self.entries.items():
             digests[bucket_of(id)] ^= entry.hash
         return digests
 
     def ids_in(self, buckets: Iterable[int]) -> list[RecordId]:
-        """Return the ids of the records in some buckets."""
+        """Return the ids of the records in the given buckets."""
         wanted = frozenset(buckets)
         return [id for id in self.entries if bucket_of(id) in wanted]
 
 
 def hash_record(record: Record) -> int:
-    """Hash what identifies a record's content, alike in every process."""
+    """Return a hash of the content of a record that is equal in every process."""
     text = f"{record.kind}/{record.id}/{record.revision}/{record.digest}"
     return _hash(text)
 
 
 def bucket_of(id: RecordId) -> int:
-    """Return the bucket of an id, alike in every process."""
+    """Return the bucket of an id, which is equal in every process."""
     return _hash("/".join(id)) % BUCKETS
 
 
--- a/packages/daisygauge-control/src/daisygauge_control/_consul.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_consul.py
@@ -1,4 +1,4 @@
-"""Reader of a platform that speaks Consul's HTTP interface (blocking queries)."""
+"""Reader of a platform with the HTTP interface of Consul (blocking queries)."""
 
 from __future__ import annotations
 
@@ -36,8 +36,8 @@
     """Reads records and instances from the first server that answers.
 
     :param addresses: base addresses, such as ``http://10.0.0.5:8500``.
-    :ivar reads: calls made, a waiting one counted as one.
-    :ivar bytes_read: bytes of answers.
+    :ivar reads: number of calls; a call that waits counts once.
+    :ivar bytes_read: total size of the answers in bytes.
     """
 
     def __init__(
@@ -53,11 +53,11 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def read_records(self, *, after: int) -> RecordsSnapshot:
-        """Read all records, waiting for an index other than ``after``."""
+        """Read all records, after waiting for an index other than ``after``."""
         return await self._read_prefix(RECORDS_PATH, after)
 
     async def read_keys(self) -> RecordsSnapshot:
-        """Read the key records alone, at once."""
+        """Read only the key records, without waiting."""
         return await self._read_prefix(KEYS_PATH, NO_INDEX)
 
     async def _read_prefix(self, path: str, after: int) -> RecordsSnapshot:
@@ -66,7 +66,7 @@
         return RecordsSnapshot(index=index, records=records)
 
     async def read_instances(self, *, after: int) -> InstancesSnapshot:
-        """Read the instance list, waiting for an index other than ``after``."""
+        """Read the instance list, after waiting for an index other than ``after``."""
         index, entries = await self._get(INSTANCES_PATH, {}, after)
         read = [_read_instance(entry) for entry in entries]
         instances = tuple(instance for instance in read if instance is not None)
@@ -118,7 +118,10 @@
 
 
 def _read_entry(entry: dict[str, Any]) -> PublishedRecord:
-    """Read one entry; a value that is no base64 is refused as a record later."""
+    """Decode one entry.
+
+    A value that is not base64 becomes an empty document, which is refused later.
+    """
     try:
         document = base64.b64decode(entry.get("Value") or "", validate=True)
     except (TypeError, ValueError):
@@ -127,7 +130,10 @@
 
 
 def _read_instance(entry: dict[str, Any]) -> Instance | None:
-    """Read one entry; the list is only a hint, so a strange one is skipped."""
+    """Return the instance of an entry, or None if the entry is malformed.
+
+    The instance list is only a hint, so malformed entries are skipped.
+    """
     try:
         node, service = entry["Node"], entry["Service"]
         meta = service["Meta"]
--- a/packages/daisygauge-control/src/daisygauge_control/_credentials.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_credentials.py
@@ -1,8 +1,8 @@
-"""Authentication of calls between daemons by keys derived from published ones.
+"""Authentication of calls between daemons with keys derived from published ones.
 
-Each call carries who calls whom, when, and a keyed hash (HMAC, RFC 2104) of that
-and of the method. It is refused when no key in force made the hash, when it names
-another receiver, or when the time is too far off.
+Each call carries its sender, the time, and a keyed hash (HMAC, RFC 2104) of both, of
+the receiver and of the method. A call is refused if no key in force verifies the hash,
+if it is for another receiver, or if its time is too far off.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
 
 
 class NoKeyError(RuntimeError):
-    """No published key is in force, so no call can be made."""
+    """No published key is in force, so no call can be signed."""
 
     def __init__(self) -> None:
         super().__init__("no key is in force; publish a key record that is valid now")
@@ -40,9 +40,11 @@
 
 @frozen(kw_only=True)
 class Call:
-    """What the tag of a call covers.
+    """Properties of a call that its tag authenticates.
 
     :param method: path of the method.
+    :param sender: id of the calling daemon.
+    :param receiver: id of the called daemon.
     :param sent_ms: Unix time in milliseconds.
     """
 
@@ -60,7 +62,7 @@
 def sign_call(call: Call, *, keys: KeyRing) -> dict[str, str]:
     """Return the metadata that authenticates a call.
 
-    :raises NoKeyError: when no key is in force.
+    :raises NoKeyError: if no key is in force.
     """
     key = keys.newest(now=call.sent_ms / MILLISECONDS_PER_SECOND)
     if key is None:
@@ -81,7 +83,7 @@
     keys: KeyRing,
     now: float,
 ) -> str | None:
-    """Return who made a call, or None when the call is refused.
+    """Return the sender of a call, or None if the call is refused.
 
     :param now: Unix time in seconds.
     """
@@ -104,7 +106,7 @@
 def authenticate_channel(
     channel: Channel, *, sender: str, receiver: str, keys: Keys, clock: Clock
 ) -> None:
-    """Sign every call that is made through a channel."""
+    """Sign every call that is sent through a channel."""
 
     async def sign(event: SendRequest) -> None:
         call = Call(
@@ -121,7 +123,7 @@
 def authenticate_server(
     server: Server, *, receiver: str, keys: Keys, clock: Clock
 ) -> None:
-    """Refuse every call to a server that no key in force has signed."""
+    """Refuse every call to a server that is not signed by a key in force."""
 
     async def check(event: RecvRequest) -> None:
         sender = check_call(
--- a/packages/daisygauge-control/src/daisygauge_control/_directory.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory.py
@@ -1,8 +1,8 @@
-"""Hosts and routes as one process believes them, merged key by key.
+"""Hosts and routes known to one process, merged key by key.
 
 The directory serves relayed flows. It is filled from the platform or from other
-processes; whatever the order in which changes arrive, each key keeps its highest
-revision, so that a belief never goes back within a process's life.
+processes. Whatever the order in which changes arrive, each key keeps its highest
+revision, so that the known state never goes back within the life of a process.
 """
 
 from __future__ import annotations
@@ -14,31 +14,31 @@
 from msgspec.structs import replace
 
 LAPSE_GRACE_SECONDS = 2.0
-"""Entries that lapsed while the platform was away are back within this time."""
+"""Entries that lapsed during a platform outage come back within this time."""
 OUTAGE_MEMORY_SECONDS = 8.0
-"""A removal this soon after the platform was away may be such a lapse."""
+"""A removal this soon after a platform outage may be such a lapse."""
 SETTLING_SECONDS = LAPSE_GRACE_SECONDS + 0.5
-"""A view this old has met whatever lapsed before this process began; the half second
-is for the way of a change."""
-LONGEST_CURRENT_SECONDS = 2.0
+"""After this time, whatever had lapsed before the start of the process is back in the
+view. The half second covers the propagation of a change."""
+MAX_CURRENT_AGE_SECONDS = 2.0
 """A view confirmed within this time is current; sources confirm it every second."""
 NO_REVISION = 0
 
 
 class HostState(enum.Enum):
-    """What a host says of itself."""
+    """State that a host reports of itself."""
 
     READY = "ready"
     DRAINING = "draining"
 
 
 class HostRecord(Struct, kw_only=True, frozen=True, array_like=True, tag="host"):
-    """One life of an upstream, as it announces itself.
+    """One incarnation of an upstream, as it registers itself.
 
-    :param address: IPv4 address, shared with the agent beside it.
-    :param port: where the upstream takes packets.
-    :param slots: requests that it runs at a time.
-    :param slow_start_seconds: remaining slow-start time.
+    :param address: IPv4 address, shared with the agent on the same host.
+    :param port: port on which the upstream receives packets.
+    :param slots: number of requests that it runs concurrently.
+    :param slow_start_seconds: remaining time for which it is slow after its start.
     :param incarnation: Unix time of its start in milliseconds.
     """
 
@@ -54,16 +54,18 @@
 
 
 class ServiceShare(Struct, kw_only=True, frozen=True, array_like=True):
-    """A service that a route names, with its relative weight."""
+    """A service of a route, with its relative weight."""
 
     service: str
     weight: float = 1.0
 
 
 class RouteRecord(Struct, kw_only=True, frozen=True, array_like=True):
-    """What a service address leads to.
+    """Services behind a service address.
 
-    :param idempotent: True when its requests may run more than once.
+    :param host: IPv4 address of the service address.
+    :param port: port of the service address.
+    :param idempotent: True if its requests may run more than once.
     :param timeout_seconds: time after which clients give up, or 0 for none.
     :param target_latency_seconds: latency up to which a response is on time, or 0
         for none.
@@ -83,7 +85,8 @@
 class RoutingRecord(Struct, kw_only=True, frozen=True, array_like=True, tag="routing"):
     """All routes of one configuration.
 
-    :param idle_timeout_seconds: a flow without packets for longer may be forgotten.
+    :param idle_timeout_seconds: time without packets after which a flow may be
+        forgotten.
     """
 
     version: int
@@ -94,7 +97,7 @@
 class UnusableRecord(
     Struct, kw_only=True, frozen=True, array_like=True, tag="unusable"
 ):
-    """An entry that can't be understood; it names no host."""
+    """An entry that can't be parsed; it defines no host."""
 
     problem: str
 
@@ -105,8 +108,8 @@
 class DirectoryItem(Struct, kw_only=True, frozen=True, array_like=True):
     """One key as published.
 
-    :param revision: its last change.
-    :param content: None when the key was removed.
+    :param revision: revision of its last change.
+    :param content: published content, or None if the key was removed.
     """
 
     key: str
@@ -115,10 +118,10 @@
 
 
 class HeldItem(Struct, kw_only=True, frozen=True):
-    """One key as held.
+    """One key as held by the directory.
 
-    :param lapsed: the record that a removal took away, while it may come back.
-    :param lapsed_until: monotonic time until which ``lapsed`` still counts.
+    :param lapsed: the removed record, for as long as it may come back.
+    :param lapsed_until: monotonic time until which ``lapsed`` is still used.
     """
 
     item: DirectoryItem
@@ -127,7 +130,7 @@
 
 
 class DirectoryView(Struct, kw_only=True, frozen=True):
-    """What is in force; replaced as a whole by each change.
+    """The hosts and routes in force; every change replaces the whole view.
 
     :param hosts: usable hosts by service, ordered by id.
     :param hosts_by_address: newest host at each address, by IPv4 address.
@@ -142,12 +145,12 @@
 
     @property
     def is_complete(self) -> bool:
-        """True once there is a configuration to route by."""
+        """True once a configuration has been received."""
         return self.version > 0
 
     @property
     def has_replaced_host(self) -> bool:
-        """True when the entry of a host still stands whose address has a newer one."""
+        """True if a host is still listed although its address has a newer host."""
         return any(
             self.hosts_by_address[host.address] is not host
             for hosts in self.hosts.values()
@@ -160,9 +163,11 @@
 
     :ivar as_of: revision up to which every change is held.
     :ivar confirmed_at: monotonic time at which ``as_of`` was last known to be current.
-    :ivar first_read_at: monotonic time of the first reading.
+    :ivar first_read_at: monotonic time of the first complete read, or None.
     :ivar history_start: lowest revision after which every change is held, removals
         included.
+    :ivar lapses_expected_until: monotonic time until which a removal may be a lapse
+        due to a platform outage.
     """
 
     def __init__(self) -> None:
@@ -172,11 +177,14 @@
         self.history_start = NO_REVISION
         self.first_read_at: float | None = None
         self.confirmed_at = float("-inf")
-        self.removals_may_lapse_until = float("-inf")
+        self.lapses_expected_until = float("-inf")
 
     def record_outage(self, *, now: float) -> None:
-        """Note that the platform can't be read; removals may be lapses for a while."""
-        self.removals_may_lapse_until = now + OUTAGE_MEMORY_SECONDS
+        """Record that the platform can't be read, so that removals may be lapses.
+
+        :param now: monotonic time in seconds.
+        """
+        self.lapses_expected_until = now + OUTAGE_MEMORY_SECONDS
 
     def apply(
         self,
@@ -188,17 +196,18 @@
     ) -> tuple[DirectoryItem, ...]:
         """Merge changes.
 
-        :param as_of: revision up to which the items tell every change.
-        :param age_seconds: how long ago the source's knowledge was current.
-        :return: the items that were news.
+        :param as_of: revision up to which the items include every change.
+        :param now: monotonic time in seconds.
+        :param age_seconds: age of the data of the source.
+        :return: the items that changed the directory.
         """
-        news = tuple(item for item in items if self._accept(item, now=now))
+        accepted = tuple(item for item in items if self._merge_item(item, now=now))
         if as_of >= self.as_of:
             self.as_of = as_of
             self.confirmed_at = max(self.confirmed_at, now - age_seconds)
-        if news:
+        if accepted:
             self.view = self._build_view(now=now)
-        return news
+        return accepted
 
     def replace(
         self,
@@ -208,9 +217,12 @@
         now: float,
         age_seconds: float = 0.0,
     ) -> tuple[DirectoryItem, ...]:
-        """Merge a whole reading; held keys that it lacks were removed.
+        """Merge a complete read; held keys that it lacks count as removed.
 
-        :param as_of: revision at which the reading began.
+        :param as_of: revision at which the read began.
+        :param now: monotonic time in seconds.
+        :param age_seconds: age of the data of the source.
+        :return: the items that changed the directory.
         """
         items = tuple(items)
         if self.first_read_at is None:
@@ -228,41 +240,43 @@
         )
 
     def lists_every_host(self, *, now: float) -> bool:
-        """Tell whether a live host that the view doesn't name can be ruled out.
+        """Return whether every live host is certain to be in the view.
+
+        A process that has just started may read the list while lapsed entries are
+        missing. If the entry of a host is still listed although the host was replaced
+        at its address, no entry has lapsed recently.
 
-        A process that has just begun may read the list while entries that lapsed are
-        missing. An entry whose host has been replaced at its address, and that still
-        stands, shows that none has lapsed lately.
+        :param now: monotonic time in seconds.
         """
-        if self.first_read_at is None or now < self.removals_may_lapse_until:
+        if self.first_read_at is None or now < self.lapses_expected_until:
             return False
-        if now - self.confirmed_at > LONGEST_CURRENT_SECONDS:
+        if now - self.confirmed_at > MAX_CURRENT_AGE_SECONDS:
             return False
         return (
             self.view.has_replaced_host or now - self.first_read_at >= SETTLING_SECONDS
         )
 
     def changes_after(self, revision: int) -> tuple[DirectoryItem, ...]:
-        """Return every item held that is newer than a revision."""
+        """Return all held items that are newer than a revision."""
         return tuple(
             held.item for held in self.items.values() if held.item.revision > revision
         )
 
     def expire(self, *, now: float) -> tuple[str, ...]:
-        """Drop lapsed hosts that have not come back; returns their ids."""
-        over = [
+        """Drop lapsed hosts that did not come back in time, and return their ids."""
+        expired = [
             key
             for key, held in self.items.items()
             if held.lapsed is not None and now >= held.lapsed_until
         ]
-        gone = tuple(self.items[key].lapsed.id for key in over)
-        for key in over:
+        ids = tuple(self.items[key].lapsed.id for key in expired)
+        for key in expired:
             self.items[key] = HeldItem(item=self.items[key].item)
-        if over:
+        if expired:
             self.view = self._build_view(now=now)
-        return gone
+        return ids
 
-    def _accept(self, item: DirectoryItem, *, now: float) -> bool:
+    def _merge_item(self, item: DirectoryItem, *, now: float) -> bool:
         held = self.items.get(item.key)
         if held is not None and item.revision <= held.item.revision:
             return False
@@ -273,13 +287,13 @@
         self, item: DirectoryItem, *, held: HeldItem | None, now: float
     ) -> HeldItem:
         lapsed = None if held is None else held.item.content
-        may_return = (
+        may_come_back = (
             item.content is None
             and isinstance(lapsed, HostRecord)
             and lapsed.state is HostState.READY
-            and now < self.removals_may_lapse_until
+            and now < self.lapses_expected_until
         )
-        if not may_return:
+        if not may_come_back:
             return HeldItem(item=item)
         return HeldItem(
             item=item, lapsed=lapsed, lapsed_until=now + LAPSE_GRACE_SECONDS
@@ -294,7 +308,7 @@
             match held.lapsed or held.item.content:
                 case HostRecord() as host:
                     hosts.setdefault(host.service, []).append(host)
-                    _settle_resident(hosts_by_address, host)
+                    _keep_newest_host(hosts_by_address, host)
                 case RoutingRecord() as record:
                     routing = record
         view = DirectoryView(
@@ -314,8 +328,10 @@
         )
 
 
-def _settle_resident(hosts_by_address: dict[str, HostRecord], host: HostRecord) -> None:
-    """Let the host that started last own its address."""
+def _keep_newest_host(
+    hosts_by_address: dict[str, HostRecord], host: HostRecord
+) -> None:
+    """Keep the most recently started host of each address."""
     known = hosts_by_address.get(host.address)
     if known is None or host.incarnation >= known.incarnation:
         hosts_by_address[host.address] = host
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_events.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_events.py
@@ -1,4 +1,4 @@
-"""What the follower of the directory reports, for the daemon to log and count."""
+"""Events of the directory follower, which the daemon logs and counts."""
 
 from __future__ import annotations
 
@@ -10,11 +10,12 @@
 
 
 class DirectoryChanged(Struct, kw_only=True, frozen=True):
-    """Changes were merged.
+    """Changes were merged into the directory.
 
-    :param source: who told them.
+    :param source: the platform or the address of the peer that sent them.
     :param as_of: revision up to which every change is held.
-    :param age_seconds: how old the source's own knowledge was.
+    :param age_seconds: age of the data of the source.
+    :param items: items that changed.
     """
 
     source: str
@@ -24,7 +25,7 @@
 
 
 class HostExpired(Struct, kw_only=True, frozen=True):
-    """A host that lapsed while the platform was away has not come back."""
+    """A host that lapsed during a platform outage did not come back in time."""
 
     id: str
 
@@ -32,7 +33,7 @@
 class SourceLost(Struct, kw_only=True, frozen=True):
     """A source gives no usable answer.
 
-    :param retry_seconds: time until it is asked again.
+    :param retry_seconds: time until the next attempt.
     """
 
     source: str
@@ -43,7 +44,7 @@
 class SourceRegained(Struct, kw_only=True, frozen=True):
     """A source answers again.
 
-    :param failures: failed calls in a row before this one.
+    :param failures: number of consecutive failed calls before this one.
     """
 
     source: str
@@ -53,7 +54,7 @@
 class PlatformCalled(Struct, kw_only=True, frozen=True):
     """A call to the platform was answered.
 
-    :param seconds: time that it took, its wait included.
+    :param seconds: duration of the call, including its wait for changes.
     :param changes: number of changes in the response.
     """
 
@@ -68,4 +69,4 @@
 
 
 def ignore_directory_event(_: DirectoryEvent) -> None:
-    """Drop an event."""
+    """Ignore an event."""
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_exchange.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_exchange.py
@@ -1,7 +1,8 @@
-"""Directories of other processes: served to them and read from them.
+"""Exchange of directories between processes: server and client.
 
-A process offers the interface of the platform's reader to its peers, so that few
-processes read the platform, and those that it turns away still learn of changes.
+A process offers the interface of the platform reader to its peers. Only few processes
+then have to read the platform, and processes that the platform rejects still receive
+changes.
 """
 
 from __future__ import annotations
@@ -23,22 +24,22 @@
     pack_items,
 )
 from ._errors import PlatformUnavailableError
-from ._http_client import is_over
+from ._http_client import is_closed
 from ._signal import Signal
 from ._tcp import Streams, connect_tcp, listen_tcp
 
 ANSWER_SECONDS = 0.5
-"""Longest time for an answer beyond the wait that was asked for: peers are within
-milliseconds, and a dark one must be left well within the time of a change."""
-QUICK_ANSWER_SECONDS = 0.2
-"""The same for a process that knows nothing yet: the next peer may answer at once, and
+"""Timeout of an answer beyond the requested wait. Peers are milliseconds away, and an
+unreachable one must be given up well within the time that a change may take."""
+INITIAL_ANSWER_SECONDS = 0.2
+"""The same for a process without a configuration: the next peer may answer at once, and
 all routes of a large site take 0.04 s on the narrowest link."""
-LONGEST_WAIT_SECONDS = 5.0
-"""Longest wait that a peer may ask for."""
-MAX_PACKED = 8
-"""Replies kept packed: followers of a process ask after few different revisions."""
+MAX_WAIT_SECONDS = 5.0
+"""Longest wait that a peer may request."""
+MAX_PACKED_REPLIES = 8
+"""Number of cached replies; the followers of a process ask for few revisions."""
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
-"""Far above a whole directory; a larger length is garbage."""
+"""Far above a whole directory; a larger length is rejected."""
 
 _LENGTH = struct.Struct("!I")
 
@@ -46,25 +47,25 @@
 async def read_message(reader: asyncio.StreamReader) -> bytes:
     """Read one length-prefixed message.
 
-    :raises MalformedMessageError: the length is out of bounds.
+    :raises MalformedMessageError: if the length is out of bounds.
     """
     (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
     if length > MAX_MESSAGE_BYTES:
-        raise MalformedMessageError(f"a message of {length} bytes")
+        raise MalformedMessageError(f"message of {length} bytes is too long")
     return await reader.readexactly(length)
 
 
 def frame_message(message: bytes) -> bytes:
-    """Return a message with its length in front."""
+    """Prefix a message with its length."""
     return _LENGTH.pack(len(message)) + message
 
 
 class DirectoryServer:
-    """Answers peers from this process's directory.
+    """Serves the directory of this process to peers.
 
     :param changed: notified after each change of the directory.
     :param clock: monotonic time in seconds.
-    :param report: takes an unexpected error of one peer's call.
+    :param report: callback for an unexpected error in the call of a peer.
     """
 
     def __init__(
@@ -80,7 +81,7 @@
         self.clock = clock
         self.report = report
         self.server: asyncio.Server | None = None
-        # Packed items by the revision asked for, all for the revision ``packed_as_of``.
+        # Packed items by requested revision, valid for the revision ``packed_as_of``.
         self.packed: dict[int, bytes] = {}
         self.packed_as_of = NO_REVISION
 
@@ -97,9 +98,9 @@
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Answer one peer until it closes the connection."""
-        # The end of the process cancels what waits; the streams library would print
-        # that as a failure.
+        """Serve one peer until it closes the connection."""
+        # The end of the process cancels waiting calls, which the streams library would
+        # log as errors.
         with contextlib.suppress(
             OSError,
             asyncio.IncompleteReadError,
@@ -112,9 +113,9 @@
     async def serve_calls(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Answer calls in turn.
+        """Answer the calls of a connection one after another.
 
-        :raises MalformedMessageError: the peer sends no calls.
+        :raises MalformedMessageError: if the peer sends anything but calls.
         """
         while True:
             request = decode_request(await read_message(reader))
@@ -129,13 +130,13 @@
             await writer.drain()
 
     async def answer(self, request: ChangesRequest) -> PackedReply:
-        """Return what a peer lacks, waiting a while when that is nothing."""
+        """Return the changes that a peer lacks, waiting for one if there are none."""
         is_current = request.after >= self.directory.as_of
         if is_current and request.after > NO_REVISION:
-            seconds = min(request.wait_seconds, LONGEST_WAIT_SECONDS)
+            seconds = min(request.wait_seconds, MAX_WAIT_SECONDS)
             await self.changed.wait(seconds=seconds)
-        # Removals before the floor aren't known here, so a peer that may need them
-        # is given everything.
+        # Removals before ``history_start`` are unknown here, so a peer that may need
+        # them receives the whole directory.
         is_complete = request.after < max(self.directory.history_start, NO_REVISION + 1)
         return PackedReply(
             as_of=self.directory.as_of,
@@ -145,8 +146,11 @@
         )
 
     def pack(self, after: int) -> bytes:
-        """Return the changes after a revision, packed once for all who ask."""
-        if self.packed_as_of != self.directory.as_of or len(self.packed) >= MAX_PACKED:
+        """Return the packed changes after a revision, cached for all peers."""
+        if (
+            self.packed_as_of != self.directory.as_of
+            or len(self.packed) >= MAX_PACKED_REPLIES
+        ):
             self.packed.clear()
             self.packed_as_of = self.directory.as_of
         packed = self.packed.get(after)
@@ -157,9 +161,9 @@
 
 
 class PeerReader:
-    """Reads the directory of one peer over a kept connection.
+    """Reads the directory of one peer over a persistent connection.
 
-    :ivar calls: requests sent.
+    :ivar calls: number of requests that were started.
     """
 
     def __init__(self, *, host: str, port: int) -> None:
@@ -175,10 +179,11 @@
         wait_seconds: float,
         answer_seconds: float = ANSWER_SECONDS,
     ) -> ChangesReply:
-        """Ask for changes after a revision.
+        """Request the changes after a revision.
 
-        :param answer_seconds: longest time for an answer beyond the wait.
-        :raises PlatformUnavailableError: the peer gives no usable answer in time.
+        :param wait_seconds: how long the peer may wait for a change.
+        :param answer_seconds: timeout of the answer beyond the wait.
+        :raises PlatformUnavailableError: if no usable answer arrives in time.
         """
         self.calls += 1
         request = ChangesRequest(after=after, wait_seconds=wait_seconds)
@@ -197,7 +202,7 @@
             raise PlatformUnavailableError(address=address, reason=reason) from error
 
     async def _exchange(self, request: ChangesRequest) -> ChangesReply:
-        if is_over(self.streams):
+        if is_closed(self.streams):
             self.close()
             self.streams = await connect_tcp(self.host, self.port)
         reader, writer = self.streams
@@ -206,7 +211,7 @@
         return decode_reply(await read_message(reader))
 
     def close(self) -> None:
-        """Close the connection; the next call opens another."""
+        """Close the connection; the next call opens a new one."""
         if self.streams is not None:
             self.streams[1].transport.abort()
             self.streams = None
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_follower.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_follower.py
@@ -1,4 +1,4 @@
-"""The task that keeps a process's directory current."""
+"""The task that keeps the directory of a process current."""
 
 from __future__ import annotations
 
@@ -19,35 +19,37 @@
     SourceRegained,
     ignore_directory_event,
 )
-from ._directory_exchange import QUICK_ANSWER_SECONDS, PeerReader
+from ._directory_exchange import INITIAL_ANSWER_SECONDS, PeerReader
 from ._directory_reader import DirectoryReader, HistoryLostError
-from ._directory_seats import choose_seats, order_seats
+from ._directory_watchers import choose_watchers, order_watchers
 from ._errors import PlatformUnavailableError
 from ._signal import Signal
 
 WATCH_SECONDS = 1.0
-"""Wait of one watch; the end of a wait without an answer shows a silent connection."""
-GATHER_SECONDS = 0.2
-"""Pause after changes, so that a series of them takes one call, not one each."""
-LONGEST_AGE_SECONDS = 1.8
-"""A peer whose knowledge is older than a watch and its time limit isn't current."""
+"""Wait of one watch. It is short, so that a dead connection is soon detected by a
+missing answer."""
+COALESCE_SECONDS = 0.2
+"""Pause after changes, so that a series of changes takes one call instead of many."""
+MAX_PEER_AGE_SECONDS = 1.8
+"""A peer is not current if its data is older than a watch and its timeout."""
 FIRST_RETRY_SECONDS = 0.2
-LONGEST_RETRY_SECONDS = 1.2
-"""Well under the time in which a change must be in force."""
-LONGEST_BLIND_RETRY_SECONDS = 0.4
-"""A process without a configuration serves nobody; each pause adds to the outage."""
-PATIENCE_SECONDS = 0.4
-"""How long a process with a narrow link asks peers for a configuration before it
-reads the platform's, which takes longer than that to arrive."""
+MAX_RETRY_SECONDS = 1.2
+"""Well below the time within which a change must be in force."""
+MAX_UNCONFIGURED_RETRY_SECONDS = 0.4
+"""A process without a configuration can't serve, so each pause prolongs the outage."""
+PEERS_FIRST_SECONDS = 0.4
+"""Time for which a process with a narrow link asks peers for the configuration before
+it reads that of the platform, whose transfer takes longer than this."""
 EXPIRY_SECONDS = 0.25
-"""How often lapsed hosts are looked at; their grace is 2 s."""
+"""Interval of the checks for lapsed hosts, whose grace period is 2 s."""
 PLATFORM = "platform"
 
 
 class SourceHealth(Struct, kw_only=True):
-    """How one source has answered lately.
+    """Recent failures of one source.
 
-    :param retry_at: monotonic time before which it isn't asked again.
+    :param failures: number of consecutive failed calls.
+    :param retry_at: monotonic time before which the source is not asked again.
     """
 
     failures: int = 0
@@ -55,16 +57,20 @@
 
 
 class DirectoryFollower:
-    """Follows the platform, or a seat that does.
+    """Updates the directory from the platform or from a watcher of the platform.
 
-    :param own_address: IPv4 address of this process's instance.
-    :param peer_port: where every process answers its peers.
-    :param first_peers: instances that may know the directory while this process
-        doesn't.
+    :param own_address: IPv4 address of the instance of this process.
+    :param peer_port: port on which every process serves its peers.
+    :param first_peers: IPv4 addresses of instances that may hold the directory while
+        this process doesn't.
     :param changed: notified after each change.
     :param clock: monotonic time in seconds.
-    :param has_narrow_link: True where a whole configuration should come from a peer,
-        compressed; the platform then only tells the hosts at first.
+    :param has_narrow_link: True if the configuration should be transferred from a
+        peer, which compresses it. At first, only the hosts are then read from the
+        platform.
+    :ivar health: failures by source.
+    :ivar needs_full_read: True until the whole directory has been read, and again
+        once the platform has lost its history.
     """
 
     def __init__(
@@ -95,10 +101,10 @@
         self.has_narrow_link = has_narrow_link
         self.health: dict[str, SourceHealth] = {}
         self.peers: dict[str, PeerReader] = {}
-        self.needs_everything = True
+        self.needs_full_read = True
 
     async def run(self) -> None:
-        """Follow until cancelled."""
+        """Follow the sources until cancelled."""
         try:
             while True:
                 await self.step()
@@ -106,7 +112,7 @@
             await self.reader.close()
 
     async def expire(self) -> None:
-        """Drop lapsed hosts as their grace ends."""
+        """Drop lapsed hosts when their grace period ends, until cancelled."""
         while True:
             await asyncio.sleep(EXPIRY_SECONDS)
             gone = self.directory.expire(now=self.clock())
@@ -116,53 +122,57 @@
                 self.changed.notify()
 
     async def step(self) -> None:
-        """Ask one source once, and pause as its answer demands."""
+        """Ask one source once, and pause if its answer requires it."""
         source = self.choose_source(now=self.clock())
         if source is None:
             await asyncio.sleep(self._next_retry(now=self.clock()))
             return
         try:
-            news = await self._ask(source)
+            changes = await self._ask(source)
         except PlatformUnavailableError as error:
             self._report_failure(source, error.reason)
             return
         except HistoryLostError:
-            self.needs_everything = True
+            self.needs_full_read = True
             return
         except Exception as error:
-            # Another source is asked next; who runs this task logs the error.
+            # Another source is asked next. The caller of this task logs the error.
             self._report_failure(source, f"unexpected {error!r}")
             raise
         self._report_success(source)
-        if self.has_narrow_link and self.needs_everything:
-            # Only hosts are known: their agents are asked for the configuration now.
-            later = self.clock() + PATIENCE_SECONDS
+        if self.has_narrow_link and self.needs_full_read:
+            # Only the hosts are known. Ask their agents for the configuration next.
+            later = self.clock() + PEERS_FIRST_SECONDS
             self.health[source] = SourceHealth(retry_at=later)
-        elif news:
-            await asyncio.sleep(GATHER_SECONDS)
+        elif changes:
+            await asyncio.sleep(COALESCE_SECONDS)
 
     def choose_source(self, *, now: float) -> str | None:
-        """Return who is asked next: the platform, a peer's address, or nobody yet."""
+        """Return the next source to ask, or None if none may be asked yet.
+
+        A source is either the platform or the address of a peer.
+        """
         return next(
             (name for name in self.list_sources() if self._may_ask(name, now=now)),
             None,
         )
 
     def list_sources(self) -> tuple[str, ...]:
-        """Return every source in the order in which it is preferred."""
+        """Return all sources, most preferred first."""
         agents = self.directory.view.hosts_by_address
-        seats = choose_seats(agents)
-        others = order_seats(
-            (seat for seat in seats if seat != self.own_address),
+        watchers = choose_watchers(agents)
+        others = order_watchers(
+            (watcher for watcher in watchers if watcher != self.own_address),
             follower=self.own_address,
         )
-        if seats and self.has_narrow_link and self.needs_everything:
+        if watchers and self.has_narrow_link and self.needs_full_read:
             return (*others, PLATFORM, *self.first_peers)
-        if not seats and not self.needs_everything and not self.is_first_peer:
-            # At the first start everyone waits for hosts; a few wait at the platform.
-            peers = order_seats(self.first_peers, follower=self.own_address)
+        if not watchers and not self.needs_full_read and not self.is_first_peer:
+            # At the first start of a site all processes wait for hosts; only the first
+            # peers watch the platform for them.
+            peers = order_watchers(self.first_peers, follower=self.own_address)
             return (*peers, PLATFORM)
-        if self.own_address in seats or not seats:
+        if self.own_address in watchers or not watchers:
             return (PLATFORM, *others, *self.first_peers)
         return (*others[:1], PLATFORM, *others[1:], *self.first_peers)
 
@@ -173,7 +183,7 @@
     def _next_retry(self, *, now: float) -> float:
         times = [health.retry_at for health in self.health.values()]
         wait = min((at - now for at in times if at > now), default=FIRST_RETRY_SECONDS)
-        return min(max(wait, 0.01), LONGEST_RETRY_SECONDS)
+        return min(max(wait, 0.01), MAX_RETRY_SECONDS)
 
     async def _ask(self, source: str) -> tuple[DirectoryItem, ...]:
         if source == PLATFORM:
@@ -182,76 +192,79 @@
 
     async def _ask_platform(self) -> tuple[DirectoryItem, ...]:
         began = self.clock()
-        news = await self._read_platform()
-        self.observe(PlatformCalled(seconds=self.clock() - began, changes=len(news)))
-        return news
+        changes = await self._read_platform()
+        self.observe(PlatformCalled(seconds=self.clock() - began, changes=len(changes)))
+        return changes
 
     async def _read_platform(self) -> tuple[DirectoryItem, ...]:
         if self.has_narrow_link and not self.directory.items:
             return await self._read_hosts()
-        if self.needs_everything:
+        if self.needs_full_read:
             reading = await self.reader.read_all()
-            self.needs_everything = False
+            self.needs_full_read = False
             merge = self.directory.replace
         else:
             reading = await self.reader.watch(
                 after=self.directory.as_of, wait_seconds=WATCH_SECONDS
             )
             merge = self.directory.apply
-        news = merge(reading.items, as_of=reading.as_of, now=self.clock())
-        return self._announce(news, source=PLATFORM, age_seconds=0.0)
+        changes = merge(reading.items, as_of=reading.as_of, now=self.clock())
+        return self._report_changes(changes, source=PLATFORM, age_seconds=0.0)
 
     async def _read_hosts(self) -> tuple[DirectoryItem, ...]:
-        """Learn whom to ask for the rest; no revision is known in full by that."""
+        """Read the hosts, whose agents can be asked for the rest.
+
+        The answer completes no revision, so ``as_of`` stays at ``NO_REVISION``.
+        """
         reading = await self.reader.read_hosts()
         now = self.clock()
-        news = self.directory.apply(reading.items, as_of=NO_REVISION, now=now)
-        return self._announce(news, source=PLATFORM, age_seconds=0.0)
+        changes = self.directory.apply(reading.items, as_of=NO_REVISION, now=now)
+        return self._report_changes(changes, source=PLATFORM, age_seconds=0.0)
 
     async def _ask_peer(self, address: str) -> tuple[DirectoryItem, ...]:
         peer = self.peers.get(address)
         if peer is None:
             peer = self.peers[address] = PeerReader(host=address, port=self.peer_port)
-        after = NO_REVISION if self.needs_everything else self.directory.as_of
-        if self.needs_everything:
-            # A process that knows nothing has no time to wait for a peer's news.
+        after = NO_REVISION if self.needs_full_read else self.directory.as_of
+        if self.needs_full_read:
+            # Don't let the peer wait for changes while nothing is known here.
             reply = await peer.fetch(
-                after=after, wait_seconds=0.0, answer_seconds=QUICK_ANSWER_SECONDS
+                after=after, wait_seconds=0.0, answer_seconds=INITIAL_ANSWER_SECONDS
             )
         else:
             reply = await peer.fetch(after=after, wait_seconds=WATCH_SECONDS)
         merge = self.directory.replace if reply.is_complete else self.directory.apply
-        news: tuple[DirectoryItem, ...] = ()
+        changes: tuple[DirectoryItem, ...] = ()
         if reply.as_of > NO_REVISION:
-            news = merge(
+            changes = merge(
                 reply.items,
                 as_of=reply.as_of,
                 now=self.clock(),
                 age_seconds=reply.age_seconds,
             )
-            self.needs_everything = False
-        self._announce(news, source=address, age_seconds=reply.age_seconds)
-        if reply.age_seconds > LONGEST_AGE_SECONDS or reply.as_of == NO_REVISION:
+            self.needs_full_read = False
+        self._report_changes(changes, source=address, age_seconds=reply.age_seconds)
+        if reply.age_seconds > MAX_PEER_AGE_SECONDS or reply.as_of == NO_REVISION:
             raise PlatformUnavailableError(
                 address=address,
-                reason=f"its knowledge is {reply.age_seconds:.1f} s old",
+                reason=f"its data is {reply.age_seconds:.1f} s old",
             )
-        return news
+        return changes
 
-    def _announce(
-        self, news: tuple[DirectoryItem, ...], *, source: str, age_seconds: float
+    def _report_changes(
+        self, changes: tuple[DirectoryItem, ...], *, source: str, age_seconds: float
     ) -> tuple[DirectoryItem, ...]:
-        if news:
+        if changes:
             self.changed.notify()
             self.observe(
                 DirectoryChanged(
                     source=source,
                     as_of=self.directory.as_of,
                     age_seconds=age_seconds,
-                    items=news,
+                    items=changes,
                 )
             )
-        return news
+        return changes
 
     def _report_failure(self, source: str, reason: str) -> None:
         health = self.health.setdefault(source, SourceHealth())
@@ -260,10 +273,10 @@
             health.failures,
             rng=self.rng,
             first=FIRST_RETRY_SECONDS,
-            longest=(
-                LONGEST_RETRY_SECONDS
+            maximum=(
+                MAX_RETRY_SECONDS
                 if self.directory.view.is_complete
-                else LONGEST_BLIND_RETRY_SECONDS
+                else MAX_UNCONFIGURED_RETRY_SECONDS
             ),
         )
         now = self.clock()
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_messages.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_messages.py
@@ -1,4 +1,4 @@
-"""Messages in which processes tell each other their directories (MessagePack)."""
+"""MessagePack messages in which processes exchange their directories."""
 
 from __future__ import annotations
 
@@ -10,20 +10,20 @@
 from ._directory import DirectoryItem
 
 MAX_ITEMS_BYTES = 16 * 1024 * 1024
-"""Far above a whole directory; what unpacks to more is garbage."""
-FASTEST = 1
-"""Routes are alike, so even the fastest level takes nine tenths off."""
+"""Far above a whole directory; a message that unpacks to more is rejected."""
+COMPRESSION_LEVEL = 1
+"""The fastest level; routes are alike, so it still removes nine tenths of the size."""
 
 
 class MalformedMessageError(ValueError):
-    """A peer sent something that is no message; versions may not match."""
+    """A peer sent bytes that are not a valid message; the versions may not match."""
 
 
 class ChangesRequest(Struct, kw_only=True, frozen=True, array_like=True):
-    """Asks for every change after a revision.
+    """Request for every change after a revision.
 
-    :param after: a revision, or 0 for everything.
-    :param wait_seconds: how long the answer may wait for a change.
+    :param after: revision, or 0 for the whole directory.
+    :param wait_seconds: how long the reply may wait for a change.
     """
 
     after: int
@@ -31,11 +31,12 @@
 
 
 class ChangesReply(Struct, kw_only=True, frozen=True):
-    """Changes that a peer holds.
+    """Reply with the changes that a peer holds.
 
     :param as_of: revision up to which the peer knows every change.
-    :param age_seconds: time since the peer's knowledge was current.
-    :param is_complete: True when the items are everything, not only changes.
+    :param age_seconds: time since the directory of the peer was last known to be
+        current.
+    :param is_complete: True if the items are the whole directory, not only changes.
     """
 
     as_of: int
@@ -45,9 +46,9 @@
 
 
 class PackedReply(Struct, kw_only=True, frozen=True, array_like=True):
-    """A reply as it is sent; many peers are told the same items.
+    """A reply as it is sent; the packed items are shared by the replies to many peers.
 
-    :param items: what ``pack_items`` returned.
+    :param items: result of :func:`pack_items`.
     """
 
     as_of: int
@@ -63,36 +64,36 @@
 
 
 def encode_message(message: ChangesRequest | PackedReply) -> bytes:
-    """Return the bytes of a message."""
+    """Encode a message."""
     return _ENCODER.encode(message)
 
 
 def pack_items(items: Iterable[DirectoryItem]) -> bytes:
-    """Return items as they are sent, compressed."""
-    return zlib.compress(_ENCODER.encode(tuple(items)), FASTEST)
+    """Encode and compress items for a :class:`PackedReply`."""
+    return zlib.compress(_ENCODER.encode(tuple(items)), COMPRESSION_LEVEL)
 
 
 def decode_request(data: bytes) -> ChangesRequest:
-    """Read a request.
+    """Decode a request.
 
-    :raises MalformedMessageError: the bytes are no request.
+    :raises MalformedMessageError: if the bytes are not a valid request.
     """
     try:
         return _REQUEST_DECODER.decode(data)
     except DecodeError as error:
-        raise MalformedMessageError(f"no request for changes: {error}") from error
+        raise MalformedMessageError(f"invalid request for changes: {error}") from error
 
 
 def decode_reply(data: bytes) -> ChangesReply:
-    """Read a reply.
+    """Decode a reply.
 
-    :raises MalformedMessageError: the bytes are no reply.
+    :raises MalformedMessageError: if the bytes are not a valid reply.
     """
     try:
         reply = _REPLY_DECODER.decode(data)
         items = _unpack_items(reply.items)
     except (DecodeError, zlib.error) as error:
-        raise MalformedMessageError(f"no reply with changes: {error}") from error
+        raise MalformedMessageError(f"invalid reply with changes: {error}") from error
     return ChangesReply(
         as_of=reply.as_of,
         age_seconds=reply.age_seconds,
@@ -105,5 +106,5 @@
     unpacker = zlib.decompressobj()
     raw = unpacker.decompress(data, MAX_ITEMS_BYTES)
     if not unpacker.eof:
-        raise MalformedMessageError("the items of a reply are cut short or too many")
+        raise MalformedMessageError("the items of a reply are truncated or too large")
     return _ITEMS_DECODER.decode(raw)
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_reader.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_reader.py
@@ -1,4 +1,4 @@
-"""What the directory needs of a platform that lists hosts and routes by key."""
+"""Interface to a platform that lists hosts and routes by key."""
 
 from __future__ import annotations
 
@@ -10,13 +10,13 @@
 
 
 class HistoryLostError(LookupError):
-    """The platform no longer tells what changed since a revision; read all again."""
+    """The platform no longer has the changes since a revision; read all items again."""
 
 
 class DirectoryUpdate(Struct, kw_only=True, frozen=True):
-    """Items of one answer.
+    """Items of one answer of the platform.
 
-    :param as_of: revision up to which they tell every change.
+    :param as_of: revision up to which the items include every change.
     """
 
     as_of: int
@@ -24,9 +24,9 @@
 
 
 class DirectoryReader(Protocol):
-    """Reads and watches hosts and routes; nothing is ever written.
+    """Reads and watches hosts and routes, but never writes them.
 
-    :ivar calls: calls made, a waiting one counted as one.
+    :ivar calls: number of calls; a call that waits counts once.
     """
 
     calls: int
@@ -34,25 +34,25 @@
     async def read_all(self) -> DirectoryUpdate:
         """Read every item.
 
-        :raises PlatformUnavailableError: when the platform gives no usable answer.
+        :raises PlatformUnavailableError: if the platform gives no usable answer.
         """
         ...
 
     async def read_hosts(self) -> DirectoryUpdate:
-        """Read the hosts alone, which is little beside many routes.
+        """Read only the hosts, which are few compared with the routes.
 
-        :raises PlatformUnavailableError: when the platform gives no usable answer.
+        :raises PlatformUnavailableError: if the platform gives no usable answer.
         """
         ...
 
     async def watch(self, *, after: int, wait_seconds: float) -> DirectoryUpdate:
-        """Wait for changes after a revision; the answer may hold none.
+        """Wait for changes after a revision; the answer may be empty.
 
-        :raises HistoryLostError: when the platform has forgotten the revision.
-        :raises PlatformUnavailableError: when the platform gives no usable answer.
+        :raises HistoryLostError: if the platform no longer knows the revision.
+        :raises PlatformUnavailableError: if the platform gives no usable answer.
         """
         ...
 
     async def close(self) -> None:
-        """Release connections."""
+        """Close the connections."""
         ...
--- a/packages/daisygauge-control/src/daisygauge_control/_errors.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_errors.py
@@ -1,12 +1,12 @@
-"""Errors of reading a platform."""
+"""Errors raised while reading the platform."""
 
 from __future__ import annotations
 
 
 class PlatformUnavailableError(ConnectionError):
-    """The platform could not be read; the last good state stays in force.
+    """The platform or a peer could not be read; the last valid state stays in force.
 
-    :param address: base address of the platform's server.
+    :param address: address of the server.
     """
 
     def __init__(self, *, address: str, reason: str) -> None:
--- a/packages/daisygauge-control/src/daisygauge_control/_events.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_events.py
@@ -1,4 +1,4 @@
-"""What a configuration source reports, for the daemon to log and count."""
+"""Events of a configuration source, which the daemon logs and counts."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ConfigurationChanged:
-    """A new view is in force."""
+    """A new configuration view is in force."""
 
     version: int
     services: int
@@ -20,9 +20,9 @@
 
 @dataclass(frozen=True, kw_only=True)
 class RecordRefused:
-    """A record was refused; the last good one stays in force.
+    """A record was refused; the last valid one stays in force.
 
-    :param name: the record as ``kind/id``, or where the platform holds it.
+    :param name: the record as ``kind/id``, or its location on the platform.
     """
 
     name: str
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class RevisionConflict:
-    """Two contents were published with one revision; the digest has settled it.
+    """Two contents were published with one revision; the digests decided between them.
 
     :param kept: digest of the content in force.
     :param dropped: digest of the other content.
@@ -47,7 +47,7 @@
 class PlatformLost:
     """The platform could not be read.
 
-    :param retry_seconds: time until the next try.
+    :param retry_seconds: time until the next attempt.
     """
 
     address: str
@@ -59,7 +59,7 @@
 class PlatformRegained:
     """The platform answers again.
 
-    :param failures: failed reads in a row before this one.
+    :param failures: number of consecutive failed reads before this one.
     """
 
     failures: int
@@ -67,7 +67,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PeerLost:
-    """A daemon that was followed does not answer; another one takes its place."""
+    """A followed daemon does not answer; another daemon is followed instead."""
 
     peer: str
     reason: str
@@ -75,16 +75,21 @@
 
 @dataclass(frozen=True, kw_only=True)
 class WatcherChanged:
-    """This daemon begins or ends to watch the platform for its failure domain."""
+    """This daemon starts or stops watching the platform for its failure domain.
+
+    The daemon logs it as ``seat-changed``.
+
+    :param is_watcher: True if the daemon watches the platform from now on.
+    """
 
     is_watcher: bool
 
 
 @dataclass(frozen=True, kw_only=True)
 class FellBackToPlatform:
-    """No peer gave anything for a while, so the platform is read once.
+    """No peer could be followed for some time, so the platform is read once.
 
-    :param silent_seconds: time since a peer was last followed.
+    :param silent_seconds: time since a peer last answered.
     """
 
     silent_seconds: float
@@ -104,4 +109,4 @@
 
 
 def ignore_event(_: SourceEvent) -> None:
-    """Drop an event."""
+    """Ignore an event."""
--- a/packages/daisygauge-control/src/daisygauge_control/_http_client.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_http_client.py
@@ -1,4 +1,4 @@
-"""A small HTTP client for a platform that is asked often and over one connection."""
+"""Small HTTP client for frequent requests to a platform over one connection."""
 
 from __future__ import annotations
 
@@ -14,37 +14,37 @@
 
 
 class HttpResponse(Struct, kw_only=True, frozen=True):
-    """A whole answer."""
+    """A complete response."""
 
     status: int
     body: bytes
 
 
-class _AnswerParts:
-    """Collects one answer as the parser finds it."""
+class _ResponseParts:
+    """Collects the parts of one response from the callbacks of the parser."""
 
     def __init__(self) -> None:
         self.body: list[bytes] = []
-        self.is_whole = False
+        self.is_complete = False
         self.parser = httptools.HttpResponseParser(self)
 
     def on_body(self, body: bytes) -> None:
         self.body.append(body)
 
     def on_message_complete(self) -> None:
-        self.is_whole = True
+        self.is_complete = True
 
     def feed(self, data: bytes) -> HttpResponse | None:
-        """Take bytes in; returns the answer once it is whole."""
+        """Parse received bytes and return the response once it is complete."""
         self.parser.feed_data(data)
-        if not self.is_whole:
+        if not self.is_complete:
             return None
         status = self.parser.get_status_code()
         return HttpResponse(status=status, body=b"".join(self.body))
 
 
-def is_over(streams: Streams | None) -> bool:
-    """Tell whether a kept connection was ended or reset since its last use."""
+def is_closed(streams: Streams | None) -> bool:
+    """Return whether a kept connection was closed or reset since its last use."""
     if streams is None:
         return True
     reader, writer = streams
@@ -52,10 +52,10 @@
 
 
 class HttpClient:
-    """Sends one request at a time over a kept connection.
+    """Sends one request at a time over a persistent connection.
 
     :param host: IPv4 address of the server.
-    :ivar calls: requests begun.
+    :ivar calls: number of requests that were started.
     """
 
     def __init__(self, *, host: str, port: int) -> None:
@@ -69,9 +69,9 @@
         """Send a GET request.
 
         :param target: path with query.
-        :raises PlatformUnavailableError: no whole answer came in time. The
-            connection is closed then, so that a late answer is never taken for
-            that of another request.
+        :raises PlatformUnavailableError: if no complete response arrives in time. The
+            connection is then closed, so that a late response is never mistaken
+            for that of another request.
         """
         self.calls += 1
         try:
@@ -88,24 +88,24 @@
 
     async def _exchange(self, target: str) -> HttpResponse:
         self._is_busy = True
-        if is_over(self.streams):
+        if is_closed(self.streams):
             self.close()
             self.streams = await connect_tcp(self.host, self.port)
         reader, writer = self.streams
         head = f"GET {target} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n"
         writer.write(head.encode())
-        parts = _AnswerParts()
-        answer = None
-        while answer is None:
+        parts = _ResponseParts()
+        response = None
+        while response is None:
             data = await reader.read(READ_BYTES)
             if not data:
-                raise EOFError("the connection ended before the answer")
-            answer = parts.feed(data)
+                raise EOFError("the connection closed before the response was complete")
+            response = parts.feed(data)
         self._is_busy = not parts.parser.should_keep_alive()
-        return answer
+        return response
 
     def close(self) -> None:
-        """Close the connection; the next request opens another."""
+        """Close the connection; the next request opens a new one."""
         if self.streams is not None:
             self.streams[1].transport.abort()
             self.streams = None
--- a/packages/daisygauge-control/src/daisygauge_control/_member.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_member.py
@@ -1,4 +1,4 @@
-"""Who a daemon is, as its settings say."""
+"""Identity of a daemon and the scope of the records that it needs."""
 
 from __future__ import annotations
 
@@ -7,19 +7,20 @@
 from daisygauge_records import Record, Role, Service, Upstream
 
 ALL_SERVICES = ""
-"""The scope of a daemon that needs every record."""
+"""Scope of a daemon that needs the records of all services."""
 KEYS_GROUP = ""
-"""The group of the records that every daemon needs."""
+"""Group of the records that every daemon needs."""
 TOMBSTONES_GROUP = "/tombstones"
-"""The group of tombstones; no service id contains a slash."""
+"""Group of tombstones; the slash keeps it distinct from every service id."""
 
 
 @frozen(kw_only=True)
 class Member:
-    """A daemon as a member of the fleet.
+    """Identity of a daemon in the fleet, taken from its settings.
 
     :param id: instance id, equal to that in the platform's instance list.
-    :param service: the service whose records the daemon needs, or ``ALL_SERVICES``.
+    :param service: id of the service whose records the daemon needs, or
+        ``ALL_SERVICES``.
     """
 
     id: str
@@ -30,10 +31,10 @@
 
 
 def group_of(record: Record) -> str:
-    """Return the group of daemons that need a record.
+    """Return the group that a record belongs to.
 
-    It depends on the record alone, so that two daemons holding one record count
-    it in the same group.
+    The group depends on the record alone, so that all daemons that hold a record
+    count it in the same group.
     """
     match record.spec:
         case Service(id=id):
@@ -47,5 +48,8 @@
 
 
 def is_wanted(group: str, *, service: str) -> bool:
-    """Tell whether a daemon with a scope needs the records of a group."""
+    """Return whether a daemon needs the records of a group.
+
+    :param service: scope of the daemon, see :class:`Member`.
+    """
     return service in (ALL_SERVICES, group) or group == KEYS_GROUP
--- a/packages/daisygauge-control/src/daisygauge_control/_messages.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_messages.py
@@ -1,4 +1,4 @@
-"""Messages between daemons, from and into the models."""
+"""Conversion between the models and the messages of the control protocol."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 def make_hello(member: Member, state: ConfigurationState) -> FollowHello:
-    """Tell a peer who follows and what it holds already."""
+    """Return the first message to a peer, which lists the records held already."""
     hello = FollowHello(
         member=member.id,
         role=member.role.value,
@@ -35,7 +35,7 @@
     )
     records = state.store.records
     if len(records) > MAX_HELD:
-        hello.buckets.extend(state.journal.bucket_digests())
+        hello.buckets.extend(state.change_log.bucket_digests())
     else:
         hello.held.extend(_held(record) for record in records.values())
     return hello
@@ -48,9 +48,9 @@
 
 
 def read_member(hello: FollowHello) -> Member:
-    """Read who follows.
+    """Return the daemon that sent a hello.
 
-    :raises UnreadableMessageError: for a role that is unknown.
+    :raises UnreadableMessageError: if the role is unknown.
     """
     return Member(
         id=hello.member,
@@ -62,16 +62,16 @@
 
 
 def select_missing(hello: FollowHello, state: ConfigurationState) -> list[bytes]:
-    """Return the documents that a follower lacks or holds in another form."""
+    """Return the documents that a follower lacks or holds with other content."""
     if hello.buckets:
         return _select_by_bucket(hello, state)
     held = {
         (entry.kind, entry.id): (entry.revision, entry.digest) for entry in hello.held
     }
-    entries = state.journal.entries
+    entries = state.change_log.entries
     found = []
     for id, record in state.store.records.items():
-        # A held record may have left the follower's scope, which it must learn.
+        # A record that has left the scope of the follower is sent if it still holds it.
         wanted = id in held or is_wanted(entries[id].group, service=hello.service)
         if wanted and held.get(id, (0, "")) < (record.revision, record.digest):
             found.append(record.document)
@@ -79,24 +79,24 @@
 
 
 def _select_by_bucket(hello: FollowHello, state: ConfigurationState) -> list[bytes]:
-    own = state.journal.bucket_digests()
+    own = state.change_log.bucket_digests()
     theirs = list(hello.buckets)
     if len(theirs) != len(own):
         theirs = [0] * len(own)
     differing = [index for index, digest in enumerate(own) if digest != theirs[index]]
-    ids = state.journal.ids_in(differing)
+    ids = state.change_log.ids_in(differing)
     return [
         state.store.records[id].document
         for id in ids
-        if is_wanted(state.journal.entries[id].group, service=hello.service)
+        if is_wanted(state.change_log.entries[id].group, service=hello.service)
     ]
 
 
 def make_report(
     state: ConfigurationState, *, service: str = ALL_SERVICES, ready: bool
 ) -> Report:
-    """Tell how far this daemon has come with the records of a scope."""
-    summary = state.journal.summarize(service=service)
+    """Return the progress of this daemon with the records of a scope."""
+    summary = state.change_log.summarize(service=service)
     refused = list(state.refused.values())[:MAX_REFUSALS]
     return Report(
         digest=summary.digest,
@@ -113,14 +113,14 @@
 
 
 def split_documents(documents: list[bytes]) -> Iterator[Delta]:
-    """Spread documents over messages of a bounded size, all but the last partial."""
+    """Split documents into messages of bounded size; all but the last are partial."""
     for start in range(0, max(len(documents), 1), DOCUMENTS_PER_DELTA):
         end = start + DOCUMENTS_PER_DELTA
         yield Delta(documents=documents[start:end], partial=end < len(documents))
 
 
 def encode_instance(instance: Instance) -> InstanceEntry:
-    """Turn an entry of the instance list into its message."""
+    """Convert an instance into its message."""
     return InstanceEntry(
         id=instance.id,
         role=instance.role.value,
@@ -134,9 +134,9 @@
 
 
 def decode_instances(entries: Iterable[InstanceEntry]) -> dict[str, Instance]:
-    """Read entries of the instance list.
+    """Convert messages into instances by id.
 
-    :raises UnreadableMessageError: for a role that is unknown.
+    :raises UnreadableMessageError: if a role is unknown.
     """
     return {
         entry.id: Instance(
--- a/packages/daisygauge-control/src/daisygauge_control/_node.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_node.py
@@ -1,4 +1,4 @@
-"""What the tasks of one daemon's control share."""
+"""State that the control tasks of one daemon share."""
 
 from __future__ import annotations
 
@@ -21,7 +21,8 @@
 class Follower:
     """A daemon that follows this one.
 
-    :param behind_since: monotonic time since which it lacks something, or None.
+    :param report: latest report of the follower.
+    :param behind_since: monotonic time since which it lacks changes, or None.
     """
 
     member: Member
@@ -30,11 +31,11 @@
 
 
 class Node:
-    """The daemon as its peers see it.
+    """This daemon as its peers see it.
 
-    :ivar changed: wakes tasks when records, instances or links change.
+    :ivar changed: notified when records, instances or subscriptions change.
     :ivar followers: daemons that follow this one, by id.
-    :ivar is_watcher: whether this daemon watches the platform.
+    :ivar is_watcher: True while this daemon watches the platform.
     """
 
     def __init__(
@@ -62,15 +63,15 @@
         return self.state.view.keys
 
     def report(self, *, service: str) -> Report:
-        """Tell how far this daemon has come with the records of a scope."""
+        """Return the progress of this daemon with the records of a scope."""
         return make_report(self.state, service=service, ready=self.is_ready())
 
     def compare(self, follower: Follower, *, now: float) -> None:
-        """Note whether a follower has what this daemon has.
+        """Update whether a follower lacks records that this daemon holds.
 
         :param now: monotonic time in seconds.
         """
-        own = self.state.journal.summarize(service=follower.member.service)
+        own = self.state.change_log.summarize(service=follower.member.service)
         if follower.report.digest == own.digest:
             follower.behind_since = None
         elif follower.behind_since is None:
--- a/packages/daisygauge-control/src/daisygauge_control/_platform.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_platform.py
@@ -1,4 +1,4 @@
-"""What daisygauge needs of a platform's configuration service."""
+"""Interface to the configuration service of a platform."""
 
 from __future__ import annotations
 
@@ -9,14 +9,14 @@
 from daisygauge_records import Instance
 
 NO_INDEX = 0
-"""The index of a read that must answer at once."""
+"""Index of a read that returns immediately."""
 
 
 @frozen(kw_only=True)
 class PublishedRecord:
-    """One record as the platform holds it, not checked yet.
+    """A record as the platform holds it, not yet validated.
 
-    :param name: where the platform holds it, for messages.
+    :param name: location on the platform, for messages.
     """
 
     name: str
@@ -35,7 +35,7 @@
 class InstancesSnapshot:
     """The instance list at one index.
 
-    :param skipped: entries that could not be understood.
+    :param skipped: number of entries that could not be parsed.
     """
 
     index: int
@@ -44,42 +44,45 @@
 
 
 class PlatformReader(Protocol):
-    """Reads and watches a platform; nothing is ever written to it.
+    """Reads and watches a platform, but never writes to it.
 
-    With ``after`` above ``NO_INDEX`` a read waits until the index differs from
-    it or the reader's waiting time is over.
+    With ``after`` above ``NO_INDEX``, a read waits until the index differs from
+    ``after`` or the wait time of the reader is over.
     """
 
     async def read_records(self, *, after: int) -> RecordsSnapshot:
         """Read all records.
 
-        :raises PlatformUnavailableError: when no server answers.
+        :raises PlatformUnavailableError: if no server answers.
         """
         ...
 
     async def read_keys(self) -> RecordsSnapshot:
-        """Read the key records alone, at once.
+        """Read only the key records, without waiting.
 
-        :raises PlatformUnavailableError: when no server answers.
+        :raises PlatformUnavailableError: if no server answers.
         """
         ...
 
     async def read_instances(self, *, after: int) -> InstancesSnapshot:
         """Read the instance list.
 
-        :raises PlatformUnavailableError: when no server answers.
+        :raises PlatformUnavailableError: if no server answers.
         """
         ...
 
     async def close(self) -> None:
-        """Release connections."""
+        """Close the connections."""
         ...
 
 
 def next_index(*, after: int, seen: int) -> int:
-    """Return the index to wait on.
+    """Return the index that the next read waits on.
 
-    An index that goes back belongs to a platform that has lost its state, so the
+    An index that goes backwards means that the platform has lost its state, so the
     next read must not wait.
+
+    :param after: index that the last read waited on.
+    :param seen: index that the last read returned.
     """
     return NO_INDEX if seen < after else max(seen, NO_INDEX)
--- a/packages/daisygauge-control/src/daisygauge_control/_sealing.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_sealing.py
@@ -1,4 +1,4 @@
-"""Encryption of messages between daemons, since records hold secrets."""
+"""Encryption of messages between daemons, because records contain secrets."""
 
 from __future__ import annotations
 
@@ -19,13 +19,13 @@
 COMPRESSION_LEVEL = 6
 MAX_MESSAGE_BYTES = 4 << 20
 FRAMING_BYTES = 14
-"""An HTTP/2 frame header and a gRPC message prefix."""
+"""Size of an HTTP/2 frame header and a gRPC message prefix."""
 
 Kind = TypeVar("Kind", bound=Message)
 
 
 class UnreadableMessageError(ValueError):
-    """A message that no key in force can open; the peer is not trusted."""
+    """A message can't be opened with any key in force, so the peer is not trusted."""
 
     def __init__(self, reason: str) -> None:
         super().__init__(f"{reason}; check that both daemons hold the same keys")
@@ -35,7 +35,7 @@
     """Compress and encrypt a message under the newest key.
 
     :param now: Unix time in seconds.
-    :raises NoKeyError: when no key is in force.
+    :raises NoKeyError: if no key is in force.
     """
     key = keys.newest(now=now)
     if key is None:
@@ -50,7 +50,7 @@
     """Decrypt and decompress a message.
 
     :param now: Unix time in seconds.
-    :raises UnreadableMessageError: for a message that no key in force has sealed.
+    :raises UnreadableMessageError: if no key in force opens the message.
     """
     key = keys.find(sealed.key, now=now)
     if key is None:
@@ -75,6 +75,6 @@
     return AESGCM(key.peer_call_seal)
 
 
-def size_of(sealed: Sealed) -> int:
-    """Return the bytes that a message takes on its stream."""
+def sealed_bytes(sealed: Sealed) -> int:
+    """Return the size of a message on its stream in bytes."""
     return sealed.ByteSize() + FRAMING_BYTES
--- a/packages/daisygauge-control/src/daisygauge_control/_service.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_service.py
@@ -1,4 +1,4 @@
-"""The server side of control: sending changes to followers, telling the status."""
+"""The server side of the control protocol: sends changes and the status."""
 
 from __future__ import annotations
 
@@ -22,12 +22,12 @@
 from ._member import is_wanted
 from ._messages import encode_instance, read_member, select_missing, split_documents
 from ._node import Follower, Node
-from ._sealing import UnreadableMessageError, open_sealed, seal, size_of
-from ._seats import select_instances
+from ._sealing import UnreadableMessageError, open_sealed, seal, sealed_bytes
+from ._watchers import select_instances
 
 HEARTBEAT_SECONDS = 5.0
-GATHER_SECONDS = 0.02
-"""Time for which changes are gathered into one message."""
+COALESCE_SECONDS = 0.02
+"""Time for which changes are collected into one message."""
 SILENT_FOLLOWER_SECONDS = 45.0
 
 FollowStream = Stream[Sealed, Sealed]
@@ -36,14 +36,14 @@
 
 
 class ControlService(ControlBase):
-    """Serves the calls of other daemons."""
+    """Serves the control calls of other daemons."""
 
     def __init__(self, *, node: Node, answer_status: AnswerStatus) -> None:
         self.node = node
         self.answer_status = answer_status
 
     async def Follow(self, stream: FollowStream) -> None:
-        """Send changes to a follower for as long as it stays."""
+        """Send changes to a follower until it disconnects."""
         try:
             request = await receive_request(stream, node=self.node)
             follower = Follower(member=read_member(request.hello))
@@ -62,7 +62,7 @@
                 del followers[follower.member.id]
 
     async def Status(self, stream: FollowStream) -> None:
-        """Tell how far the fleet has come."""
+        """Return the configuration status of the fleet."""
         node = self.node
         try:
             sealed = await stream.recv_message()
@@ -74,24 +74,25 @@
         answer = seal(
             await self.answer_status(request), keys=node.keys, now=node.clock()
         )
-        await node.budget.wait_to_send(size_of(answer), is_sync=True)
+        await node.budget.wait_to_send(sealed_bytes(answer), is_sync=True)
         await stream.send_message(answer)
 
 
 async def receive_request(stream: FollowStream, *, node: Node) -> FollowRequest:
-    """Receive one message of a follower.
+    """Receive one message from a follower.
 
-    :raises UnreadableMessageError: when no key in force has sealed it.
+    :raises UnreadableMessageError: if no key in force opens the message, or if the
+        stream has ended.
     """
     sealed = await stream.recv_message()
     if sealed is None:
         raise UnreadableMessageError("the stream has ended")
-    node.budget.note_received(size_of(sealed))
+    node.budget.record_received(sealed_bytes(sealed))
     return open_sealed(sealed, FollowRequest, keys=node.keys, now=node.clock())
 
 
 async def _serve_follower(serving: FollowerStream) -> None:
-    """Send and receive until either ends."""
+    """Send changes and receive reports until either ends."""
     tasks = {
         asyncio.create_task(serving.send_changes()),
         asyncio.create_task(serving.receive_reports()),
@@ -107,10 +108,11 @@
 
 
 class FollowerStream:
-    """One stream of changes to one follower.
+    """The stream of changes to one follower.
 
-    :ivar sent: the instance list as the follower has it.
-    :ivar sequence: number of the latest change that the follower was sent.
+    :param request: first message of the follower.
+    :ivar sent: instance list as it was sent to the follower.
+    :ivar sequence: number of the latest change that was sent to the follower.
     """
 
     def __init__(
@@ -126,12 +128,12 @@
         self.node = node
         self.request = request
         self.sent: Instances = {}
-        self.sequence = node.state.journal.sequence
+        self.sequence = node.state.change_log.sequence
         self._selected: tuple[object, object] = (None, None)
-        self._told_ready = False
+        self._reported_ready = False
 
     async def receive_reports(self) -> None:
-        """Take in what the follower tells, until it leaves or falls silent."""
+        """Receive reports until the follower disconnects or is silent for too long."""
         while True:
             try:
                 async with asyncio.timeout(SILENT_FOLLOWER_SECONDS):
@@ -142,38 +144,40 @@
             self.node.compare(self.follower, now=time.monotonic())
 
     async def send_changes(self) -> None:
-        """Send what the follower lacks, then every change as it comes."""
+        """Send the records that the follower lacks, then every change."""
         missing = select_missing(self.request.hello, self.node.state)
         await self._send(missing, is_sync=True)
         while True:
-            await self._wait_for_news()
+            await self._wait_for_changes()
             self.node.compare(self.follower, now=time.monotonic())
-            await self._send(self._take_changes(), is_sync=False)
+            await self._send(self._changes_to_send(), is_sync=False)
 
-    async def _wait_for_news(self) -> None:
-        """Wait for a change, or until a heartbeat is due."""
+    async def _wait_for_changes(self) -> None:
+        """Wait for changes, or until a heartbeat is due."""
         loop = asyncio.get_running_loop()
         end = loop.time() + HEARTBEAT_SECONDS
         while loop.time() < end:
-            if self._has_news():
-                await asyncio.sleep(GATHER_SECONDS)
+            if self._has_changes():
+                await asyncio.sleep(COALESCE_SECONDS)
                 return
             await self.node.changed.wait(seconds=end - loop.time())
 
-    def _has_news(self) -> bool:
+    def _has_changes(self) -> bool:
         state = self.node.state
         return (
-            self.sequence != state.journal.sequence
+            self.sequence != state.change_log.sequence
             or self._selected[0] is not state.view.instances
-            or self._told_ready != self.node.is_ready()
+            or self._reported_ready != self.node.is_ready()
         )
 
-    def _take_changes(self) -> list[bytes]:
+    def _changes_to_send(self) -> list[bytes]:
         state = self.node.state
-        changes = state.journal.changes_after(self.sequence)
+        changes = state.change_log.changes_after(self.sequence)
         if changes is None:
-            raise GRPCError(Status.ABORTED, "too many changes at once; follow again")
-        self.sequence = state.journal.sequence
+            raise GRPCError(
+                Status.ABORTED, "too many changes to send one by one; follow again"
+            )
+        self.sequence = state.change_log.sequence
         service = self.follower.member.service
         wanted = {
             change.id
@@ -187,10 +191,10 @@
             if not delta.partial:
                 self._add_instances(delta)
                 report = self.node.report(service=self.follower.member.service)
-                self._told_ready = report.ready
+                self._reported_ready = report.ready
                 delta.report.CopyFrom(report)
             sealed = seal(delta, keys=self.node.keys, now=self.node.clock())
-            await self.node.budget.wait_to_send(size_of(sealed), is_sync=is_sync)
+            await self.node.budget.wait_to_send(sealed_bytes(sealed), is_sync=is_sync)
             await self.stream.send_message(sealed)
 
     def _add_instances(self, delta: Delta) -> None:
--- a/packages/daisygauge-control/src/daisygauge_control/_signal.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_signal.py
@@ -1,4 +1,4 @@
-"""Waking of every task that waits for a change."""
+"""Notification of all tasks that wait for a change."""
 
 from __future__ import annotations
 
@@ -6,18 +6,21 @@
 
 
 class Signal:
-    """An event that any number of tasks wait for, again and again."""
+    """A repeatable event that any number of tasks can wait for."""
 
     def __init__(self) -> None:
         self._event = asyncio.Event()
 
     def notify(self) -> None:
-        """Wake every task that waits now."""
+        """Wake all tasks that are currently waiting."""
         self._event.set()
         self._event = asyncio.Event()
 
     async def wait(self, *, seconds: float | None = None) -> None:
-        """Wait for the next change, or until a time has passed."""
+        """Wait for the next notification, or until the timeout.
+
+        :param seconds: timeout in seconds, or None to wait forever.
+        """
         event = self._event
         try:
             async with asyncio.timeout(seconds):
--- a/packages/daisygauge-control/src/daisygauge_control/_source.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_source.py
@@ -1,4 +1,4 @@
-"""The task that keeps a daemon's configuration up to date."""
+"""The configuration source of a daemon, and the task that keeps it current."""
 
 from __future__ import annotations
 
@@ -22,18 +22,21 @@
 from ._signal import Signal
 from ._state import ConfigurationState
 from ._status import answer_status
-from ._steering import Steering
+from ._subscription_manager import SubscriptionManager
 from ._view import ConfigurationView
 from ._watch import PlatformWatch
 
 
 class ConfigurationSource:
-    """Offers the configuration in force, from the platform and from peers.
+    """Provides the configuration in force, read from the platform and from peers.
 
-    Without a member it watches the platform by itself and follows nobody.
+    Without a member, the source only watches the platform and follows no peers.
 
-    :param member: who this daemon is.
+    :param reader: reader of the platform.
+    :param member: identity of this daemon, or None to watch the platform alone.
+    :param observe: callback that receives every event of the source.
     :param clock: Unix time in seconds, for calls between daemons.
+    :ivar changed: notified when records, instances or subscriptions change.
     """
 
     def __init__(
@@ -63,14 +66,14 @@
             rng=rng,
         )
         self.node = Node(
-            member=member or _LONE_MEMBER,
+            member=member or _STANDALONE_MEMBER,
             state=self.state,
             budget=self.budget,
             changed=self.changed,
             is_ready=lambda: self.ready,
             clock=clock,
         )
-        self.steering = Steering(
+        self.subscription_manager = SubscriptionManager(
             node=self.node, watch=self.watch, observe=observe, rng=rng
         )
 
@@ -83,13 +86,15 @@
     def revision(self) -> int:
         """Sum of the revisions of the records that this daemon needs.
 
-        Revisions only grow, so it never decreases while the process lives.
+        Revisions only grow, so the sum never decreases within the life of a process.
         """
-        return self.state.journal.summarize(service=self.node.member.service).revision
+        return self.state.change_log.summarize(
+            service=self.node.member.service
+        ).revision
 
     @property
     def refused(self) -> dict[str, RecordRefused]:
-        """Records that are refused now, with the reasons, by name."""
+        """Records that are currently refused, with the reasons, by name."""
         return self.state.refused
 
     @property
@@ -97,14 +102,14 @@
         """Whether the configuration may be acted on."""
         if self.member is None:
             return self.watch.records_read and self.watch.instances_read
-        return self.steering.settled
+        return self.subscription_manager.has_synced
 
     def services(self) -> list[ControlService]:
-        """Return what the daemon's grpc server has to serve."""
+        """Return the services that the daemon's gRPC server must serve."""
         return [ControlService(node=self.node, answer_status=self.answer_status)]
 
     def authenticate(self, server: Server) -> None:
-        """Refuse every call to a server that no key in force has signed."""
+        """Refuse every call to a server that is not signed by a key in force."""
         authenticate_server(
             server,
             receiver=self.node.member.id,
@@ -113,9 +118,11 @@
         )
 
     async def answer_status(self, request: StatusRequest) -> StatusAnswer:
-        """Tell how far the fleet has come, or this failure domain alone."""
+        """Return the configuration status of the fleet, or of this failure domain."""
         return await answer_status(
-            request, node=self.node, links=self.steering.links.links
+            request,
+            node=self.node,
+            subscriptions=self.subscription_manager.subscriptions.by_peer,
         )
 
     async def run(self) -> None:
@@ -124,18 +131,18 @@
             if self.member is None:
                 await self.watch.run()
             else:
-                await self.steering.run()
+                await self.subscription_manager.run()
         finally:
             await self.reader.close()
 
     async def wait_for_change(self, *, after: int) -> ConfigurationView:
-        """Wait until a view later than a version is in force and return it."""
+        """Wait for a view newer than a version and return it."""
         while self.view.version <= after:
             await self.changed.wait()
         return self.view
 
 
-_LONE_MEMBER = Member(id="", role=Role.BALANCER, region="", failure_domain="")
+_STANDALONE_MEMBER = Member(id="", role=Role.BALANCER, region="", failure_domain="")
 
 
 def create_configuration_source(
@@ -147,8 +154,8 @@
     """Build a source that reads a platform through Consul's HTTP interface.
 
     :param platform: base addresses of the platform's servers.
-    :param member: who this daemon is; None to watch the platform alone.
-    :param observe: is told what happens, to log and count it.
+    :param member: identity of this daemon, or None to watch the platform alone.
+    :param observe: callback that receives every event of the source.
     """
     return ConfigurationSource(
         reader=ConsulReader(addresses=platform), member=member, observe=observe
--- a/packages/daisygauge-control/src/daisygauge_control/_state.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_state.py
@@ -1,4 +1,4 @@
-"""The state of configuration that one daemon holds, free of input and output."""
+"""The configuration state of one daemon, without input and output."""
 
 from __future__ import annotations
 
@@ -23,6 +23,7 @@
 )
 from daisygauge_wire import KeyRing
 
+from ._change_log import ChangeLog
 from ._events import (
     ConfigurationChanged,
     Observe,
@@ -30,7 +31,6 @@
     RevisionConflict,
     ignore_event,
 )
-from ._journal import Journal
 from ._member import ALL_SERVICES, group_of, is_wanted
 from ._platform import PublishedRecord
 from ._signal import Signal
@@ -41,12 +41,13 @@
 
 
 class ConfigurationState:
-    """Merges what is read into one store and builds views of it.
+    """Merges published records into one store and builds views of it.
 
-    :param service: the service whose records are wanted, or ``ALL_SERVICES``.
-    :param changed: is notified of every change of records or instances.
+    :param service: id of the service whose records are needed, or ``ALL_SERVICES``.
+    :param changed: notified of every change of records or instances.
     :ivar view: the configuration in force.
-    :ivar refused: records that are refused now, by name.
+    :ivar unreadable: records that are refused because they are invalid, by name.
+    :ivar duplicates: records that are refused as duplicates, by name.
     """
 
     def __init__(
@@ -60,7 +61,7 @@
         self.changed = changed or Signal()
         self.view = ConfigurationView()
         self.store = RecordStore()
-        self.journal = Journal()
+        self.change_log = ChangeLog()
         self.observe = observe
         self.unreadable: dict[str, RecordRefused] = {}
         self.duplicates: dict[str, RecordRefused] = {}
@@ -69,14 +70,14 @@
 
     @property
     def refused(self) -> dict[str, RecordRefused]:
-        """Records that are refused now, with the reasons, by name."""
+        """Records that are currently refused, with the reasons, by name."""
         refused = (*self.unreadable.values(), *self.duplicates.values())
         return {entry.name: entry for entry in refused}
 
     def apply_records(self, published: Iterable[PublishedRecord]) -> bool:
-        """Merge what the platform holds; an invalid record changes nothing.
+        """Merge the records of the platform; an invalid record changes nothing.
 
-        :return: True when a new view is in force.
+        :return: True if a new view is in force.
         """
         changed = False
         for entry in published:
@@ -91,12 +92,12 @@
         return changed and self._rebuild()
 
     def apply_documents(self, documents: Iterable[bytes]) -> bool:
-        """Merge records that a peer holds.
+        """Merge records of a peer.
 
-        :return: True when a new view is in force.
+        :return: True if a new view is in force.
         """
         records = [self._parse(document, name="peer") for document in documents]
-        # A list, since every record has to be merged.
+        # A list, because any() on a generator would skip records after a change.
         changed = [
             self._apply_record(record) for record in records if record is not None
         ]
@@ -105,10 +106,10 @@
     def apply_instances(self, instances: Iterable[Instance]) -> bool:
         """Replace the instance list.
 
-        :return: True when a new view is in force.
+        :return: True if a new view is in force.
         """
         known = self.view.instances
-        # Equal entries are kept, so that peers compare them by identity.
+        # Reuse equal entries, because peer streams compare them by identity.
         by_id = {
             entry.id: known[entry.id] if known.get(entry.id) == entry else entry
             for entry in instances
@@ -139,7 +140,7 @@
             return False
         self.unreadable.pop(f"{record.kind}/{record.id}", None)
         self._report_conflict(outcome)
-        self.journal.note(record)
+        self.change_log.record(record)
         self.changed.notify()
         return True
 
@@ -184,7 +185,10 @@
         self.duplicates = current
 
     def _derive_keys(self, keys: tuple[Key, ...]) -> KeyRing:
-        """Derive keys only when they changed: it costs and changes identity."""
+        """Derive keys only if they changed.
+
+        Derivation is costly, and its result is a new object.
+        """
         if keys == self._keys:
             return self.view.keys
         self._keys = keys
--- a/packages/daisygauge-control/src/daisygauge_control/_status.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_status.py
@@ -1,4 +1,4 @@
-"""How far the fleet has come, asked of any daemon."""
+"""Configuration status of the fleet, which every daemon can report."""
 
 from __future__ import annotations
 
@@ -15,33 +15,33 @@
     StatusRequest,
 )
 
-from ._link import LINK_ERRORS, Link, open_channel
 from ._node import Node
 from ._sealing import open_sealed, seal
-from ._seats import choose_seats
+from ._subscription import SUBSCRIPTION_ERRORS, Subscription, open_channel
+from ._watchers import choose_watchers
 
-ASK_SECONDS = 2.0
+ANSWER_SECONDS = 2.0
 
 
 async def answer_status(
-    request: StatusRequest, *, node: Node, links: Mapping[str, Link]
+    request: StatusRequest, *, node: Node, subscriptions: Mapping[str, Subscription]
 ) -> StatusAnswer:
-    """Answer for this failure domain, or for all by asking their seats.
+    """Return the status of this failure domain, or of all by asking their watchers.
 
-    An agent knows no other domain, so it passes the question to a peer.
+    An agent knows no other failure domain, so it forwards the request to a peer.
     """
     if request.domain_only:
         return StatusAnswer(domains=[describe_followers(node)])
     if node.member.role is Role.AGENT:
-        for link in links.values():
-            answer = await ask_status(link.peer, node=node, request=request)
+        for subscription in subscriptions.values():
+            answer = await ask_status(subscription.peer, node=node, request=request)
             if answer is not None:
                 return answer
     return await _ask_domains(node)
 
 
 def describe_followers(node: Node) -> DomainStatus:
-    """Tell of this daemon and of those that follow it."""
+    """Return the status of this daemon and of those that follow it."""
     now = time.monotonic()
     own = MemberStatus(
         member=node.member.id,
@@ -70,36 +70,38 @@
 async def _ask_domains(node: Node) -> StatusAnswer:
     instances = node.state.view.instances
     domains = sorted({entry.failure_domain for entry in instances.values()})
-    seats = [
-        seat
+    watchers = [
+        watcher
         for domain in domains
-        for seat in choose_seats(instances.values(), failure_domain=domain)
+        for watcher in choose_watchers(instances.values(), failure_domain=domain)
     ]
-    answers = await asyncio.gather(*(_ask_domain(seat, node) for seat in seats))
+    answers = await asyncio.gather(
+        *(_ask_domain(watcher, node) for watcher in watchers)
+    )
     return merge_answers(
         [answer for answer in answers if answer is not None], instances=instances
     )
 
 
-async def _ask_domain(seat: Instance, node: Node) -> DomainStatus | None:
-    if seat.id == node.member.id:
+async def _ask_domain(watcher: Instance, node: Node) -> DomainStatus | None:
+    if watcher.id == node.member.id:
         return describe_followers(node)
     request = StatusRequest(domain_only=True)
-    answer = await ask_status(seat, node=node, request=request)
+    answer = await ask_status(watcher, node=node, request=request)
     return answer.domains[0] if answer is not None and answer.domains else None
 
 
 async def ask_status(
     peer: Instance, *, node: Node, request: StatusRequest
 ) -> StatusAnswer | None:
-    """Ask one daemon; None when it does not answer in time."""
+    """Return the status that one daemon reports, or None if the call fails."""
     channel = open_channel(peer, node=node)
     try:
-        async with asyncio.timeout(ASK_SECONDS):
+        async with asyncio.timeout(ANSWER_SECONDS):
             question = seal(request, keys=node.keys, now=node.clock())
             sealed = await ControlStub(channel).Status(question)
         return open_sealed(sealed, StatusAnswer, keys=node.keys, now=node.clock())
-    except LINK_ERRORS:
+    except SUBSCRIPTION_ERRORS:
         return None
     finally:
         channel.close()
@@ -108,15 +110,15 @@
 def merge_answers(
     answers: Iterable[DomainStatus], *, instances: Mapping[str, Instance]
 ) -> StatusAnswer:
-    """Sort what seats have told into failure domains.
+    """Merge the answers of watchers into one status by failure domain.
 
-    A daemon that several seats know counts with its least delay.
+    A daemon that several watchers report is listed with its smallest delay.
     """
     members: dict[str, MemberStatus] = {}
-    seats: dict[str, str] = {}
+    watchers: dict[str, str] = {}
     for answer in answers:
         for id in answer.seats:
-            seats[id] = answer.failure_domain
+            watchers[id] = answer.failure_domain
         for member in answer.members:
             known = members.get(member.member)
             if known is None or member.behind_seconds < known.behind_seconds:
@@ -124,7 +126,9 @@
     domains = sorted({entry.failure_domain for entry in instances.values()})
     return StatusAnswer(
         domains=[
-            _describe_domain(domain, members=members, seats=seats, instances=instances)
+            _describe_domain(
+                domain, members=members, watchers=watchers, instances=instances
+            )
             for domain in domains
         ]
     )
@@ -134,7 +138,7 @@
     domain: str,
     *,
     members: Mapping[str, MemberStatus],
-    seats: Mapping[str, str],
+    watchers: Mapping[str, str],
     instances: Mapping[str, Instance],
 ) -> DomainStatus:
     ids = sorted(
@@ -142,7 +146,7 @@
     )
     return DomainStatus(
         failure_domain=domain,
-        seats=sorted(id for id, name in seats.items() if name == domain),
+        seats=sorted(id for id, name in watchers.items() if name == domain),
         members=[members[id] for id in ids if id in members],
         unseen=[id for id in ids if id not in members],
     )
--- a/packages/daisygauge-control/src/daisygauge_control/_fetch.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_status_client.py
@@ -1,4 +1,4 @@
-"""Asking a running fleet how far its configuration has come."""
+"""Client that reads the configuration status of a running fleet."""
 
 from __future__ import annotations
 
@@ -16,13 +16,13 @@
 from ._state import ConfigurationState
 from ._status import ask_status
 
-ASKER = Member(
+OPERATOR = Member(
     id="daisygaugectl", role=Role.BALANCER, region="", failure_domain="operators"
 )
 
 
 class NoAnswerError(ConnectionError):
-    """No daemon that was asked has answered."""
+    """None of the daemons that were asked has answered."""
 
     def __init__(self, *, asked: Sequence[str]) -> None:
         names = ", ".join(asked) or "no daemon is on the instance list"
@@ -35,14 +35,15 @@
 async def fetch_status(
     *, platform: Sequence[str], daemon: str | None = None
 ) -> StatusAnswer:
-    """Ask one daemon what it knows of the whole fleet; nothing is changed.
+    """Return the status of the whole fleet as one daemon knows it.
 
-    Keys and addresses are read from the platform.
+    Nothing is changed. Keys and addresses are read from the platform.
 
     :param platform: base addresses of the platform's servers.
-    :param daemon: instance id to ask; None to ask balancers until one answers.
-    :raises PlatformUnavailableError: the platform can't be read.
-    :raises NoAnswerError: no daemon that was asked has answered.
+    :param daemon: id of the instance to ask, or None to ask balancers until one
+        answers.
+    :raises PlatformUnavailableError: if the platform can't be read.
+    :raises NoAnswerError: if none of the daemons that were asked has answered.
     """
     node = await _read_node(platform)
     candidates = _choose_daemons(node, daemon=daemon)
@@ -65,7 +66,7 @@
     state.apply_records(keys.records)
     state.apply_instances(instances.instances)
     return Node(
-        member=ASKER,
+        member=OPERATOR,
         state=state,
         budget=ControlBudget(),
         changed=changed,
--- a/packages/daisygauge-control/src/daisygauge_control/_link.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_subscription.py
@@ -1,4 +1,4 @@
-"""The client side of control: following one peer."""
+"""The client side of the control protocol: a subscription to one peer."""
 
 from __future__ import annotations
 
@@ -15,15 +15,20 @@
 from ._credentials import NoKeyError, authenticate_channel
 from ._messages import decode_instances, make_hello
 from ._node import Node
-from ._sealing import UnreadableMessageError, open_sealed, seal, size_of
+from ._sealing import UnreadableMessageError, open_sealed, seal, sealed_bytes
 
 FIRST_ANSWER_SECONDS = 3.0
 SILENT_PEER_SECONDS = 12.0
-"""More than two heartbeats; a change reaches followers of a frozen peer after it."""
+"""Time without a message after which a peer counts as failed.
+
+It covers more than two heartbeats. It is also how long followers of a frozen peer may
+have to wait for a change.
+"""
 REPORT_SECONDS = 15.0
 RESYNC_SECONDS = 60.0
+"""Time for which digests may differ before the subscription is started anew."""
 
-LINK_ERRORS = (
+SUBSCRIPTION_ERRORS = (
     OSError,
     TimeoutError,
     GRPCError,
@@ -33,14 +38,14 @@
     NoKeyError,
 )
 
-LinkStream = Stream[Sealed, Sealed]
+SubscriptionStream = Stream[Sealed, Sealed]
 
 
-class Link:
-    """Follows one peer until it fails.
+class Subscription:
+    """Receives the changes of one peer until the peer fails.
 
-    :ivar answered: True once the peer has sent all that it holds.
-    :ivar peer_ready: whether the peer says that its configuration is complete.
+    :ivar answered: True once the peer has sent everything that this daemon lacked.
+    :ivar peer_ready: True if the peer reports that its configuration is complete.
     :ivar instances: the instance list as the peer knows it.
     """
 
@@ -56,7 +61,7 @@
     async def run(self) -> None:
         """Follow the peer.
 
-        :raises LINK_ERRORS: when the peer cannot be followed any longer.
+        :raises SUBSCRIPTION_ERRORS: when the peer can no longer be followed.
         """
         channel = open_channel(self.peer, node=self.node)
         try:
@@ -65,7 +70,7 @@
         finally:
             channel.close()
 
-    async def _follow(self, stream: LinkStream) -> None:
+    async def _follow(self, stream: SubscriptionStream) -> None:
         hello = make_hello(self.node.member, self.node.state)
         async with asyncio.timeout(FIRST_ANSWER_SECONDS):
             await self._send(stream, FollowRequest(hello=hello))
@@ -79,35 +84,38 @@
             reporting.cancel()
             await asyncio.gather(reporting, return_exceptions=True)
 
-    async def _send(self, stream: LinkStream, request: FollowRequest) -> None:
+    async def _send(self, stream: SubscriptionStream, request: FollowRequest) -> None:
         node = self.node
         sealed = seal(request, keys=node.keys, now=node.clock())
-        await node.budget.wait_to_send(size_of(sealed), is_sync=False)
+        await node.budget.wait_to_send(sealed_bytes(sealed), is_sync=False)
         await send_message(stream, sealed)
 
-    async def _receive(self, stream: LinkStream) -> None:
+    async def _receive(self, stream: SubscriptionStream) -> None:
         sealed = await stream.recv_message()
         if sealed is None:
-            raise StreamTerminatedError("the peer has ended the stream")
+            raise StreamTerminatedError("the peer closed the stream")
         node = self.node
-        node.budget.note_received(size_of(sealed))
-        self._take(open_sealed(sealed, Delta, keys=node.keys, now=node.clock()))
+        node.budget.record_received(sealed_bytes(sealed))
+        self._handle_delta(open_sealed(sealed, Delta, keys=node.keys, now=node.clock()))
 
-    def _take(self, delta: Delta) -> None:
+    def _handle_delta(self, delta: Delta) -> None:
         state = self.node.state
         state.apply_documents(delta.documents)
         if delta.instances or delta.gone or self.instances is None:
-            self._take_instances(delta)
+            self._merge_instances(delta)
         if delta.partial:
             return
         self.answered = True
         self.peer_ready = delta.report.ready
-        own = state.journal.summarize(service=self.node.member.service)
-        self._note_difference(own.digest != delta.report.digest)
+        own = state.change_log.summarize(service=self.node.member.service)
+        self._record_difference(own.digest != delta.report.digest)
         self.node.changed.notify()
 
-    def _take_instances(self, delta: Delta) -> None:
-        """Keep entries that are known already, which saves memory."""
+    def _merge_instances(self, delta: Delta) -> None:
+        """Merge changes of the instance list.
+
+        Entries that are already in the view are shared, which saves memory.
+        """
         known = self.node.state.view.instances
         changed = {
             id: known[id] if known.get(id) == entry else entry
@@ -119,26 +127,26 @@
         }
         self.instances = kept | changed
 
-    def _note_difference(self, differs: bool) -> None:
+    def _record_difference(self, differs: bool) -> None:
         if not differs:
             self._differs_since = None
         elif self._differs_since is None:
             self._differs_since = asyncio.get_running_loop().time()
 
     def _needs_resync(self) -> bool:
-        """Tell whether changes must have been lost: start again from digests."""
+        """Return whether changes were lost, so that digests must be compared anew."""
         if self._differs_since is None:
             return False
         now = asyncio.get_running_loop().time()
         return now - self._differs_since > RESYNC_SECONDS
 
-    async def _report(self, stream: LinkStream) -> None:
+    async def _report(self, stream: SubscriptionStream) -> None:
         while True:
             report = self.node.report(service=self.node.member.service)
             await self._send(stream, FollowRequest(report=report))
-            await self._wait_for_news(report)
+            await self._wait_for_changes(report)
 
-    async def _wait_for_news(self, sent: Report) -> None:
+    async def _wait_for_changes(self, sent: Report) -> None:
         loop = asyncio.get_running_loop()
         end = loop.time() + REPORT_SECONDS
         while loop.time() < end:
@@ -147,22 +155,22 @@
             await self.node.changed.wait(seconds=end - loop.time())
 
 
-async def send_message(stream: LinkStream, sealed: Sealed) -> None:
-    """Send a message on a stream whose connection may have just ended.
+async def send_message(stream: SubscriptionStream, sealed: Sealed) -> None:
+    """Send a message on a stream whose connection may have just closed.
 
-    grpclib 0.4.9 deletes the transport of a connection that has ended, and then
-    raises an ``AttributeError`` from a send that was about to begin.
+    grpclib 0.4.9 deletes the transport of a closed connection. A send that begins
+    afterwards raises an ``AttributeError``.
 
-    :raises StreamTerminatedError: when the connection has ended.
+    :raises StreamTerminatedError: when the connection is closed.
     """
     try:
         await stream.send_message(sealed)
     except AttributeError as error:
-        raise StreamTerminatedError("the connection has ended") from error
+        raise StreamTerminatedError("the connection is closed") from error
 
 
 def open_channel(peer: Instance, *, node: Node) -> Channel:
-    """Open a channel whose calls are authenticated for a peer."""
+    """Open a channel to a peer that signs every call."""
     channel = Channel(host=peer.inner.host, port=peer.peer_port)
     authenticate_channel(
         channel,
--- a/packages/daisygauge-control/src/daisygauge_control/_suspicions.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_suspicions.py
@@ -1,4 +1,4 @@
-"""Peers that did not answer lately."""
+"""Peers that recently failed to respond."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from ._backoff import backoff_seconds
 
 FIRST_SECONDS = 2.0
-LONGEST_SECONDS = 60.0
+MAX_SECONDS = 60.0
 
 
 @frozen(kw_only=True)
@@ -19,36 +19,39 @@
 
 
 class Suspicions:
-    """Remembers whom not to follow for a while; longer with every failure."""
+    """Tracks suspect peers, which are not followed.
+
+    The time for which a peer is suspect grows with every failure.
+    """
 
     def __init__(self, *, rng: random.Random) -> None:
         self.rng = rng
         self.entries: dict[str, _Suspicion] = {}
 
-    def note_failure(self, peer: str, *, now: float) -> None:
-        """Suspect a peer.
+    def record_failure(self, peer: str, *, now: float) -> None:
+        """Mark a peer as suspect.
 
         :param now: monotonic time in seconds.
         """
         known = self.entries.get(peer)
         failures = 1 if known is None else known.failures + 1
         seconds = backoff_seconds(
-            failures, rng=self.rng, first=FIRST_SECONDS, longest=LONGEST_SECONDS
+            failures, rng=self.rng, first=FIRST_SECONDS, maximum=MAX_SECONDS
         )
         self.entries[peer] = _Suspicion(failures=failures, until=now + seconds)
 
-    def note_success(self, peer: str) -> None:
-        """Trust a peer again."""
+    def record_success(self, peer: str) -> None:
+        """Clear the suspicion of a peer."""
         self.entries.pop(peer, None)
 
     def current(self, *, now: float) -> frozenset[str]:
-        """Return the peers that are suspect now."""
+        """Return the ids of the peers that are currently suspect."""
         return frozenset(
             peer for peer, entry in self.entries.items() if now < entry.until
         )
 
     def forget_others(self, known: set[str]) -> None:
-        """Drop peers that have left the instance list."""
+        """Forget peers that are no longer on the instance list."""
         self.entries = {
             peer: entry for peer, entry in self.entries.items() if peer in known
         }
--- a/packages/daisygauge-control/src/daisygauge_control/_tcp.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_tcp.py
@@ -1,7 +1,7 @@
 """TCP sockets by IPv4 address.
 
-The event loop takes host names, too, and loads what encodes them; a process that only
-knows addresses saves that at its start.
+The event loop also accepts host names and loads the codec for them. A process that
+only uses addresses starts faster without it.
 """
 
 from __future__ import annotations
@@ -13,9 +13,9 @@
 
 
 def listen_tcp(host: str, port: int) -> socket.socket:
-    """Return a socket that listens at an address.
+    """Return a socket that listens on an address.
 
-    :raises OSError: the address can't be bound.
+    :raises OSError: if the address can't be bound.
     """
     bound = socket.create_server((host, port))
     bound.setblocking(False)
@@ -25,7 +25,7 @@
 async def connect_tcp(host: str, port: int) -> Streams:
     """Connect to an address.
 
-    :raises OSError: nobody listens there.
+    :raises OSError: if the connection can't be established.
     """
     plain = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     plain.setblocking(False)
--- a/packages/daisygauge-control/src/daisygauge_control/_uniqueness.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_uniqueness.py
@@ -1,8 +1,8 @@
-"""Checks between records: numbers and addresses that must not be used twice.
+"""Uniqueness checks across records: no number or address may be used twice.
 
-Every daemon has to refuse the same record, in whatever order records arrive:
-two daemons that disagree about a service number would deliver packets to a
-foreign service. So the choice depends on the records alone.
+Every daemon has to refuse the same record, whatever the order in which records arrive:
+two daemons that disagree about a service number would deliver packets to the wrong
+service. The choice therefore depends on the records alone.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
 
 @frozen(kw_only=True)
 class Distinct:
-    """Records left after refusing duplicates."""
+    """Records without the refused duplicates, and the duplicates."""
 
     services: tuple[Service, ...]
     keys: tuple[Key, ...]
@@ -38,10 +38,10 @@
 
 
 def refuse_duplicates(*, services: Iterable[Service], keys: Iterable[Key]) -> Distinct:
-    """Keep the first user of each number and address.
+    """Keep the first record that uses each number and address.
 
-    Services are taken in the order of their ids, keys in the order of their
-    ``not_before``, so that a key in use is not displaced by a later one.
+    Services are ordered by id and keys by ``not_before``, so that a key in use is not
+    displaced by a later one.
     """
     by_id = sorted(services, key=lambda service: service.id)
     kept, same_number = _keep_first(
--- a/packages/daisygauge-control/src/daisygauge_control/_view.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_view.py
@@ -10,13 +10,13 @@
 
 @frozen(kw_only=True)
 class ConfigurationView:
-    """One consistent state of all records and the instance list.
+    """A consistent snapshot of all records and the instance list.
 
-    :param version: grows with every change seen by this process.
+    :param version: increases with every change that this process sees.
     :param services: services by id.
     :param upstreams: upstreams of each service id, ordered by id.
     :param keys: keys in force.
-    :param instances: the lagging instance list, by instance id.
+    :param instances: instance list by instance id; it lags behind the platform.
     """
 
     version: int = 0
--- a/packages/daisygauge-control/src/daisygauge_control/_watch.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_watch.py
@@ -1,4 +1,4 @@
-"""Watching and reading the platform."""
+"""Reads and watches of the platform that update the configuration state."""
 
 from __future__ import annotations
 
@@ -21,17 +21,17 @@
 from ._state import ConfigurationState
 
 READ_AGAIN_SECONDS = 0.5
-"""Pause before a read that does not wait, against reading without end."""
+"""Pause before a read that does not wait, which prevents a busy loop."""
 
 Snapshot = TypeVar("Snapshot", RecordsSnapshot, InstancesSnapshot)
 
 
 class PlatformWatch:
-    """Brings what the platform holds into a state.
+    """Applies records and instances of the platform to a configuration state.
 
     :ivar records_read: whether all records have been read at least once.
     :ivar instances_read: whether the instance list has been read at least once.
-    :ivar failures: failed reads in a row.
+    :ivar failures: number of consecutive failed reads.
     """
 
     def __init__(
@@ -55,15 +55,17 @@
     async def run(self) -> None:
         """Watch records and instances until cancelled."""
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._watch(self.reader.read_records, self.take_records))
             tasks.create_task(
-                self._watch(self.reader.read_instances, self.take_instances)
+                self._watch(self.reader.read_records, self.handle_records)
+            )
+            tasks.create_task(
+                self._watch(self.reader.read_instances, self.handle_instances)
             )
 
     async def read_keys(self) -> None:
-        """Read the keys once, which calls to peers need.
+        """Read the keys once; calls to peers need them.
 
-        :raises PlatformUnavailableError: when no server answers.
+        :raises PlatformUnavailableError: if no server answers.
         """
         await self.budget.wait_to_read()
         snapshot = await self.reader.read_keys()
@@ -72,32 +74,32 @@
     async def read_records(self) -> None:
         """Read all records once.
 
-        :raises PlatformUnavailableError: when no server answers.
+        :raises PlatformUnavailableError: if no server answers.
         """
         await self.budget.wait_to_read()
-        self.take_records(await self.reader.read_records(after=NO_INDEX))
+        self.handle_records(await self.reader.read_records(after=NO_INDEX))
 
     async def read_instances(self) -> None:
         """Read the instance list once.
 
-        :raises PlatformUnavailableError: when no server answers.
+        :raises PlatformUnavailableError: if no server answers.
         """
         await self.budget.wait_to_read()
-        self.take_instances(await self.reader.read_instances(after=NO_INDEX))
+        self.handle_instances(await self.reader.read_instances(after=NO_INDEX))
 
-    async def insist(self, *reads: Callable[[], Awaitable[None]]) -> None:
-        """Make reads one after another, each until it succeeds."""
+    async def read_until_success(self, *reads: Callable[[], Awaitable[None]]) -> None:
+        """Run reads one after another, and retry each until it succeeds."""
         for read in reads:
-            while not await self._try(read):
+            while not await self._attempt(read):
                 pass
 
-    async def _try(self, read: Callable[[], Awaitable[None]]) -> bool:
+    async def _attempt(self, read: Callable[[], Awaitable[None]]) -> bool:
         try:
             await read()
         except PlatformUnavailableError as error:
             await self._wait_after_failure(error)
             return False
-        self._note_success()
+        self._record_success()
         return True
 
     async def _watch(
@@ -111,31 +113,31 @@
             try:
                 snapshot = await read(after=after)
             except PlatformUnavailableError as error:
-                # Another server, or a restarted one, has indexes of its own.
+                # Indexes of another server or of a restarted one are not comparable.
                 after = NO_INDEX
                 await self._wait_after_failure(error)
                 continue
-            self._note_success()
+            self._record_success()
             after = next_index(after=after, seen=snapshot.index)
             take(snapshot)
             if after == NO_INDEX:
                 await asyncio.sleep(READ_AGAIN_SECONDS)
 
-    def take_records(self, snapshot: RecordsSnapshot) -> None:
-        """Merge records that were read."""
+    def handle_records(self, snapshot: RecordsSnapshot) -> None:
+        """Apply a snapshot of the records."""
         self.state.apply_records(snapshot.records)
         if not self.records_read:
             self.records_read = True
             self.state.changed.notify()
 
-    def take_instances(self, snapshot: InstancesSnapshot) -> None:
-        """Put the instance list that was read in force."""
+    def handle_instances(self, snapshot: InstancesSnapshot) -> None:
+        """Apply a snapshot of the instance list."""
         self.state.apply_instances(snapshot.instances)
         if not self.instances_read:
             self.instances_read = True
             self.state.changed.notify()
 
-    def _note_success(self) -> None:
+    def _record_success(self) -> None:
         if self.failures:
             self.observe(PlatformRegained(failures=self.failures))
         self.failures = 0
--- a/packages/daisygauge-control/src/daisygauge_control/_seats.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_watchers.py
@@ -1,9 +1,11 @@
-"""Which daemons watch the platform, and whom the others follow.
+"""Choice of the daemons that watch the platform and of the peers that others follow.
 
 The balancers of a failure domain are ordered by rendezvous hashing (Thaler and
-Ravishankar, 1998); the first few that nobody suspects are its seats. Every daemon
-computes this from its own instance list, so no election is needed: two lists that
-differ give a few seats more, never a wrong configuration.
+Ravishankar, 1998). The first few that are not suspect are the watchers of the domain.
+Every daemon computes this from its own instance list, so no election is needed. Where
+two lists differ, there are a few more watchers, but never a wrong configuration.
+
+On the wire, in events and in metrics, a watcher is called a seat.
 """
 
 from __future__ import annotations
@@ -17,20 +19,20 @@
 
 from ._member import Member
 
-SEATS_PER_DOMAIN = 3
-LINKS_PER_FOLLOWER = 2
+WATCHERS_PER_DOMAIN = 3
+SUBSCRIPTIONS_PER_FOLLOWER = 2
 
 
 @frozen(kw_only=True)
-class Plan:
-    """What a daemon does to stay up to date.
+class SubscriptionPlan:
+    """How a daemon receives its configuration.
 
-    :param seat: whether it watches the platform.
-    :param links: the daemons that it follows, most preferred first.
+    :param is_watcher: True if the daemon watches the platform.
+    :param peers: daemons to follow, most preferred first.
     """
 
-    seat: bool
-    links: tuple[Instance, ...]
+    is_watcher: bool
+    peers: tuple[Instance, ...]
 
 
 def _score(*parts: str) -> bytes:
@@ -51,74 +53,83 @@
     return sorted(eligible, key=lambda entry: _score(failure_domain, entry.id))
 
 
-def choose_seats(
+def choose_watchers(
     instances: Iterable[Instance],
     *,
     failure_domain: str,
     suspects: Collection[str] = (),
 ) -> tuple[Instance, ...]:
-    """Return the seats of a failure domain, first in rank first."""
+    """Return the watchers of a failure domain in the order of their rank."""
     ranked = rank_balancers(instances, failure_domain=failure_domain)
     trusted = [instance for instance in ranked if instance.id not in suspects]
-    return tuple(trusted[:SEATS_PER_DOMAIN])
+    return tuple(trusted[:WATCHERS_PER_DOMAIN])
 
 
-def make_plan(
+def plan_subscriptions(
     member: Member, instances: Collection[Instance], *, suspects: Collection[str]
-) -> Plan:
-    """Decide whether a daemon is a seat and whom it follows.
+) -> SubscriptionPlan:
+    """Decide whether a daemon watches the platform and which peers it follows.
 
-    :param suspects: ids of instances that did not answer lately.
+    :param suspects: ids of instances that recently failed to respond.
     """
-    own = choose_seats(
+    own = choose_watchers(
         instances, failure_domain=member.failure_domain, suspects=suspects
     )
-    others = [seat for seat in own if seat.id != member.id]
-    preferred = _prefer(member, others)
+    others = [watcher for watcher in own if watcher.id != member.id]
+    preferred = _order_by_preference(member, others)
     if len(others) < len(own):
-        return Plan(seat=True, links=_link_seat(member, instances, suspects, own))
-    links = preferred[:LINKS_PER_FOLLOWER]
-    if len(links) < LINKS_PER_FOLLOWER:
-        links = [*links, *_find_elsewhere(member, instances, suspects)]
-    return Plan(seat=False, links=tuple(links[:LINKS_PER_FOLLOWER]))
+        return SubscriptionPlan(
+            is_watcher=True,
+            peers=_choose_watcher_peers(member, instances, suspects, own),
+        )
+    peers = preferred[:SUBSCRIPTIONS_PER_FOLLOWER]
+    if len(peers) < SUBSCRIPTIONS_PER_FOLLOWER:
+        peers = [*peers, *_choose_peers_elsewhere(member, instances, suspects)]
+    return SubscriptionPlan(
+        is_watcher=False, peers=tuple(peers[:SUBSCRIPTIONS_PER_FOLLOWER])
+    )
 
 
-def _prefer(member: Member, seats: Iterable[Instance]) -> list[Instance]:
-    """Order seats differently for each follower, which spreads the load."""
-    return sorted(seats, key=lambda seat: _score(member.id, seat.id))
+def _order_by_preference(
+    member: Member, watchers: Iterable[Instance]
+) -> list[Instance]:
+    """Order watchers differently for each follower, to balance the load."""
+    return sorted(watchers, key=lambda watcher: _score(member.id, watcher.id))
 
 
-def _link_seat(
+def _choose_watcher_peers(
     member: Member,
     instances: Collection[Instance],
     suspects: Collection[str],
     own: tuple[Instance, ...],
 ) -> tuple[Instance, ...]:
-    """Link a seat to the next of its own domain, the next domain and another one.
+    """Choose the peers of a watcher: three at most.
 
-    The links to the next make rings of the seats of a domain and of the domains,
-    so that a change which only one seat could read reaches all.
+    They are the next watcher of its own domain, one of the next domain and one of
+    another domain. The subscriptions to the next one form rings over the watchers of
+    a domain and over the domains, so that a change that only one watcher could read
+    reaches all of them.
     """
-    position = [seat.id for seat in own].index(member.id)
-    links = [*own[position + 1 :], *own[:position]][:1]
+    position = [watcher.id for watcher in own].index(member.id)
+    peers = [*own[position + 1 :], *own[:position]][:1]
     domains = _other_domains(member, instances)
     following = [name for name in domains if name > member.failure_domain]
     ring = [*following, *(name for name in domains if name < member.failure_domain)]
-    seats_of = {
-        domain: choose_seats(instances, failure_domain=domain, suspects=suspects)
+    watchers_of = {
+        domain: choose_watchers(instances, failure_domain=domain, suspects=suspects)
         for domain in ring
     }
-    served = [domain for domain in ring if seats_of[domain]]
+    served = [domain for domain in ring if watchers_of[domain]]
     others = sorted(served[1:], key=lambda name: _score(member.id, name))
     for domain in served[:1] + others[:1]:
-        links += _prefer(member, seats_of[domain])[:1]
-    return tuple(links)
+        peers += _order_by_preference(member, watchers_of[domain])[:1]
+    return tuple(peers)
 
 
-def _find_elsewhere(
+def _choose_peers_elsewhere(
     member: Member, instances: Collection[Instance], suspects: Collection[str]
 ) -> list[Instance]:
-    """Return seats of other domains, those of the own region first."""
+    """Return watchers of other domains, those of the same region first."""
     regions = {entry.failure_domain: entry.region for entry in instances}
     domains = sorted(
         _other_domains(member, instances),
@@ -126,9 +137,9 @@
     )
     found: list[Instance] = []
     for domain in domains:
-        seats = choose_seats(instances, failure_domain=domain, suspects=suspects)
-        found += _prefer(member, seats)[:1]
-        if len(found) >= LINKS_PER_FOLLOWER:
+        watchers = choose_watchers(instances, failure_domain=domain, suspects=suspects)
+        found += _order_by_preference(member, watchers)[:1]
+        if len(found) >= SUBSCRIPTIONS_PER_FOLLOWER:
             break
     return found
 
@@ -139,7 +150,7 @@
 
 
 AGENT_BALANCERS = 16
-AGENT_RANKED = 8
+AGENT_RANKED_BALANCERS = 8
 
 
 def select_instances(
@@ -150,8 +161,9 @@
 ) -> dict[str, Instance]:
     """Return the part of the instance list that a daemon needs.
 
-    A balancer needs all of it. An agent needs its service's agents, some balancers
-    of its region, and the first in rank of its failure domain to find seats.
+    A balancer needs the whole list. An agent needs the agents of its service, some
+    balancers of its region, and the highest-ranked balancers of its failure domain,
+    from which it determines the watchers.
 
     :param upstreams: ids of the agents of the member's service.
     """
@@ -164,7 +176,7 @@
     ]
     near = sorted(balancers, key=lambda entry: _score(member.id, entry.id))
     ranked = rank_balancers(balancers, failure_domain=member.failure_domain)
-    wanted = [*near[:AGENT_BALANCERS], *ranked[:AGENT_RANKED]]
+    wanted = [*near[:AGENT_BALANCERS], *ranked[:AGENT_RANKED_BALANCERS]]
     agents = [instances[id] for id in upstreams if id in instances]
     own = [instances[member.id]] if member.id in instances else []
     return {entry.id: entry for entry in (*agents, *own, *wanted)}
--- a/testing/control/fakes.py
+++ b/testing/control/fakes.py
@@ -1,4 +1,4 @@
-"""Fakes at the interfaces of the control package."""
+"""Test data and a fake platform for the control tests."""
 
 import asyncio
 import json
@@ -66,7 +66,7 @@
 
 
 class FakePlatform:
-    """A platform held in memory that implements ``PlatformReader``."""
+    """An in-memory platform that implements ``PlatformReader``."""
 
     def __init__(self):
         self.index = 1
--- a/testing/control/fleet.py
+++ b/testing/control/fleet.py
@@ -1,4 +1,4 @@
-"""Control participants of real tasks and sockets around a platform in memory."""
+"""A fleet of control participants with real sockets and an in-memory platform."""
 
 import asyncio
 import contextlib
@@ -14,7 +14,7 @@
 
 
 class Participant:
-    """One daemon's control: a source, its task and its grpc server."""
+    """The control part of one daemon: a source, its task and its gRPC server."""
 
     def __init__(self, *, member, platform):
         self.member = member
@@ -39,7 +39,7 @@
         self.task = asyncio.create_task(self.source.run())
 
     def abort_connections(self):
-        """Reset every connection, as the end of a process does."""
+        """Reset all connections, as the end of a process does."""
         for handler in self.server._handlers:
             for stream in handler._tasks:
                 transport = getattr(stream.connection, "_transport", None)
@@ -69,7 +69,7 @@
 
 
 class Fleet:
-    """Participants by id, all in the platform's instance list."""
+    """Participants by id, all on the instance list of the platform."""
 
     def __init__(self, platform):
         self.platform = platform
@@ -90,10 +90,10 @@
         participant = Participant(member=member, platform=self.platform)
         self.participants[id] = participant
         await participant.listen()
-        self.list_all()
+        self.publish_instances()
         return participant
 
-    def list_all(self):
+    def publish_instances(self):
         self.platform.set_instances(
             *(participant.instance() for participant in self.participants.values())
         )
@@ -112,7 +112,7 @@
         )
 
     def slots(self):
-        """Slots of upstream u1 as each participant sees them."""
+        """Return the slots of upstream u1 as each participant sees them."""
         return {
             id: participant.view.upstreams["order-desk"][0].slots
             for id, participant in self.participants.items()
@@ -120,8 +120,8 @@
         }
 
     async def wait_for_slots(self, slots):
-        wanted = dict.fromkeys(self.participants, slots)
-        await wait_until(lambda: self.slots() == wanted)
+        expected = dict.fromkeys(self.participants, slots)
+        await wait_until(lambda: self.slots() == expected)
 
 
 async def wait_until(condition):
--- a/testing/control/test_journal.py
+++ b/testing/control/test_change_log.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings, strategies as st
 
 from daisygauge_control import ALL_SERVICES
-from daisygauge_control._journal import MAX_CHANGES, Journal
+from daisygauge_control._change_log import MAX_CHANGES, ChangeLog
 from daisygauge_records import Endpoint, Record, RecordStore, Upstream
 
 ENDPOINT = Endpoint(host="10.0.0.1", port=1)
@@ -31,22 +31,22 @@
 )
 
 
-def follow(records):
-    store, journal = RecordStore(), Journal()
+def build_store(records):
+    store, change_log = RecordStore(), ChangeLog()
     for record in records:
         store.apply(record)
         if store.records[record.kind, record.id] is record:
-            journal.note(record)
-    return store, journal
+            change_log.record(record)
+    return store, change_log
 
 
 @settings(derandomize=True)
 @given(records=st.lists(RECORDS), seed=st.integers())
-def test_equal_stores_have_equal_digests_whatever_their_past(records, seed):
+def test_equal_stores_have_equal_digests_whatever_their_history(records, seed):
     shuffled = list(records)
     random.Random(seed).shuffle(shuffled)
-    _, first = follow(records)
-    _, second = follow(shuffled)
+    _, first = build_store(records)
+    _, second = build_store(shuffled)
 
     assert first.bucket_digests() == second.bucket_digests()
     for service in ("s", "t", ALL_SERVICES):
@@ -54,16 +54,18 @@
 
 
 def test_a_moved_record_changes_both_services():
-    _, journal = follow([make_record(), make_record(service="t", revision=2)])
+    _, change_log = build_store([make_record(), make_record(service="t", revision=2)])
 
-    assert journal.changes_after(1)[0].groups == {"s", "t"}
+    assert change_log.changes_after(1)[0].groups == {"s", "t"}
 
 
-def test_forgotten_changes_are_told_apart_from_none():
-    journal = Journal()
+def test_dropped_changes_are_distinguished_from_no_changes():
+    change_log = ChangeLog()
     for revision in range(1, MAX_CHANGES + 3):
-        journal.note(make_record(revision=revision))
+        change_log.record(make_record(revision=revision))
 
-    assert journal.changes_after(journal.sequence) == []
-    assert len(journal.changes_after(journal.sequence - MAX_CHANGES)) == MAX_CHANGES
-    assert journal.changes_after(1) is None
+    assert change_log.changes_after(change_log.sequence) == []
+    assert (
+        len(change_log.changes_after(change_log.sequence - MAX_CHANGES)) == MAX_CHANGES
+    )
+    assert change_log.changes_after(1) is None
--- a/testing/control/test_consul.py
+++ b/testing/control/test_consul.py
@@ -26,7 +26,7 @@
 
 
 class Server:
-    """Answers every path with what a test has set."""
+    """Answers every request with the answer that the test has set."""
 
     def __init__(self):
         self.queries = []
@@ -76,7 +76,7 @@
     assert server.queries == [("/v1/kv/records", {"recurse": "true"})]
 
 
-async def test_a_value_that_is_no_base64_does_not_hold_back_the_others(reader, server):
+async def test_an_invalid_base64_value_does_not_affect_other_records(reader, server):
     server.answer = {
         "json": [
             {"Key": "records/key/a", "Value": "%%"},
@@ -89,19 +89,19 @@
     assert [record.document for record in snapshot.records] == [b"", b"{}"]
 
 
-async def test_a_watch_names_its_index_and_waiting_time(reader, server):
+async def test_a_watch_sends_its_index_and_wait_time(reader, server):
     await reader.read_records(after=5)
 
     assert server.queries[0][1] == {"recurse": "true", "index": "5", "wait": "1s"}
 
 
-async def test_an_empty_platform_is_an_answer(reader):
+async def test_an_empty_platform_is_a_valid_answer(reader):
     snapshot = await reader.read_records(after=0)
 
     assert (snapshot.index, snapshot.records) == (3, ())
 
 
-async def test_instances_are_decoded_and_strange_entries_skipped(reader, server):
+async def test_instances_are_decoded_and_malformed_entries_skipped(reader, server):
     server.answer = {"json": [ENTRY, {"Node": 5}, {**ENTRY, "Service": {}}]}
 
     snapshot = await reader.read_instances(after=0)
@@ -130,7 +130,7 @@
         {"json": [1]},
     ],
 )
-async def test_a_strange_answer_is_an_unavailable_platform(reader, server, answer):
+async def test_a_malformed_answer_raises_platform_unavailable(reader, server, answer):
     server.answer = answer
 
     with pytest.raises(PlatformUnavailableError, match="check that it runs"):
--- a/testing/control/test_credentials.py
+++ b/testing/control/test_credentials.py
@@ -30,7 +30,7 @@
     return check_call(metadata, method=method, receiver=receiver, keys=keys, now=now)
 
 
-def test_a_call_signed_by_a_key_in_force_names_its_sender():
+def test_a_call_signed_by_a_key_in_force_is_accepted():
     assert check(sign_call(CALL, keys=ring(OLD)), keys=ring(OLD)) == "b1"
 
 
@@ -67,7 +67,7 @@
 
 
 @pytest.mark.parametrize("now", [1_000.0, 1_400.0, 1_600.0, 1_999.0])
-def test_daemons_before_and_after_a_rotation_understand_each_other(now):
+def test_calls_are_accepted_during_a_key_rotation(now):
     call = evolve(CALL, sent_ms=round(now * 1_000))
     before, after = ring(OLD), ring(OLD, NEW)
     if now < NEW.not_before:
@@ -86,7 +86,7 @@
     assert check(metadata, keys=ring(OLD), now=expired) is None
 
 
-def test_a_sealed_message_hides_and_gives_back_its_content():
+def test_a_sealed_message_is_encrypted_and_round_trips():
     message = Report(digest=7, revision=9, ready=True)
 
     sealed = seal(message, keys=ring(OLD, NEW), now=NOW)
@@ -99,7 +99,7 @@
     "change",
     [{"key": 2}, {"nonce": b"short"}, {"payload": b"x" * 40}, {"payload": b""}],
 )
-def test_a_sealed_message_that_was_changed_is_refused(change):
+def test_a_modified_sealed_message_is_refused(change):
     sealed = seal(Report(), keys=ring(OLD), now=NOW)
     sealed.MergeFrom(Sealed(**change)) if any(change.values()) else sealed.ClearField(
         "payload"
@@ -111,7 +111,7 @@
 
 @settings(derandomize=True)
 @given(nonce=st.binary(max_size=16), payload=st.binary(max_size=64))
-def test_no_bytes_raise_anything_but_an_unreadable_message(nonce, payload):
+def test_arbitrary_bytes_raise_unreadable_message_error(nonce, payload):
     with pytest.raises(UnreadableMessageError):
         open_sealed(
             Sealed(key=1, nonce=nonce, payload=payload),
--- a/testing/control/test_directory.py
+++ b/testing/control/test_directory.py
@@ -42,7 +42,7 @@
     return [entry.id for entry in directory.view.hosts.get("desk", ())]
 
 
-def test_an_older_change_never_undoes_a_newer_one(directory):
+def test_an_older_change_does_not_replace_a_newer_one(directory):
     directory.apply(
         [item("s/h1", 7, host(state=HostState.DRAINING))], as_of=10, now=1.0
     )
@@ -52,7 +52,7 @@
     assert entry.state is HostState.DRAINING
 
 
-def test_an_older_configuration_never_comes_back(directory):
+def test_an_older_configuration_is_ignored(directory):
     directory.apply([item("config", 20, routing(4))], as_of=20, now=0.0)
     directory.apply([item("config", 21, routing(3, port=80))], as_of=21, now=0.0)
 
@@ -60,7 +60,7 @@
     assert ("198.18.0.1", 443) in directory.view.routes
 
 
-def test_a_configuration_that_cannot_be_read_leaves_the_last_one(directory):
+def test_an_unusable_configuration_keeps_the_last_one(directory):
     directory.apply([item("config", 20, routing(4))], as_of=20, now=0.0)
     directory.apply(
         [item("config", 21, UnusableRecord(problem="x"))], as_of=21, now=0.0
@@ -69,19 +69,19 @@
     assert directory.view.version == 4
 
 
-def test_an_entry_that_cannot_be_read_names_no_host(directory):
+def test_an_unusable_entry_defines_no_host(directory):
     directory.apply([item("s/h1", 20, UnusableRecord(problem="x"))], as_of=20, now=0.0)
 
     assert ids(directory) == []
 
 
-def test_a_removed_host_is_gone_at_once(directory):
+def test_a_removed_host_is_dropped_at_once(directory):
     directory.apply([item("s/h1", 20)], as_of=20, now=1.0)
 
     assert ids(directory) == []
 
 
-def test_a_host_that_lapsed_while_the_platform_was_away_has_two_seconds(directory):
+def test_a_host_that_lapsed_during_an_outage_is_kept_for_two_seconds(directory):
     directory.record_outage(now=1.0)
     directory.apply([item("s/h1", 20)], as_of=20, now=2.0)
 
@@ -91,7 +91,7 @@
     assert ids(directory) == []
 
 
-def test_a_lapsed_host_that_comes_back_stays(directory):
+def test_a_lapsed_host_that_comes_back_is_kept(directory):
     directory.record_outage(now=1.0)
     directory.apply([item("s/h1", 20)], as_of=20, now=2.0)
     directory.apply([item("s/h1", 21, host())], as_of=21, now=3.0)
@@ -100,7 +100,7 @@
     assert ids(directory) == ["h1"]
 
 
-def test_a_draining_host_that_lapsed_is_gone_at_once(directory):
+def test_a_draining_host_that_lapsed_is_dropped_at_once(directory):
     directory.apply(
         [item("s/h1", 19, host(state=HostState.DRAINING))], as_of=19, now=0.5
     )
@@ -110,40 +110,40 @@
     assert ids(directory) == []
 
 
-def test_a_whole_reading_removes_what_it_lacks(directory):
+def test_a_full_read_removes_missing_entries(directory):
     directory.replace([item("s/h2", 30, host("h2"))], as_of=31, now=1.0)
 
     assert ids(directory) == ["h2"]
 
 
-def test_a_whole_reading_keeps_what_is_newer_than_it(directory):
+def test_a_full_read_keeps_newer_entries(directory):
     directory.apply([item("s/h3", 40, host("h3"))], as_of=40, now=1.0)
     directory.replace([item("s/h1", 5, host())], as_of=31, now=2.0)
 
     assert ids(directory) == ["h1", "h3"]
 
 
-def test_the_host_that_started_last_owns_its_address(directory):
+def test_an_address_belongs_to_the_host_that_started_last(directory):
     directory.apply([item("s/h2", 30, host("h2", incarnation=2))], as_of=30, now=1.0)
 
     assert directory.view.hosts_by_address["10.0.0.1"].id == "h2"
     assert directory.view.has_replaced_host
 
 
-def test_a_new_process_cannot_rule_out_missing_hosts_at_once(directory):
+def test_a_new_process_does_not_list_every_host_at_once(directory):
     assert not directory.lists_every_host(now=1.0)
     directory.apply([], as_of=9, now=3.0)
     assert directory.lists_every_host(now=3.0)
 
 
-def test_missing_hosts_cannot_be_ruled_out_after_the_platform_was_away(directory):
+def test_not_every_host_is_listed_after_a_platform_outage(directory):
     directory.apply([], as_of=9, now=3.0)
     directory.record_outage(now=3.0)
 
     assert not directory.lists_every_host(now=3.5)
 
 
-def test_missing_hosts_cannot_be_ruled_out_by_old_knowledge(directory):
+def test_not_every_host_is_listed_by_old_data(directory):
     directory.apply([], as_of=9, now=3.0)
 
     assert not directory.lists_every_host(now=6.0)
--- a/testing/control/test_directory_follower.py
+++ b/testing/control/test_directory_follower.py
@@ -30,7 +30,7 @@
     encode_message,
     pack_items,
 )
-from daisygauge_control._directory_seats import choose_seats, order_seats
+from daisygauge_control._directory_watchers import choose_watchers, order_watchers
 
 PEER_PORT = 17_911
 
@@ -49,7 +49,7 @@
 
 
 class FakeReader:
-    """Answers as the test says; an exception is raised."""
+    """A reader that returns or raises the given answers in turn."""
 
     def __init__(self, *answers):
         self.answers = list(answers)
@@ -99,7 +99,7 @@
     return DirectoryItem(key="config", revision=revision, content=record)
 
 
-def longest_pause(follower, times, *, failures):
+def max_retry_delay(follower, times, *, failures):
     pauses = []
     for _ in range(failures):
         follower._report_failure(PLATFORM, "down")
@@ -107,20 +107,20 @@
     return max(pauses)
 
 
-def test_a_process_without_a_configuration_asks_again_soon():
+def test_retries_without_a_configuration_are_frequent():
     follower, _, times = make_follower(FakeReader())
 
-    assert longest_pause(follower, times, failures=20) <= 0.4
+    assert max_retry_delay(follower, times, failures=20) <= 0.4
 
 
-def test_a_process_with_a_configuration_spares_a_store_that_is_away():
+def test_retries_with_a_configuration_back_off_further():
     follower, _, times = make_follower(FakeReader())
     follower.directory.replace([routing_item(1)], as_of=1, now=0.0)
 
-    assert 0.6 <= longest_pause(follower, times, failures=20) <= 1.2
+    assert 0.6 <= max_retry_delay(follower, times, failures=20) <= 1.2
 
 
-async def test_a_process_without_a_configuration_does_not_wait_for_news_of_peers():
+async def test_peers_are_asked_without_waiting_until_a_configuration_is_known():
     follower, _, _ = make_follower(FakeReader(unavailable()), peers=["127.60.0.9"])
     waits = []
 
@@ -137,7 +137,7 @@
 
 
 class FakePeer:
-    """A seat that answers as the test says."""
+    """A watcher that always returns the given reply."""
 
     def __init__(self, reply):
         self.reply = reply
@@ -148,12 +148,12 @@
         return self.reply
 
 
-def narrow_follower(*answers, seat_reply=None):
-    """A follower that has read three hosts over a narrow link."""
+def narrow_follower(*answers, watcher_reply=None):
+    """Return a follower that reads three hosts over a narrow link."""
     hosts = tuple(host_item(n, n) for n in range(1, 4))
     reader = FakeReader(DirectoryUpdate(as_of=9, items=hosts), *answers)
     follower, events, times = make_follower(reader, narrow=True)
-    reply = seat_reply or ChangesReply(
+    reply = watcher_reply or ChangesReply(
         as_of=9, age_seconds=0.1, is_complete=True, items=(*hosts, routing_item(8))
     )
     for number in range(1, 4):
@@ -161,7 +161,7 @@
     return follower, reader, times
 
 
-async def test_over_a_narrow_link_hosts_come_from_the_platform_and_routes_from_a_seat():
+async def test_narrow_link_reads_hosts_from_the_platform_and_routes_from_a_watcher():
     follower, reader, _ = narrow_follower()
 
     await follower.step()
@@ -175,10 +175,10 @@
     assert reader.asked == ["hosts"]
 
 
-async def test_over_a_narrow_link_the_platform_tells_routes_when_no_seat_does():
+async def test_narrow_link_reads_routes_from_the_platform_if_no_watcher_has_them():
     nothing = ChangesReply(as_of=0, age_seconds=0.0, is_complete=True, items=())
     everything = DirectoryUpdate(as_of=9, items=(routing_item(8),))
-    follower, reader, times = narrow_follower(everything, seat_reply=nothing)
+    follower, reader, times = narrow_follower(everything, watcher_reply=nothing)
     for _ in range(12):
         follower.clock = lambda at=times[0]: at
         await follower.step()
@@ -186,17 +186,17 @@
 
     assert reader.asked[:2] == ["hosts", "all"]
     assert follower.directory.view.is_complete
-    # The platform was spared, not away: nothing can have lapsed.
-    assert follower.directory.removals_may_lapse_until == float("-inf")
+    # The platform was avoided but not unavailable, so no entry can have lapsed.
+    assert follower.directory.lapses_expected_until == float("-inf")
 
 
-async def test_a_process_that_waits_for_the_first_configuration_waits_for_news():
+async def test_watchers_are_asked_with_waiting_until_the_first_configuration():
     hosts = tuple(host_item(n, n) for n in range(1, 9))
     follower, _, _ = make_follower(FakeReader(DirectoryUpdate(as_of=9, items=hosts)))
     await follower.step()
-    seats = choose_seats(follower.directory.view.hosts_by_address)
+    watchers = choose_watchers(follower.directory.view.hosts_by_address)
     reply = ChangesReply(as_of=9, age_seconds=0.1, is_complete=False, items=())
-    peers = {seat: FakePeer(reply) for seat in seats}
+    peers = {watcher: FakePeer(reply) for watcher in watchers}
     follower.peers.update(peers)
 
     await follower.step()
@@ -204,7 +204,7 @@
     assert [wait for peer in peers.values() for wait in peer.waits] == [1.0]
 
 
-async def test_a_follower_reads_everything_first_and_watches_then():
+async def test_a_full_read_precedes_the_first_watch():
     reader = FakeReader(DirectoryUpdate(as_of=7, items=()))
     follower, _, _ = make_follower(reader)
 
@@ -214,7 +214,7 @@
     assert reader.asked == ["all", 7]
 
 
-async def test_everything_is_read_again_when_history_is_lost():
+async def test_a_full_read_is_repeated_after_lost_history():
     reader = FakeReader(DirectoryUpdate(as_of=7, items=()), HistoryLostError())
     follower, _, _ = make_follower(reader)
 
@@ -224,7 +224,7 @@
     assert reader.asked == ["all", 7, "all"]
 
 
-async def test_a_lost_source_is_reported_once_and_its_return_too():
+async def test_loss_and_recovery_of_a_source_are_reported_once():
     reader = FakeReader(unavailable(), unavailable())
     follower, events, times = make_follower(reader)
 
@@ -237,7 +237,7 @@
     assert kinds.count(SourceRegained) == 1
 
 
-async def test_a_failing_source_is_left_alone_for_a_growing_time():
+async def test_retry_delay_of_a_failing_source_grows():
     reader = FakeReader(*[unavailable() for _ in range(20)])
     follower, _, _ = make_follower(reader)
     follower.directory.replace([routing_item(1)], as_of=1, now=0.0)
@@ -266,18 +266,21 @@
     assert [type(event) for event in events] == [SourceLost]
 
 
-async def test_seats_watch_the_platform_and_others_watch_a_seat():
+async def test_watchers_read_the_platform_and_others_follow_a_watcher():
     items = tuple(host_item(n, n) for n in range(1, 9))
     follower, _, _ = make_follower(FakeReader())
     follower.directory.replace(items, as_of=9, now=0.0)
-    seats = choose_seats(follower.directory.view.hosts_by_address)
+    watchers = choose_watchers(follower.directory.view.hosts_by_address)
 
-    assert follower.list_sources()[0] == order_seats(seats, follower="127.60.0.200")[0]
-    follower.own_address = seats[0]
+    assert (
+        follower.list_sources()[0]
+        == order_watchers(watchers, follower="127.60.0.200")[0]
+    )
+    follower.own_address = watchers[0]
     assert follower.list_sources()[0] == PLATFORM
 
 
-async def test_while_no_host_is_known_a_first_peer_tells_news_to_the_others():
+async def test_first_peers_are_preferred_while_no_host_is_known():
     follower, *_ = make_follower(FakeReader(), peers=("127.60.0.8", "127.60.0.9"))
     assert follower.choose_source(now=0.0) == PLATFORM
 
@@ -287,14 +290,14 @@
     assert PLATFORM in follower.list_sources()
 
 
-async def test_while_no_host_is_known_a_first_peer_itself_watches_the_platform():
+async def test_a_first_peer_watches_the_platform_while_no_host_is_known():
     follower, *_ = make_follower(FakeReader(), peers=("127.60.0.200", "127.60.0.9"))
     await follower.step()
 
     assert follower.choose_source(now=0.0) == PLATFORM
 
 
-async def test_the_platform_is_asked_when_a_seat_fails():
+async def test_the_platform_is_asked_if_a_watcher_fails():
     follower, _, _ = make_follower(FakeReader())
     follower.directory.replace([host_item(1, 1), host_item(2, 2)], as_of=9, now=0.0)
     first = follower.list_sources()[0]
@@ -303,17 +306,17 @@
     assert follower.choose_source(now=0.0) == PLATFORM
 
 
-def test_the_number_of_seats_grows_slower_than_the_fleet():
-    counts = [len(choose_seats(map(str, range(n)))) for n in (2, 10, 100, 6_500)]
+def test_the_number_of_watchers_grows_slower_than_the_fleet():
+    counts = [len(choose_watchers(map(str, range(n)))) for n in (2, 10, 100, 6_500)]
 
     assert counts == [2, 3, 5, 271]
 
 
-def test_few_seats_change_when_a_host_leaves():
+def test_few_watchers_change_when_a_host_leaves():
     agents = [f"10.0.0.{n}" for n in range(40)]
-    before = set(choose_seats(agents))
+    before = set(choose_watchers(agents))
     leaver = sorted(before)[0]
-    after = set(choose_seats(agent for agent in agents if agent != leaver))
+    after = set(choose_watchers(agent for agent in agents if agent != leaver))
 
     assert len(before & after) == len(before) - 1
 
@@ -330,7 +333,7 @@
     server.close()
 
 
-async def test_a_peer_tells_everything_and_then_changes(served):
+async def test_a_peer_sends_the_whole_directory_and_then_changes(served):
     directory, changed, times = served
     directory.replace([host_item(1, 5)], as_of=6, now=0.0)
     times[0] = 0.5
@@ -349,7 +352,7 @@
     assert not change.is_complete
 
 
-async def test_a_peer_that_does_not_know_old_removals_tells_everything(served):
+async def test_a_peer_without_old_removals_sends_the_whole_directory(served):
     directory, _, _ = served
     directory.replace([host_item(1, 50)], as_of=60, now=0.0)
     reader = PeerReader(host="127.60.0.1", port=PEER_PORT)
@@ -360,7 +363,7 @@
     assert reply.is_complete
 
 
-async def test_a_peer_with_old_knowledge_is_used_but_not_relied_on(served):
+async def test_old_data_of_a_peer_is_merged_but_counts_as_a_failure(served):
     directory, _, times = served
     directory.replace([host_item(1, 5)], as_of=6, now=0.0)
     times[0] = 30.0
@@ -375,12 +378,12 @@
     assert "127.60.0.1" in follower.health
 
 
-async def test_a_peer_that_is_no_peer_is_a_source_that_fails():
-    async def talk_nonsense(reader, writer):
+async def test_an_invalid_reply_is_a_failure_of_the_source():
+    async def send_garbage(reader, writer):
         writer.write(b"\xff\xff\xff\xff garbage")
         await writer.drain()
 
-    server = await asyncio.start_server(talk_nonsense, "127.60.0.9", PEER_PORT)
+    server = await asyncio.start_server(send_garbage, "127.60.0.9", PEER_PORT)
     reader = PeerReader(host="127.60.0.9", port=PEER_PORT)
 
     with pytest.raises(PlatformUnavailableError):
@@ -388,11 +391,11 @@
     server.close()
 
 
-async def test_a_silent_peer_is_left_in_time():
-    async def say_nothing(reader, writer):
+async def test_a_silent_peer_times_out():
+    async def stay_silent(reader, writer):
         await asyncio.sleep(30)
 
-    server = await asyncio.start_server(say_nothing, "127.60.0.9", PEER_PORT)
+    server = await asyncio.start_server(stay_silent, "127.60.0.9", PEER_PORT)
     reader = PeerReader(host="127.60.0.9", port=PEER_PORT)
 
     with pytest.raises(PlatformUnavailableError):
@@ -400,12 +403,12 @@
     server.close()
 
 
-def test_a_connection_that_was_reset_meanwhile_is_opened_anew():
-    """Played on the loop of the product, which refuses to write to a closed one."""
-    uvloop.run(ask_twice_with_a_reset_between())
+def test_a_connection_is_reopened_after_a_reset():
+    """Runs on uvloop as the product does; it refuses to write to a closed transport."""
+    uvloop.run(fetch_twice_with_a_reset_between())
 
 
-async def ask_twice_with_a_reset_between():
+async def fetch_twice_with_a_reset_between():
     directory, changed = Directory(), Signal()
     directory.replace([host_item(1, 5)], as_of=6, now=0.0)
     server = DirectoryServer(
@@ -430,11 +433,11 @@
     assert reply.as_of == 6
 
 
-def test_a_client_that_left_while_its_answer_waited_harms_nobody():
-    uvloop.run(leave_while_an_answer_waits())
+def test_a_client_that_disconnects_while_waiting_causes_no_error():
+    uvloop.run(disconnect_while_waiting())
 
 
-async def leave_while_an_answer_waits():
+async def disconnect_while_waiting():
     failures = []
     asyncio.get_running_loop().set_exception_handler(
         lambda loop, context: failures.append(context)
@@ -459,7 +462,7 @@
     assert failures == []
 
 
-def test_a_reply_survives_the_way_and_is_small():
+def test_a_reply_round_trips_and_is_small():
     items = tuple(host_item(n % 250, n) for n in range(500))
     packed = PackedReply(
         as_of=500, age_seconds=0.5, is_complete=True, items=pack_items(items)
@@ -474,7 +477,7 @@
 
 
 @pytest.mark.parametrize("length", [0, 1, 10, 40])
-def test_a_reply_cut_short_is_refused(length):
+def test_a_truncated_reply_is_refused(length):
     packed = pack_items([host_item(1, 1)])[:length]
     data = encode_message(
         PackedReply(as_of=1, age_seconds=0.0, is_complete=True, items=packed)
@@ -484,7 +487,7 @@
         decode_reply(data)
 
 
-async def test_peers_that_ask_alike_share_one_packed_reply():
+async def test_equal_requests_share_one_packed_reply():
     directory = Directory()
     directory.replace([routing_item(1)], as_of=1, now=0.0)
     server = DirectoryServer(
--- a/testing/control/test_spreading.py
+++ b/testing/control/test_propagation.py
@@ -21,7 +21,7 @@
         yield fleet
 
 
-def seats_of(fleet):
+def watchers_of(fleet):
     return [id for id, p in fleet.participants.items() if p.source.node.is_watcher]
 
 
@@ -31,21 +31,21 @@
     await fleet.wait_for_slots(7)
 
 
-async def test_a_few_seats_of_each_domain_watch_the_platform(fleet, platform):
-    await wait_until(lambda: len(seats_of(fleet)) == 6)
+async def test_only_the_watchers_of_each_domain_read_the_platform(fleet, platform):
+    await wait_until(lambda: len(watchers_of(fleet)) == 6)
     before = len(platform.reads)
 
     platform.publish(make_upstream(slots=7, revision=2))
     await fleet.wait_for_slots(7)
 
-    assert len(platform.reads) - before <= 2 * len(seats_of(fleet))
+    assert len(platform.reads) - before <= 2 * len(watchers_of(fleet))
 
 
-async def test_all_seats_killed_at_the_moment_of_a_change(fleet, platform):
-    seats = seats_of(fleet)
+async def test_a_change_survives_the_loss_of_all_watchers(fleet, platform):
+    watchers = watchers_of(fleet)
 
     platform.publish(make_upstream(slots=8, revision=2))
-    await fleet.stop(*seats)
+    await fleet.stop(*watchers)
 
     await fleet.wait_for_slots(8)
     platform.publish(make_upstream(slots=9, revision=3))
@@ -53,7 +53,7 @@
     assert len(fleet.participants) == 6
 
 
-async def test_agents_read_the_platform_when_no_peer_is_left(fleet, platform):
+async def test_agents_read_the_platform_if_no_peer_is_left(fleet, platform):
     balancers = [id for id, p in fleet.participants.items() if "-b" in id]
     await fleet.stop(*balancers)
 
@@ -68,13 +68,15 @@
     await wait_until(lambda: fleet.slots() == {})
 
 
-async def test_an_upstream_that_changes_its_service_leaves_the_agents(fleet, platform):
+async def test_an_upstream_that_changes_its_service_is_removed_from_agents(
+    fleet, platform
+):
     platform.publish(make_upstream(service="pattern-library", revision=2))
 
     await wait_until(lambda: fleet.slots() == {})
 
 
-async def test_agents_hold_only_what_they_need(fleet, platform):
+async def test_agents_hold_only_records_of_their_service(fleet, platform):
     platform.publish(
         make_service("pattern-library", number=2, host="10.0.0.2"),
         make_upstream("u2", service="pattern-library"),
@@ -94,7 +96,7 @@
         lambda: all("newcomer" in p.view.instances for p in fleet.participants.values())
     )
     await fleet.stop("newcomer")
-    fleet.list_all()
+    fleet.publish_instances()
     await wait_until(
         lambda: (
             not any("newcomer" in p.view.instances for p in fleet.participants.values())
@@ -102,23 +104,23 @@
     )
 
 
-async def test_a_newborn_takes_the_highest_of_a_stale_platform_and_peers(
+async def test_a_new_daemon_takes_the_highest_revision_of_platform_and_peers(
     fleet, platform
 ):
     platform.publish(make_upstream(slots=7, revision=2))
     await fleet.wait_for_slots(7)
     platform.publish(make_upstream(slots=1, revision=1))
 
-    newborn = await fleet.add("newborn")
-    newborn.run()
-    await wait_until(lambda: newborn.source.ready)
+    new_daemon = await fleet.add("newborn")
+    new_daemon.run()
+    await wait_until(lambda: new_daemon.source.ready)
 
-    assert newborn.view.upstreams["order-desk"][0].slots == 7
+    assert new_daemon.view.upstreams["order-desk"][0].slots == 7
 
 
-async def test_an_outage_of_the_platform_leaves_everything_in_force(fleet, platform):
+async def test_a_platform_outage_leaves_all_records_in_force(fleet, platform):
     platform.fail()
-    await fleet.stop(*seats_of(fleet))
+    await fleet.stop(*watchers_of(fleet))
 
     assert set(fleet.slots().values()) == {1}
     platform.fail(False)
@@ -126,10 +128,10 @@
     await fleet.wait_for_slots(2)
 
 
-async def test_two_parts_of_the_fleet_agree_after_they_meet(fleet, platform):
-    outside = [id for id in fleet.participants if id.startswith("erongo-2")]
+async def test_a_partitioned_fleet_converges_after_reconnection(fleet, platform):
+    partitioned = [id for id in fleet.participants if id.startswith("erongo-2")]
     records = dict(platform.records)
-    await fleet.stop(*outside)
+    await fleet.stop(*partitioned)
     platform.publish(make_upstream(slots=9, revision=5))
     await fleet.wait_for_slots(9)
 
@@ -141,20 +143,22 @@
     await fleet.wait_for_slots(9)
 
 
-async def test_a_daemon_tells_when_it_becomes_a_seat(fleet):
-    seat = fleet[seats_of(fleet)[0]]
+async def test_a_new_watcher_is_reported(fleet):
+    watcher = fleet[watchers_of(fleet)[0]]
 
-    assert WatcherChanged(is_watcher=True) in seat.events
+    assert WatcherChanged(is_watcher=True) in watcher.events
 
 
-async def test_a_daemon_that_gave_up_its_seat_goes_on(platform, monkeypatch):
-    monkeypatch.setattr("daisygauge_control._steering.SEAT_LINGER_SECONDS", 0.1)
+async def test_a_former_watcher_keeps_following_changes(platform, monkeypatch):
+    monkeypatch.setattr(
+        "daisygauge_control._subscription_manager.WATCHER_LINGER_SECONDS", 0.1
+    )
     platform.publish(make_key(), make_service(), make_upstream(slots=1))
     async with run_fleet(platform) as fleet:
         for number in range(3):
             await fleet.add(f"b{number}")
         fleet.run()
-        await wait_until(lambda: len(seats_of(fleet)) == 3)
+        await wait_until(lambda: len(watchers_of(fleet)) == 3)
 
         for number in range(3, 12):
             await fleet.add(f"b{number}")
--- a/testing/control/test_source.py
+++ b/testing/control/test_source.py
@@ -10,7 +10,7 @@
     PlatformLost,
     PlatformRegained,
 )
-from daisygauge_control._backoff import LONGEST_SECONDS, backoff_seconds
+from daisygauge_control._backoff import MAX_SECONDS, backoff_seconds
 from daisygauge_control._events import ignore_event
 from daisygauge_control._platform import NO_INDEX, next_index
 
@@ -21,7 +21,7 @@
 
 
 @pytest.fixture(autouse=True)
-def no_back_off(monkeypatch):
+def no_backoff(monkeypatch):
     monkeypatch.setattr("daisygauge_control._watch.backoff_seconds", lambda *_, **__: 0)
 
 
@@ -48,7 +48,7 @@
             await asyncio.sleep(0)
 
 
-async def test_a_change_is_in_force_and_wakes_those_who_wait(source, platform):
+async def test_a_change_comes_into_force_and_wakes_waiting_tasks(source, platform):
     platform.set_instances(make_instance())
     await wait_until(lambda: source.ready and source.view.instances)
     waiting = asyncio.create_task(source.wait_for_change(after=source.view.version))
@@ -71,7 +71,7 @@
         await wait_until(lambda: source.ready)
 
 
-async def test_an_outage_keeps_the_last_good_state(source, platform, events):
+async def test_an_outage_keeps_the_last_valid_state(source, platform, events):
     platform.publish(make_service())
     await wait_until(lambda: source.view.services)
 
@@ -109,14 +109,14 @@
     ("after", "seen", "expected"),
     [(5, 6, 6), (5, 5, 5), (5, 3, NO_INDEX), (0, 0, NO_INDEX), (0, 3, 3)],
 )
-def test_an_index_that_goes_back_starts_afresh(after, seen, expected):
+def test_an_index_that_goes_backwards_is_reset(after, seen, expected):
     assert next_index(after=after, seen=seen) == expected
 
 
-def test_back_off_grows_up_to_its_bound_and_never_vanishes():
+def test_backoff_grows_up_to_its_maximum_and_is_never_zero():
     rng = random.Random(1)
     waits = [backoff_seconds(failures, rng=rng) for failures in range(1, 40)]
 
-    assert all(0.1 <= wait <= LONGEST_SECONDS for wait in waits)
-    assert min(waits[10:]) >= LONGEST_SECONDS / 2
+    assert all(0.1 <= wait <= MAX_SECONDS for wait in waits)
+    assert min(waits[10:]) >= MAX_SECONDS / 2
     assert len(set(waits)) == len(waits)
--- a/testing/control/test_state.py
+++ b/testing/control/test_state.py
@@ -33,7 +33,7 @@
     assert list(state.view.keys.keys) == [1]
 
 
-def test_the_version_grows_only_with_a_real_change():
+def test_the_version_increases_only_with_a_change_of_the_view():
     state = make_state(make_service())
     version = state.view.version
 
@@ -69,7 +69,7 @@
     assert len(state.view.upstreams["order-desk"]) == 1
 
 
-def test_a_tombstone_removes_a_record_for_good():
+def test_a_tombstone_removes_a_record_permanently():
     state = make_state(make_upstream())
 
     state.apply_records([make_upstream(deleted=True, revision=2)])
@@ -78,7 +78,7 @@
     assert state.view.upstreams == {}
 
 
-def test_an_invalid_record_leaves_the_last_good_one_in_force():
+def test_an_invalid_record_leaves_the_last_valid_one_in_force():
     state = make_state(make_upstream(slots=4))
 
     state.apply_records([make_upstream(slots=0, revision=2)])
@@ -93,7 +93,7 @@
     assert state.refused == {}
 
 
-def test_an_invalid_record_does_not_hold_back_the_others():
+def test_an_invalid_record_does_not_affect_the_others():
     state = make_state(make_entry("service", "bad", {}), make_service())
 
     assert list(state.view.services) == ["order-desk"]
@@ -130,24 +130,24 @@
 
 
 def test_two_contents_of_one_revision_are_reported_and_settled():
-    seen = []
-    state = ConfigurationState(observe=seen.append)
+    events = []
+    state = ConfigurationState(observe=events.append)
     state.apply_records([make_upstream(slots=2), make_upstream(slots=3)])
 
-    conflicts = [event for event in seen if isinstance(event, RevisionConflict)]
+    conflicts = [event for event in events if isinstance(event, RevisionConflict)]
 
     assert [conflict.name for conflict in conflicts] == ["upstream/u1"]
     assert conflicts[0].kept > conflicts[0].dropped
 
 
-def test_events_tell_of_changes_and_refusals():
-    seen = []
-    state = ConfigurationState(observe=seen.append)
+def test_changes_and_refusals_are_reported():
+    events = []
+    state = ConfigurationState(observe=events.append)
 
     state.apply_records([make_service(), make_key(secret="5a")])
     state.apply_records([make_service(), make_key(secret="5a")])
 
-    assert [type(event) for event in seen] == [RecordRefused, ConfigurationChanged]
+    assert [type(event) for event in events] == [RecordRefused, ConfigurationChanged]
 
 
 def test_the_instance_list_is_replaced_as_a_whole():
--- a/testing/control/test_status.py
+++ b/testing/control/test_status.py
@@ -24,7 +24,7 @@
     return {domain.failure_domain: domain for domain in answer.domains}
 
 
-def is_whole(domains, *, members):
+def is_converged(domains, *, members):
     return all(
         len(domain.members) == members
         and all(member.behind_seconds == 0 for member in domain.members)
@@ -33,15 +33,15 @@
 
 
 @pytest.mark.parametrize("asked", ["erongo-1-b0", "erongo-2-b3", "erongo-1-a"])
-async def test_any_daemon_tells_of_the_whole_fleet(fleet, asked):
+async def test_any_daemon_reports_the_whole_fleet(fleet, asked):
     domains = {}
 
-    async def seen():
+    async def has_converged():
         nonlocal domains
         domains = await ask(fleet, asked)
-        return is_whole(domains, members=5)
+        return is_converged(domains, members=5)
 
-    while not await seen():
+    while not await has_converged():
         await wait_until(lambda: True)
 
     assert set(domains) == {"erongo-1", "erongo-2"}
@@ -49,19 +49,21 @@
     assert not any(domain.unseen for domain in domains.values())
 
 
-async def test_a_daemon_that_reports_to_no_seat_is_named(fleet):
+async def test_a_daemon_without_a_watcher_is_listed_as_unseen(fleet):
     await fleet["erongo-2-a"].stop()
 
-    def is_named():
-        seats = [p for p in fleet.participants.values() if p.source.node.is_watcher]
-        return not any("erongo-2-a" in seat.source.node.followers for seat in seats)
+    def is_followed_by_no_watcher():
+        watchers = [p for p in fleet.participants.values() if p.source.node.is_watcher]
+        return not any(
+            "erongo-2-a" in watcher.source.node.followers for watcher in watchers
+        )
 
-    await wait_until(is_named)
+    await wait_until(is_followed_by_no_watcher)
 
     assert list((await ask(fleet, "erongo-1-b1"))["erongo-2"].unseen) == ["erongo-2-a"]
 
 
-async def test_a_refused_record_is_told_with_its_reason(fleet, platform):
+async def test_a_refused_record_is_reported_with_its_reason(fleet, platform):
     platform.publish(make_upstream(slots=0, revision=2))
     await wait_until(lambda: any(p.source.refused for p in fleet.participants.values()))
 
