Reword the daemon's shared modules and their events

Comments, doc comments and events' texts described actions as a person's or left the subject out. They now say what the code does in the field's terms; the rate limiter of events is named a token bucket. Event numbers, names and fields, metric names and help texts are unchanged; the event, field and metric called seat keep the word.

--- a/packages/daisygauge-daemon/src/daisygauge_daemon/__init__.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/__init__.py
@@ -2,7 +2,7 @@
 
 import lazy_loader
 
-# A process pays at its start only for the modules that its role uses.
+# Modules load on first use, so that a process loads only those of its role.
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_catalogue.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_catalogue.py
@@ -1,4 +1,4 @@
-"""All events of both daemons, for operators' pages and tools."""
+"""Catalogue of the events of both daemons, for documentation and tools."""
 
 from __future__ import annotations
 
@@ -7,15 +7,17 @@
 from ._configuration import CONFIGURATION_EVENTS
 from ._events import RUNTIME_EVENTS, Event
 
-_PARTS = ("_balancer", "_agent")
+_ROLE_PACKAGES = ("_balancer", "_agent")
 
 
 def all_events() -> tuple[Event, ...]:
-    """Return the catalogue ordered by number."""
-    parts = [import_module(f".{part}._events", __package__) for part in _PARTS]
-    found = [
+    """Return all events, ordered by number."""
+    modules = [
+        import_module(f".{package}._events", __package__) for package in _ROLE_PACKAGES
+    ]
+    events = [
         *RUNTIME_EVENTS,
         *CONFIGURATION_EVENTS,
-        *(event for part in parts for event in part.EVENTS),
+        *(event for module in modules for event in module.EVENTS),
     ]
-    return tuple(sorted(found, key=lambda event: event.number))
+    return tuple(sorted(events, key=lambda event: event.number))
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_command_line.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_command_line.py
@@ -1,4 +1,4 @@
-"""Command lines on absl.flags with one exit code for misuse."""
+"""Command-line parsing with absl.flags and one exit code for misuse."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class MisuseError(Exception):
-    """A command line that can't be run; the message names the remedy."""
+    """Invalid command line; the message names the remedy."""
 
 
 def new_flags() -> flags.FlagValues:
@@ -24,8 +24,8 @@
 def parse_flags(values: flags.FlagValues, arguments: Sequence[str]) -> list[str]:
     """Parse arguments, of which the first is the program's name.
 
-    :return: the arguments that are no flags, without the program's name.
-    :raises MisuseError: an unknown flag or an unusable value.
+    :return: the positional arguments without the program's name.
+    :raises MisuseError: a flag is unknown or its value is invalid.
     """
     try:
         rest = values(list(arguments))
@@ -35,9 +35,9 @@
 
 
 def report_misuse(error: MisuseError) -> int:
-    """Print what is wrong.
+    """Print the message of a misuse to standard error.
 
-    :return: the exit code for it.
+    :return: the exit code for misuse.
     """
     print(error, file=sys.stderr)
     return EXIT_MISUSE
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_configuration.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_configuration.py
@@ -1,4 +1,4 @@
-"""Logs and counts what happens to the configuration."""
+"""Events and metrics of the configuration source."""
 
 from __future__ import annotations
 
@@ -31,16 +31,16 @@
     number=401,
     name="record-refused",
     level=Level.ERROR,
-    text="A published record was refused; the last good one stays in force. "
-    "Correct the fields named and publish it with a higher revision.",
+    text="A published record was refused; its last valid revision stays in force. "
+    "Correct the named fields and publish it with a higher revision.",
     fields=("record", "problems"),
 )
 CONFLICT = Event(
     number=402,
     name="revision-conflict",
     level=Level.ERROR,
-    text="Two contents of a record were published with one revision; every "
-    "daemon keeps the same one. Publish the wanted content with a higher revision.",
+    text="Two contents of a record were published with the same revision; every daemon "
+    "keeps the same one. Publish the intended content with a higher revision.",
     fields=("record", "revision", "kept", "dropped"),
 )
 PLATFORM_LOST = Event(
@@ -63,21 +63,24 @@
     number=405,
     name="peer-lost",
     level=Level.WARNING,
-    text="A daemon that was followed does not answer; another takes its place.",
+    text="A peer that the daemon subscribed to does not answer; the daemon subscribes "
+    "to another one.",
     fields=("peer", "reason"),
 )
-SEAT_CHANGED = Event(
+# A watcher reads the platform for its failure domain. The event, its field and the
+# metric call this role a seat.
+WATCHER_CHANGED = Event(
     number=406,
     name="seat-changed",
     level=Level.INFO,
-    text="The daemon begins or ends to watch the platform for its failure domain.",
+    text="The daemon starts or stops watching the platform for its failure domain.",
     fields=("seat",),
 )
 FELL_BACK = Event(
     number=407,
     name="fell-back",
     level=Level.WARNING,
-    text="No daemon could be followed, so the platform was read once. "
+    text="The daemon could not subscribe to any peer, so it read the platform once. "
     "Check the balancers of this failure domain and the network to them.",
     fields=("silent_seconds",),
 )
@@ -89,7 +92,7 @@
     PLATFORM_LOST,
     PLATFORM_REGAINED,
     PEER_LOST,
-    SEAT_CHANGED,
+    WATCHER_CHANGED,
     FELL_BACK,
 )
 
@@ -102,7 +105,7 @@
 
 
 class ConfigurationObserver:
-    """Is told by the configuration source what happens."""
+    """Logs and counts the events of the configuration source."""
 
     def __init__(self, *, log: EventLog, registry: CollectorRegistry) -> None:
         self.log = log
@@ -118,13 +121,13 @@
             namespace=NAMESPACE,
             registry=registry,
         )
-        self.seat = Gauge(
+        self.watcher = Gauge(
             "seat",
             "1 while the daemon watches the platform for its failure domain.",
             namespace=NAMESPACE,
             registry=registry,
         )
-        self.fall_backs = Counter(
+        self.fallbacks = Counter(
             "platform_fall_backs",
             "Reads of the platform because no daemon could be followed.",
             namespace=NAMESPACE,
@@ -137,10 +140,10 @@
             registry=registry,
         )
 
-    def follow_budget(
+    def export_budget(
         self, budget: ControlBudget, *, registry: CollectorRegistry
     ) -> None:
-        """Show what a daemon uses of its control budget."""
+        """Export the use of the control budget as metrics."""
         readings = {
             "control_sent_bytes": lambda: budget.sent_bytes,
             "control_received_bytes": lambda: budget.received_bytes,
@@ -191,10 +194,10 @@
             case PeerLost():
                 self.log.write(PEER_LOST, peer=event.peer, reason=event.reason)
             case SeatChanged():
-                self.seat.set(event.seat)
-                self.log.write(SEAT_CHANGED, seat=event.seat)
+                self.watcher.set(event.seat)
+                self.log.write(WATCHER_CHANGED, seat=event.seat)
             case FellBack():
-                self.fall_backs.inc()
+                self.fallbacks.inc()
                 self.log.write(FELL_BACK, silent_seconds=round(event.silent_seconds, 3))
             case PlatformRegained():
                 self.platform_up.set(1)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_datagrams.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_datagrams.py
@@ -1,4 +1,4 @@
-"""A datagram socket that no single datagram can close."""
+"""Base class of the UDP protocols, which keeps their sockets open after an error."""
 
 from __future__ import annotations
 
@@ -9,17 +9,17 @@
 
 
 class ResilientDatagramProtocol(asyncio.DatagramProtocol):
-    """Hands datagrams to ``handle_datagram``, and goes on after an unexpected error.
+    """Passes each datagram to ``handle_datagram`` and catches its errors.
 
-    The event loop closes a socket whose protocol raises; one datagram must not make a
-    process deaf.
+    The event loop closes a socket whose protocol raises. Without the catch, one
+    datagram could stop the process from receiving any more.
     """
 
     def __init__(self, *, log: EventLog) -> None:
         self.log = log
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Handle a datagram."""
+        """Handle a datagram; log an unexpected error and drop the datagram."""
         try:
             self.handle_datagram(data, addr)
         except Exception as error:
@@ -32,8 +32,11 @@
             )
 
     def handle_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
-        """Handle a datagram; may raise anything."""
+        """Handle one datagram.
+
+        :raises Exception: any error; ``datagram_received`` logs it.
+        """
         raise NotImplementedError
 
     def record_defect(self) -> None:
-        """Count a datagram that met an unexpected error."""
+        """Count a datagram whose handling raised an unexpected error."""
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_events.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_events.py
@@ -1,4 +1,4 @@
-"""Numbered events: what a daemon logs, one line of JSON each."""
+"""Numbered events and the log that writes them as lines of JSON."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class Level(enum.IntEnum):
-    """How much an event matters, in rising order."""
+    """Severity of an event, in ascending order."""
 
     DEBUG = 10
     INFO = 20
@@ -25,11 +25,12 @@
 class Event(Struct, kw_only=True, frozen=True):
     """One entry of the event catalogue.
 
-    :param number: never reused for another meaning.
+    :param number: unique number, never reused for another meaning.
     :param name: lower-case words joined by hyphens.
     :param text: what happened and, for warnings and errors, what to do.
     :param fields: names of the fields that each line carries.
-    :param limited: True for events that outsiders can cause at any rate.
+    :param limited: True for events that external traffic can cause at any rate;
+        the rate of their lines is limited.
     :param lines_per_second: lines that a limited event may write on average.
     :param burst: lines that a limited event may write at once.
     """
@@ -44,23 +45,24 @@
     burst: float = LIMITED_LINES_BURST
 
 
-class _Allowance(Struct, kw_only=True, frozen=True):
-    """Lines that a limited event may still write.
+class _TokenBucket(Struct, kw_only=True, frozen=True):
+    """Rate limiter of one limited event; each line consumes a token.
 
-    :param at: time of the last change, in seconds.
+    :param tokens: lines that may be written now.
+    :param updated_at: time of the last change, in seconds.
     :param suppressed: lines left out since the last one written.
     """
 
-    lines: float
-    at: float
+    tokens: float
+    updated_at: float
     suppressed: int = 0
 
 
 class EventLog:
-    """Writes events of at least one level.
+    """Writes the events that reach a level.
 
     :param level: events below it are left out.
-    :param clock: time in seconds for the limit on events caused by outsiders.
+    :param clock: returns the time in seconds, for the rate limit.
     """
 
     def __init__(
@@ -71,22 +73,22 @@
     ) -> None:
         self.level = level
         self.clock = clock
-        self.allowances: dict[int, _Allowance] = {}
+        self.buckets: dict[int, _TokenBucket] = {}
 
     def write(self, event: Event, **fields: Any) -> None:
         """Log an event with its fields.
 
-        :raises ValueError: the fields are not those of the catalogue.
+        :raises ValueError: the fields differ from those of the event.
         """
         if event.level < self.level:
             return
         if set(fields) != set(event.fields):
             raise ValueError(
-                f"event {event.number} has the fields {event.fields}; "
-                f"give these, not {tuple(fields)}"
+                f"event {event.number} requires the fields {event.fields}, "
+                f"got {tuple(fields)}"
             )
         if event.limited:
-            suppressed = self.take_line(event)
+            suppressed = self.consume_token(event)
             if suppressed is None:
                 return
             fields["suppressed"] = suppressed
@@ -96,30 +98,30 @@
         """Write one line at once."""
         emit_line(event, fields)
 
-    def take_line(self, event: Event) -> int | None:
-        """Use one line of a limited event's allowance.
+    def consume_token(self, event: Event) -> int | None:
+        """Consume one token of a limited event.
 
-        :return: how many lines were left out before it, or None when this one
-            must be left out too.
+        :return: the number of lines left out before this one, or None when this
+            one must be left out too.
         """
         now = self.clock()
-        last = self.allowances.get(event.number)
+        last = self.buckets.get(event.number)
         if last is None:
-            last = _Allowance(lines=event.burst, at=now)
-        refill = (now - last.at) * event.lines_per_second
-        lines = min(event.burst, last.lines + refill)
-        allowed = lines >= 1.0
-        self.allowances[event.number] = _Allowance(
-            lines=lines - allowed,
-            at=now,
+            last = _TokenBucket(tokens=event.burst, updated_at=now)
+        refill = (now - last.updated_at) * event.lines_per_second
+        tokens = min(event.burst, last.tokens + refill)
+        allowed = tokens >= 1.0
+        self.buckets[event.number] = _TokenBucket(
+            tokens=tokens - allowed,
+            updated_at=now,
             suppressed=0 if allowed else last.suppressed + 1,
         )
         return last.suppressed if allowed else None
 
 
 def emit_line(event: Event, fields: dict[str, Any]) -> None:
-    """Hand one line to the destinations of this process."""
-    # Imported late: a process that must serve at once logs afterwards.
+    """Pass one line to the log destinations of this process."""
+    # Imported on first use: a process that must serve at once writes its log later.
     import eliot
 
     eliot.log_message(
@@ -149,7 +151,7 @@
     number=101,
     name="daemon-draining",
     level=Level.INFO,
-    text="The daemon reports not ready and finishes what it has begun.",
+    text="The daemon reports not ready and finishes the work in progress.",
     fields=("role", "id"),
 )
 STOPPED = Event(
@@ -171,7 +173,7 @@
     number=104,
     name="configuration-ready",
     level=Level.INFO,
-    text="A first configuration is in force.",
+    text="The first configuration is in force.",
     fields=("version", "services"),
 )
 
@@ -179,8 +181,8 @@
     number=105,
     name="packet-failed",
     level=Level.ERROR,
-    text="Handling a datagram ended with an unexpected error; it was dropped. Report "
-    "the error with its traceback.",
+    text="Handling a datagram raised an unexpected error; the datagram was dropped. "
+    "Report the error with its traceback.",
     fields=("sender", "error", "traceback"),
     limited=True,
     lines_per_second=1.0,
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_http.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_http.py
@@ -1,4 +1,4 @@
-"""The HTTP endpoints for operators and the platform."""
+"""HTTP endpoints for operators and the platform."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
     """Serves ``/metrics``, ``/ready`` and ``/live``.
 
     :param registry: metrics of this daemon.
-    :param readiness: what ``/ready`` answers from.
+    :param readiness: conditions that ``/ready`` reports.
     """
 
     def __init__(
@@ -35,7 +35,7 @@
         self.readiness = readiness
 
     async def create_application(self) -> web.Application:
-        """Build the routes."""
+        """Create the application with its routes."""
         application = web.Application()
         application.router.add_get("/metrics", self.get_metrics)
         application.router.add_get("/ready", self.get_ready)
@@ -43,14 +43,14 @@
         return application
 
     async def get_metrics(self, request: web.Request) -> web.Response:
-        """Answer in Prometheus' text format."""
+        """Return the metrics in Prometheus' text format."""
         return web.Response(
             body=generate_latest(self.registry),
             headers={"Content-Type": CONTENT_TYPE_LATEST},
         )
 
     async def get_ready(self, request: web.Request) -> web.Response:
-        """Answer 200 while new traffic is welcome, else 503 with the reasons."""
+        """Answer 200 while the daemon accepts new traffic, else 503 with reasons."""
         reasons = sorted(self.readiness.unmet)
         if self.readiness.leaving:
             reasons.append("leaving")
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_peer_port.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_peer_port.py
@@ -1,4 +1,4 @@
-"""The port on which other daemons call this one."""
+"""The server for calls from other daemons."""
 
 from __future__ import annotations
 
@@ -12,15 +12,15 @@
 
 from ._runtime import Runtime
 
-CLOSE_SECONDS = 1.0
+CLOSE_TIMEOUT_SECONDS = 1.0
 
 
 class PeerPort:
-    """Serves the control calls of every daemon, and those of its role.
+    """Serves the control calls and the calls of the daemon's role.
 
     One server holds all handlers, because a daemon has one port for its peers.
 
-    :param handlers: what the role serves beside control.
+    :param handlers: handlers that the role adds to those of control.
     """
 
     def __init__(self, *, runtime: Runtime, handlers: Sequence[Any] = ()) -> None:
@@ -41,10 +41,10 @@
         await self.server.start(self.settings.host, self.settings.peer_port)
 
     async def stop(self) -> None:
-        """Close the server and wait a moment for its calls to end."""
+        """Close the server and wait up to ``CLOSE_TIMEOUT_SECONDS`` for its calls."""
         self.server.close()
         try:
-            async with asyncio.timeout(CLOSE_SECONDS):
+            async with asyncio.timeout(CLOSE_TIMEOUT_SECONDS):
                 await self.server.wait_closed()
         except TimeoutError:
             return
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_readiness.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_readiness.py
@@ -1,4 +1,4 @@
-"""Whether a daemon wants traffic."""
+"""Readiness of a daemon for new traffic."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 class Readiness:
     """Conditions that must all hold before a daemon is ready.
 
-    :param unmet: conditions not met yet, by name.
+    :param unmet: names of the conditions that are not met.
     :param leaving: True once the daemon drains; it never becomes ready again.
     """
 
@@ -18,7 +18,7 @@
 
     @property
     def ready(self) -> bool:
-        """True while new traffic is welcome."""
+        """True while the daemon accepts new traffic."""
         return not self.leaving and not self.unmet
 
     def set(self, condition: str, met: bool) -> None:
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_runtime.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_runtime.py
@@ -1,4 +1,4 @@
-"""What the roles share: log, metrics, readiness, configuration and tasks."""
+"""Parts that both roles share: log, metrics, readiness, configuration and tasks."""
 
 from __future__ import annotations
 
@@ -23,46 +23,46 @@
 EXIT_STOPPED = 0
 EXIT_FAILED = 1
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-READY_CHECK_SECONDS = 0.05
+READY_POLL_SECONDS = 0.05
 INCARNATIONS_PER_SECOND = 10
-FIRST_INCARNATION_AT = 1_767_225_600.0
+INCARNATION_EPOCH = 1_767_225_600.0
 """Unix time in seconds of 2026-01-01, from which incarnations are counted."""
 
 
 def new_incarnation(*, now: float) -> int:
-    """Number one start of a process; a later start has the higher number.
+    """Return the number of a process start; a later start has a higher number.
 
     :param now: Unix time in seconds.
     """
-    elapsed = max(now - FIRST_INCARNATION_AT, 0.0)
+    elapsed = max(now - INCARNATION_EPOCH, 0.0)
     return int(elapsed * INCARNATIONS_PER_SECOND) + 1
 
 
 def create_log(settings: Settings) -> EventLog:
-    """Build the log that the settings ask for."""
+    """Create the event log with the level of the settings."""
     return EventLog(level=Level[settings.log.level.upper()])
 
 
 class Role(Protocol):
-    """What a daemon does once it runs."""
+    """Interface of the balancer and the agent towards the runtime."""
 
     async def start(self) -> None:
-        """Bind every socket and begin."""
+        """Bind every socket and start to serve."""
 
     async def drain(self) -> None:
-        """Finish what was begun; returns when the process may end."""
+        """Finish the work in progress; return when the process may exit."""
 
     async def stop(self) -> None:
         """Close every socket."""
 
 
 class Runtime:
-    """One daemon's surroundings.
+    """State of a daemon process that does not depend on its role.
 
     :param settings: settings of this process.
-    :param source: configuration in force; ``run`` is one of the daemon's tasks.
-    :param log: where events go, made from the settings when absent.
-    :param registry: metrics of this daemon, made new when absent.
+    :param source: source of the configuration; ``run`` is one of the daemon's tasks.
+    :param log: log of this daemon; None creates one from the settings.
+    :param registry: metrics of this daemon; None creates an empty registry.
     :param incarnation: number of this start of the process.
     """
 
@@ -110,11 +110,11 @@
         """
         task = asyncio.create_task(work, name=name)
         self.tasks.add(task)
-        task.add_done_callback(self.finish_task)
+        task.add_done_callback(self.handle_task_end)
         return task
 
-    def finish_task(self, task: asyncio.Task[None]) -> None:
-        """Account for a task that ended."""
+    def handle_task_end(self, task: asyncio.Task[None]) -> None:
+        """Remove a task that ended; log its error, if any, and stop the daemon."""
         self.tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
@@ -129,7 +129,7 @@
         self.stopping.set()
 
     def operations_service(self) -> OperationsService:
-        """Build the HTTP endpoints of this daemon."""
+        """Create the HTTP endpoints of this daemon."""
         return OperationsService(
             host=self.settings.host,
             port=self.settings.metrics_port,
@@ -137,10 +137,10 @@
             readiness=self.readiness,
         )
 
-    async def follow_readiness(self) -> None:
-        """Report the configuration as ready once there is one."""
+    async def track_configuration(self) -> None:
+        """Set readiness at the first configuration, then export each new version."""
         while not self.source.ready:
-            await asyncio.sleep(READY_CHECK_SECONDS)
+            await asyncio.sleep(READY_POLL_SECONDS)
         view = self.view
         self.log.write(
             events.CONFIGURATION_READY,
@@ -165,10 +165,10 @@
 
 
 async def run_role(*, role: Role, runtime: Runtime) -> int:
-    """Run a daemon until it is told to stop, then drain it.
+    """Run a daemon until a stop signal or a failed task, then drain it.
 
-    The order of the end is fixed: not ready first, then no more work, then
-    sockets closed.
+    The shutdown order is fixed: the daemon reports not ready, finishes its work
+    and then closes its sockets.
 
     :return: the exit code.
     """
@@ -177,7 +177,7 @@
         loop.add_signal_handler(number, runtime.stopping.set)
     settings = runtime.settings
     runtime.spawn(runtime.source.run(), name="configuration")
-    runtime.spawn(runtime.follow_readiness(), name="readiness")
+    runtime.spawn(runtime.track_configuration(), name="readiness")
     await role.start()
     runtime.log.write(
         events.STARTED,
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_settings.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_settings.py
@@ -17,17 +17,17 @@
     try:
         IPv4Address(value)
     except ValueError as error:
-        raise ValueError(f"{attribute.name}: no dotted IPv4 address") from error
+        raise ValueError(f"{attribute.name}: not a dotted IPv4 address") from error
 
 
 def _check_port(instance: Any, attribute: Attribute, value: int) -> None:
     if not 0 < value <= MAX_PORT:
-        raise ValueError(f"{attribute.name}: no port from 1 to {MAX_PORT}")
+        raise ValueError(f"{attribute.name}: not a port from 1 to {MAX_PORT}")
 
 
 @frozen(kw_only=True)
 class LogSettings:
-    """What the process logs.
+    """Settings of the log.
 
     :param level: events below this level are left out.
     """
@@ -37,7 +37,7 @@
 
 @frozen(kw_only=True)
 class UpstreamSettings:
-    """The host beside an agent.
+    """Address and paths of the host that an agent forwards requests to.
 
     :param health_path: path that answers 200 while the host takes requests.
     :param load_path: path of the host's own load report.
@@ -51,7 +51,7 @@
 
 @frozen(kw_only=True)
 class TlsSettings:
-    """Files of the certificate that callers see, in PEM."""
+    """PEM files of the certificate that callers receive and of its key."""
 
     certificate: str
     private_key: str
@@ -59,7 +59,7 @@
 
 @frozen(kw_only=True)
 class DaemonSettings:
-    """What both roles share.
+    """Settings that both roles share.
 
     :param id: instance id, equal to that in the platform's instance list.
     :param host: IPv4 address of the inner, peer and metrics sockets.
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_settings_file.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_settings_file.py
@@ -1,4 +1,4 @@
-"""Reading a settings file into the model of its role."""
+"""Loader of a settings file into the model of its role."""
 
 from __future__ import annotations
 
@@ -19,18 +19,19 @@
 def load_settings(path: str) -> Settings:
     """Read a settings file.
 
-    :raises SettingsError: naming the file, every field at fault and the remedy.
+    :raises SettingsError: the file can't be read or has invalid fields; the message
+        names the file, each field and its remedy.
     """
     try:
         text = Path(path).read_text(encoding="utf-8")
         value = json5.loads(text)
     except (OSError, ValueError) as error:
-        raise _refuse(
+        raise _make_error(
             path, "$", message=str(error), remedy="name a file of JSON with comments"
         ) from None
     role = value.get("role") if isinstance(value, dict) else None
     if not isinstance(role, str) or role not in _MODELS:
-        raise _refuse(
+        raise _make_error(
             path,
             "role",
             message=f"{role!r} is unknown",
@@ -39,6 +40,6 @@
     return parse_settings(text, _MODELS[role], name=path)
 
 
-def _refuse(name: str, path: str, *, message: str, remedy: str) -> SettingsError:
+def _make_error(name: str, path: str, *, message: str, remedy: str) -> SettingsError:
     problem = Problem(path=path, message=message, remedy=remedy)
     return SettingsError(name=name, problems=[problem])
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/main.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/main.py
@@ -43,8 +43,8 @@
 def read_command_line(arguments: Sequence[str]) -> Settings | None:
     """Read the settings that the command line names.
 
-    :return: None when only help was asked for.
-    :raises MisuseError: the command line or the settings can't be used.
+    :return: None when ``--help`` was given.
+    :raises MisuseError: the command line or the settings are invalid.
     """
     values = define_flags()
     rest = parse_flags(values, arguments)
@@ -62,7 +62,7 @@
 
 
 def create_role(runtime: Runtime) -> Role:
-    """Build what the settings ask for."""
+    """Create the balancer or the agent that the settings describe."""
     match runtime.settings:
         case BalancerSettings():
             from ._balancer import Balancer
@@ -75,7 +75,7 @@
 
 
 def describe_member(settings: Settings) -> Member:
-    """Return who this daemon is towards the others; agents need one service."""
+    """Return this daemon as a member; an agent follows one service, a balancer all."""
     match settings:
         case AgentSettings():
             service = settings.service
@@ -104,7 +104,7 @@
         member=describe_member(settings),
         observe=observer,
     )
-    observer.follow_budget(source.budget, registry=registry)
+    observer.export_budget(source.budget, registry=registry)
     runtime = Runtime(
         settings=settings,
         source=source,
@@ -123,7 +123,7 @@
 
 
 def run() -> None:
-    """Start the daemon that the command line names."""
+    """Run the daemon with the settings of the command line and exit."""
     try:
         settings = read_command_line(sys.argv)
     except MisuseError as error:
