Reword the balancer's modules and name its parts by the field's terms

Names such as HostBook, tend, unsettled, take_gauge and move_on were figurative or private to this code. They are now HostTracker, run_timers, find_time_dependent_hosts, record_load_report and offer_to_next; the drain's and the timers' constants say whether they are a minimum, a maximum or an idle time. Comments and events' texts are plain statements with their conditions. Event numbers, names and fields, drop reasons, metric names, labels and help texts are unchanged.

--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_balancer.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_balancer.py
@@ -17,11 +17,12 @@
 from ._outer import OuterSocket
 
 TICK_SECONDS = 0.1
-LATE_WAKE_SECONDS = 1.0
+STALL_SECONDS = 1.0
+"""Delay of a tick beyond which the process counts as having been stopped."""
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
-DRAIN_LEAST_SECONDS = 1.5
-DRAIN_QUIET_SECONDS = 0.5
-DRAIN_MOST_SECONDS = 5.0
+MIN_DRAIN_SECONDS = 1.5
+DRAIN_IDLE_SECONDS = 0.5
+MAX_DRAIN_SECONDS = 5.0
 
 
 def bind_datagram_socket(address: Endpoint) -> socket.socket:
@@ -63,7 +64,7 @@
         )
         self.placer = self.inner.placer
         self.outers: dict[str, OuterSocket] = {}
-        self.changing = asyncio.Lock()
+        self.bind_lock = asyncio.Lock()
         self.peer_port: PeerPort | None = None
         runtime.readiness.set("sockets", False)
 
@@ -78,17 +79,17 @@
         self.peer_port = PeerPort(runtime=self.runtime)
         await self.peer_port.start()
         self.runtime.spawn(self.follow_configuration(), name="balancer-configuration")
-        self.runtime.spawn(self.tend(), name="balancer-timers")
+        self.runtime.spawn(self.run_timers(), name="balancer-timers")
 
     async def follow_configuration(self) -> None:
         """Put each new configuration in force."""
         source = self.runtime.source
         view = source.view
         while True:
-            await self.apply(view)
+            await self.apply_view(view)
             view = await source.wait_for_change(after=view.version)
 
-    async def apply(self, view: ConfigurationView) -> None:
+    async def apply_view(self, view: ConfigurationView) -> None:
         """Put a configuration in force."""
         self.inner.use_keys(view.keys, now=self.runtime.now())
         self.inner.hosts = {
@@ -97,12 +98,12 @@
             if service in view.services
             for upstream in upstreams
         }
-        self.placer.take_view(view, now=self.runtime.now())
+        self.placer.apply_view(view, now=self.runtime.now())
         await self.bind_services(view)
 
     async def bind_services(self, view: ConfigurationView) -> None:
         """Open and close outer sockets so that they match the services."""
-        async with self.changing:
+        async with self.bind_lock:
             for name, outer in tuple(self.outers.items()):
                 if not is_same_socket(outer.service, view.services.get(name)):
                     self.unbind(outer)
@@ -119,12 +120,12 @@
         self.runtime.readiness.set("sockets", bool(self.outers))
 
     def outer_address(self, service: Service) -> Endpoint:
-        """Return the address on which a service's packets arrive here."""
+        """Return the local address that a service's outer socket is bound to."""
         host = self.settings.outer_host or service.address.host
         return Endpoint(host=host, port=service.address.port)
 
     async def bind(self, service: Service) -> None:
-        """Open the outer socket of a service, or log why that fails."""
+        """Open the outer socket of a service, or log why the bind fails."""
         address = self.outer_address(service)
         try:
             bound = bind_datagram_socket(address)
@@ -143,7 +144,7 @@
             counts=self.counts,
             log=self.runtime.log,
         )
-        # The first packet may arrive before this task goes on.
+        # The first packet may arrive before this task continues.
         outer.use_keys(self.inner.keys, sender=self.local, now=self.runtime.now())
         await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: outer, sock=bound
@@ -164,20 +165,20 @@
         )
 
     def refresh_keys(self) -> None:
-        """Let every socket use the keys in force now."""
+        """Put the keys that are valid now in force on every socket."""
         now = self.runtime.now()
         self.inner.use_keys(self.inner.keys, now=now)
         for outer in self.outers.values():
             outer.use_keys(self.inner.keys, sender=self.local, now=now)
 
-    async def tend(self) -> None:
-        """Do what time asks for: silent agents, tables, keys, failed binds."""
+    async def run_timers(self) -> None:
+        """Run the periodic work: unanswered flights, tables, keys and failed binds."""
         last = time.monotonic()
         while True:
             await asyncio.sleep(TICK_SECONDS)
             now = time.monotonic()
-            if now - last > TICK_SECONDS + LATE_WAKE_SECONDS:
-                self.placer.forget_held(late_seconds=now - last - TICK_SECONDS)
+            if now - last > TICK_SECONDS + STALL_SECONDS:
+                self.placer.drop_pending(late_seconds=now - last - TICK_SECONDS)
             last = now
             self.placer.expire(now=now, time_now=self.runtime.now())
             self.placer.refresh_tables(now=self.runtime.now())
@@ -188,22 +189,24 @@
     async def drain(self) -> None:
         """Wait until agents and the fabric use other balancers.
 
-        Agents stop sending replies here once their probes go unanswered.
+        Agents send no more replies to this balancer once it leaves their probes
+        unanswered. The wait ends when no packet was passed on for
+        ``DRAIN_IDLE_SECONDS``, at the latest after ``MAX_DRAIN_SECONDS``.
         """
         self.inner.answers_probes = False
         loop = asyncio.get_running_loop()
-        begin = quiet_since = loop.time()
-        passed = self.counts.passed()
+        started = idle_since = loop.time()
+        packets = self.counts.total_packets()
         while True:
             await asyncio.sleep(TICK_SECONDS)
             now = loop.time()
-            if self.counts.passed() != passed:
-                passed = self.counts.passed()
-                quiet_since = now
-            is_quiet = now - quiet_since >= DRAIN_QUIET_SECONDS
-            if is_quiet and now - begin >= DRAIN_LEAST_SECONDS:
+            if self.counts.total_packets() != packets:
+                packets = self.counts.total_packets()
+                idle_since = now
+            is_idle = now - idle_since >= DRAIN_IDLE_SECONDS
+            if is_idle and now - started >= MIN_DRAIN_SECONDS:
                 return
-            if now - begin >= DRAIN_MOST_SECONDS:
+            if now - started >= MAX_DRAIN_SECONDS:
                 return
 
     async def stop(self) -> None:
@@ -214,10 +217,10 @@
         self.inner.transport.close()
 
 
-def is_same_socket(bound: Service, wanted: Service | None) -> bool:
-    """Tell whether a bound socket still fits its service's record."""
+def is_same_socket(bound: Service, published: Service | None) -> bool:
+    """Return whether a bound socket still matches its service's record."""
     return (
-        wanted is not None
-        and bound.number == wanted.number
-        and bound.address == wanted.address
+        published is not None
+        and bound.number == published.number
+        and bound.address == published.address
     )
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_events.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_events.py
@@ -15,16 +15,16 @@
     number=201,
     name="flow-moved",
     level=Level.INFO,
-    text="A first flight went to the next candidate because the last one did not "
-    "take it.",
+    text="A first flight went to the next candidate because the previous one did not "
+    "accept it.",
     fields=("service", "caller", "flow", "reason", "refused_by", "candidate"),
 )
 FLOW_UNPLACED = Event(
     number=202,
     name="flow-unplaced",
     level=Level.WARNING,
-    text="No candidate took a first flight; the caller retries by itself. Check "
-    "that upstreams of the service are ready and not all full.",
+    text="No candidate accepted a first flight; the caller retransmits it. Check that "
+    "upstreams of the service are ready and not all full.",
     fields=("service", "caller", "flow", "reason"),
     limited=True,
 )
@@ -41,7 +41,7 @@
     number=204,
     name="packet-dropped",
     level=Level.WARNING,
-    text="A caller's packet was dropped. Many of these mean a scan, or callers "
+    text="A caller's packet was dropped. A high rate points to a scan, or to callers "
     "whose connection IDs were issued under an expired key.",
     fields=("service", "caller", "reason"),
     limited=True,
@@ -59,8 +59,8 @@
     number=206,
     name="host-suspected",
     level=Level.WARNING,
-    text="A host left first flights unanswered and gets no new flows for a while. "
-    "Check its agent.",
+    text="A host did not answer first flights and gets no new flows until its back-off "
+    "ends. Check its agent.",
     fields=("service", "host"),
 )
 HOST_CLEARED = Event(
@@ -88,7 +88,7 @@
     number=210,
     name="bind-failed",
     level=Level.ERROR,
-    text="The address of a service can't be bound; it is tried again. Free the "
+    text="The address of a service can't be bound; the bind is retried. Free the "
     "address, or set outer_host to an address of this instance.",
     fields=("service", "address", "error"),
     limited=True,
@@ -104,8 +104,8 @@
     number=212,
     name="woke-late",
     level=Level.WARNING,
-    text="The process was stopped for a while; first flights held from before are "
-    "dropped and no host is blamed for silence. Check the instance for overload.",
+    text="The process did not run for a while; pending first flights are dropped and "
+    "no host is suspected for them. Check the instance for overload.",
     fields=("late_seconds", "dropped"),
 )
 
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_hosts.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_hosts.py
@@ -1,4 +1,4 @@
-"""What a balancer has heard from agents, and the hosts it offers new flows."""
+"""State of the hosts as agents report it, and the hosts that get new flows."""
 
 from __future__ import annotations
 
@@ -19,58 +19,61 @@
 from daisygauge_records import RendezvousPlacement, Service, Upstream
 from daisygauge_wire import Gauge
 
-GAUGE_AGE_SECONDS = 2.0
-LONGEST_RAMP_SECONDS = 600.0
+MAX_LOAD_REPORT_AGE_SECONDS = 2.0
+MAX_SLOW_START_SECONDS = 600.0
 
 
 @frozen(kw_only=True)
 class EligibleHosts:
     """The hosts of a service that get new flows.
 
-    :param shares: slow start shares of hosts that still ramp, by host id.
+    :param shares: shares of the hosts in slow start, by host id.
     """
 
     hosts: tuple[Upstream, ...]
     shares: dict[str, float]
 
 
-class HostBook:
-    """Knowledge about the hosts of every service.
+class HostTracker:
+    """Tracks load reports, suspects and slow start of every service's hosts.
 
-    :param loads: last reported backlog for each slot, by host id.
+    :ivar loads: last reported backlog per slot, by host id.
+    :ivar slow_starting: ids of the hosts that may be in slow start.
     """
 
     def __init__(self) -> None:
-        self.gauges = PeerGauges()
+        self.load_reports = PeerGauges()
         self.suspects = SuspectList()
         self.slow_start = SlowStart()
         self.loads: dict[str, float] = {}
-        self.ramping: set[str] = set()
+        self.slow_starting: set[str] = set()
 
-    def take_view(self, view: ConfigurationView, *, now: float) -> None:
-        """Take in a new configuration; hosts not published are forgotten."""
+    def apply_view(self, view: ConfigurationView, *, now: float) -> None:
+        """Apply a new configuration; forget the hosts that it does not publish."""
         hosts = frozenset(
             upstream.id for group in view.upstreams.values() for upstream in group
         )
-        self.gauges.retain(hosts)
+        self.load_reports.retain(hosts)
         self.suspects.retain(hosts)
         self.slow_start.observe_hosts(hosts, now=now)
-        self.ramping = {
+        self.slow_starting = {
             host for host, since in self.slow_start.since.items() if since > -math.inf
         }
         self.loads = {host: load for host, load in self.loads.items() if host in hosts}
 
-    def take_gauge(
+    def record_load_report(
         self, host: str, *, incarnation: int, gauge: Gauge, now: float
     ) -> None:
-        """Take in what an agent says about itself."""
-        held = self.gauges.gauges.get(host)
-        if not self.gauges.update(host, incarnation=incarnation, gauge=gauge, now=now):
+        """Record the load report of a host's agent unless a newer one is known."""
+        previous = self.load_reports.gauges.get(host)
+        if not self.load_reports.update(
+            host, incarnation=incarnation, gauge=gauge, now=now
+        ):
             return
         self.loads[host] = gauge.backlog
-        if held is not None and incarnation > held.incarnation:
+        if previous is not None and incarnation > previous.incarnation:
             self.slow_start.observe_restart(host, now=now)
-            self.ramping.add(host)
+            self.slow_starting.add(host)
 
     def select(
         self, service: Service, view: ConfigurationView, *, now: float
@@ -81,42 +84,49 @@
         """
         published = view.upstreams.get(service.id, ())
         ids = tuple(upstream.id for upstream in published)
-        leaving, not_ready = self.hosts_unwilling(ids, now=now)
+        leaving, not_ready = self.find_leaving_and_not_ready(ids, now=now)
         suspects = self.suspects.ejected(
             (host for host in ids if host not in leaving), now=now
         )
         eligible = select_eligible(
             published, instances=view.instances, suspects=suspects | leaving
         )
-        # Agents refuse flows by themselves, so hosts that are not ready are only
-        # left out while others are.
+        # Hosts that are not ready are left out only while others are ready: their
+        # agents refuse flows by themselves.
         ready = tuple(host for host in eligible if host.id not in not_ready)
         hosts = ready or eligible
-        return EligibleHosts(hosts=hosts, shares=self.ramp(service, hosts, now=now))
+        return EligibleHosts(
+            hosts=hosts, shares=self.slow_start_shares(service, hosts, now=now)
+        )
 
-    def hosts_unwilling(
+    def find_leaving_and_not_ready(
         self, hosts: tuple[str, ...], *, now: float
     ) -> tuple[frozenset[str], frozenset[str]]:
-        """Return which hosts said lately that they leave, or are not ready."""
-        said = {
-            host: self.gauges.gauges[host]
+        """Return the hosts that reported to be leaving, and those not ready.
+
+        A report of readiness counts for ``MAX_LOAD_REPORT_AGE_SECONDS``.
+        """
+        reports = {
+            host: self.load_reports.gauges[host]
             for host in hosts
-            if host in self.gauges.gauges
+            if host in self.load_reports.gauges
         }
         fresh = {
-            host: held.gauge
-            for host, held in said.items()
-            if held.age_seconds(now=now) <= GAUGE_AGE_SECONDS
+            host: current.gauge
+            for host, current in reports.items()
+            if current.age_seconds(now=now) <= MAX_LOAD_REPORT_AGE_SECONDS
         }
         return (
-            frozenset(host for host, held in said.items() if held.gauge.leaving),
+            frozenset(
+                host for host, current in reports.items() if current.gauge.leaving
+            ),
             frozenset(host for host, gauge in fresh.items() if not gauge.ready),
         )
 
-    def ramp(
+    def slow_start_shares(
         self, service: Service, hosts: tuple[Upstream, ...], *, now: float
     ) -> dict[str, float]:
-        """Return the slow start shares of a service's hosts."""
+        """Return the shares of the hosts that are in slow start, by host id."""
         if not isinstance(service.placement, RendezvousPlacement):
             return {}
         shares = {
@@ -128,22 +138,25 @@
         }
         return {host: share for host, share in shares.items() if share < 1.0}
 
-    def unsettled(self, *, now: float) -> frozenset[str]:
-        """Return hosts whose eligibility or weight may change by itself.
+    def find_time_dependent_hosts(self, *, now: float) -> frozenset[str]:
+        """Return the hosts whose eligibility or share may change with time alone.
 
         :param now: Unix time in seconds.
         """
-        self.ramping = {
+        self.slow_starting = {
             host
-            for host in self.ramping
-            if now - self.slow_start.since.get(host, -math.inf) <= LONGEST_RAMP_SECONDS
+            for host in self.slow_starting
+            if now - self.slow_start.since.get(host, -math.inf)
+            <= MAX_SLOW_START_SECONDS
         }
-        said = (
+        leaving_or_not_ready = (
             host
-            for host, held in self.gauges.gauges.items()
-            if held.gauge.leaving or not held.gauge.ready
+            for host, current in self.load_reports.gauges.items()
+            if current.gauge.leaving or not current.gauge.ready
+        )
+        return frozenset(
+            (*self.suspects.suspicions, *self.slow_starting, *leaving_or_not_ready)
         )
-        return frozenset((*self.suspects.suspicions, *self.ramping, *said))
 
     def create_table(self, service: Service, eligible: EligibleHosts) -> PlacementTable:
         """Build the placement table of a service."""
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
@@ -30,7 +30,7 @@
 
 
 class InnerSocket(ResilientDatagramProtocol):
-    """Takes what agents send: replies, answers to first flights and probes.
+    """Receives replies, answers to first flights and probes from agents.
 
     :param local: inner address of this balancer.
     :param incarnation: incarnation of this balancer.
@@ -50,14 +50,14 @@
         self.drops = counts.drops
         self.placer = Placer(send=self.send, sender=local, counts=counts, log=log)
         self.keys = KeyRing(keys={})
-        self.accepted: Mapping[int, DerivedKeys] = {}
+        self.accepted_keys: Mapping[int, DerivedKeys] = {}
         self.outers: dict[bytes, OuterSocket] = {}
         self.hosts: dict[tuple[int, Endpoint], Upstream] = {}
         self.answers_probes = True
         self.transport: asyncio.DatagramTransport | None = None
         self.handlers: dict[Kind, Callable[[Datagram, Endpoint], None]] = {
-            Kind.PLACED: self.take_placed,
-            Kind.PROBE: self.take_probe,
+            Kind.PLACED: self.handle_placed,
+            Kind.PROBE: self.handle_probe,
         }
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
@@ -70,7 +70,7 @@
         :param now: Unix time in seconds.
         """
         self.keys = keys
-        self.accepted = keys.accepted(now=now)
+        self.accepted_keys = keys.accepted(now=now)
 
     def send(self, datagram: Datagram, receiver: Endpoint) -> None:
         """Sign a datagram with the newest key and send it."""
@@ -85,43 +85,43 @@
         """Handle one inner datagram."""
         try:
             if is_reply(data):
-                self.pass_reply(data)
+                self.forward_reply(data)
             else:
-                self.take_message(data, sender)
+                self.handle_message(data, sender)
         except MalformedDatagramError as error:
             self.drop(sender, error.reason)
 
-    def pass_reply(self, data: bytes) -> None:
-        """Send a packet on to its caller from the address of its service."""
-        reply = read_reply(data, keys=self.accepted)
+    def forward_reply(self, data: bytes) -> None:
+        """Forward a packet to its caller from the address of its service."""
+        reply = read_reply(data, keys=self.accepted_keys)
         outer = self.outers.get(reply.service)
         if outer is None:
             raise MalformedDatagramError("unknown-service")
         outer.send_reply(reply.packet, unpack_endpoint(reply.caller))
 
     def record_defect(self) -> None:
-        """Count a datagram that met an unexpected error."""
+        """Count a datagram whose handling raised an unexpected error."""
         self.drops["inner-defect"] += 1
 
-    def take_message(self, data: bytes, sender: tuple[str, int]) -> None:
-        """Handle what is not a reply."""
+    def handle_message(self, data: bytes, sender: tuple[str, int]) -> None:
+        """Handle a datagram that is not a reply."""
         datagram = decode_datagram(data, keys=self.keys, now=time.time())
         handler = self.handlers.get(datagram.kind)
         if handler is None:
             raise MalformedDatagramError("kind")
         handler(datagram, Endpoint(host=sender[0], port=sender[1]))
 
-    def take_placed(self, datagram: Datagram, sender: Endpoint) -> None:
-        """Hand an agent's word on a first flight to the placer."""
-        self.placer.take_answer(
+    def handle_placed(self, datagram: Datagram, sender: Endpoint) -> None:
+        """Pass an agent's answer to a first flight on to the placer."""
+        self.placer.handle_answer(
             datagram, agent=sender, now=time.monotonic(), time_now=time.time()
         )
 
-    def take_probe(self, datagram: Datagram, sender: Endpoint) -> None:
-        """Answer a probe and learn the agent's gauge."""
+    def handle_probe(self, datagram: Datagram, sender: Endpoint) -> None:
+        """Record the load report in a probe and answer the probe."""
         host = self.hosts.get((datagram.service, sender))
         if host is not None and datagram.payload:
-            self.take_gauge(host.id, datagram)
+            self.record_load_report(host.id, datagram)
         if not self.answers_probes:
             return
         answer = Datagram(
@@ -132,23 +132,23 @@
         )
         self.send(answer, sender)
 
-    def take_gauge(self, host: str, datagram: Datagram) -> None:
-        """Learn the load of an agent."""
+    def record_load_report(self, host: str, datagram: Datagram) -> None:
+        """Record the load report that a probe carries."""
         try:
-            gauge = decode_gauge(datagram.payload)
+            report = decode_gauge(datagram.payload)
         except ValueError as error:
             raise MalformedDatagramError("gauge") from error
-        self.placer.hosts.take_gauge(
-            host, incarnation=datagram.incarnation, gauge=gauge, now=time.time()
+        self.placer.hosts.record_load_report(
+            host, incarnation=datagram.incarnation, gauge=report, now=time.time()
         )
 
     def drop(self, sender: tuple[str, int], reason: str) -> None:
-        """Count an inner datagram that is not used."""
+        """Count and log an inner datagram that is dropped."""
         self.drops[f"inner-{reason}"] += 1
         self.log.write(
             events.INNER_DROPPED, sender=f"{sender[0]}:{sender[1]}", reason=reason
         )
 
     def error_received(self, error: OSError) -> None:
-        """Count a datagram that the system refused to send."""
+        """Count a datagram that the operating system refused to send."""
         self.drops["inner-send-error"] += 1
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_metrics.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_metrics.py
@@ -1,4 +1,4 @@
-"""Counters of a balancer's packets, cheap enough for each packet."""
+"""Counts of a balancer, cheap enough to update for each packet."""
 
 from __future__ import annotations
 
@@ -29,13 +29,13 @@
 
 @define(kw_only=True)
 class BalancerCounts:
-    """Everything that a balancer counts.
+    """All counts of a balancer.
 
     :param packets: counts by service id.
     :param drops: dropped packets and datagrams by reason.
     :param placements: placement decisions by outcome.
-    :param pending: first flights that wait for an agent's word.
-    :param suspects: hosts that get no flows because they were silent.
+    :param pending: first flights that wait for an agent's answer.
+    :param suspects: hosts that get no new flows because they did not answer.
     :param unbound: services whose address can't be bound here.
     """
 
@@ -46,20 +46,20 @@
     suspects: int = 0
     unbound: int = 0
 
-    def passed(self) -> int:
+    def total_packets(self) -> int:
         """Return the number of packets passed on so far."""
         return sum(
             packets.forwarded + packets.placed + packets.replied
             for packets in self.packets.values()
         )
 
-    def of_service(self, service: str) -> PacketCounts:
+    def for_service(self, service: str) -> PacketCounts:
         """Return the counts of a service, starting at zero."""
         return self.packets.setdefault(service, PacketCounts())
 
 
 class BalancerCollector(Collector):
-    """Shows the counts to Prometheus."""
+    """Exports the counts to Prometheus."""
 
     def __init__(self, *, counts: BalancerCounts, registry: CollectorRegistry) -> None:
         self.counts = counts
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_outer.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_outer.py
@@ -53,7 +53,7 @@
         self.inner = inner
         self.placer = placer
         self.drops = counts.drops
-        self.packets = counts.of_service(service.id)
+        self.packets = counts.for_service(service.id)
         self.keys: Mapping[int, DerivedKeys] = {}
         self.encoder: ForwardEncoder | None = None
         self.transport: asyncio.DatagramTransport | None = None
@@ -75,17 +75,17 @@
         )
 
     def record_defect(self) -> None:
-        """Count a packet that met an unexpected error."""
+        """Count a packet whose handling raised an unexpected error."""
         self.drops["defect"] += 1
 
     def handle_datagram(self, data: bytes, caller: tuple[str, int]) -> None:
-        """Handle one packet from a caller as the packet table says."""
+        """Handle one packet from a caller by the packet table."""
         destination_id = read_destination_id(data)
         route = open_connection_id(destination_id, keys=self.keys)
         if route is None:
-            self.take_unrouted(data, caller)
+            self.handle_unrouted(data, caller)
             return
-        # The packet table forwards each kind of packet whose ID an agent chose.
+        # The packet table forwards every kind of packet whose ID an agent chose.
         if route[SERVICE_PART] != self.service_part:
             self.drop(caller, "foreign-service")
             return
@@ -96,7 +96,7 @@
         self.inner.sendto(frame, unpack_endpoint(route[AGENT_PART]))
         self.packets.forwarded += 1
 
-    def take_unrouted(self, data: bytes, caller: tuple[str, int]) -> None:
+    def handle_unrouted(self, data: bytes, caller: tuple[str, int]) -> None:
         """Handle a packet whose connection ID no agent has issued."""
         header = read_packet_header(data)
         if header is None:
@@ -117,7 +117,7 @@
         )
 
     def drop(self, caller: tuple[str, int], reason: str) -> None:
-        """Count a packet that goes nowhere."""
+        """Count and log a packet that is dropped."""
         self.drops[reason] += 1
         self.log.write(
             events.PACKET_DROPPED,
@@ -132,5 +132,5 @@
         self.packets.replied += 1
 
     def error_received(self, error: OSError) -> None:
-        """Count a packet that the system refused to send."""
+        """Count a packet that the operating system refused to send."""
         self.drops["outer-send-error"] += 1
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_packet_table.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_packet_table.py
@@ -8,7 +8,7 @@
 
 
 class Action(enum.Enum):
-    """What happens to a packet."""
+    """What the balancer does with a packet."""
 
     FORWARD = "forward"
     """Send to the agent that the connection ID names."""
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_pending.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_pending.py
@@ -1,7 +1,8 @@
-"""First flights that wait until an agent has said what it did with them.
+"""First flights that wait for an agent's answer.
 
-This is the only thing that a balancer remembers of a flow. It is bounded, lives
-for a few hundred milliseconds, and losing it costs a caller one retransmission.
+They are the only state that a balancer holds of a flow. Their number is bounded, an
+entry lasts a few hundred milliseconds, and its loss costs the caller one
+retransmission.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 
 from daisygauge_records import Service, Upstream
 
-ANSWER_SECONDS = 0.3
+ANSWER_TIMEOUT_SECONDS = 0.3
 MAX_FLIGHTS = 4_096
 MAX_PACKETS_PER_FLIGHT = 4
 
@@ -21,27 +22,29 @@
 
     :param key: service number and the connection ID that the caller chose.
     :param caller: address and port of the caller.
-    :param candidates: agents still to be offered the flow, the present one first.
-    :param sent: monotonic time in seconds of the last offer.
+    :param candidates: remaining candidates, the current one first.
+    :param offered_at: monotonic time in seconds of the first offer to the current
+        candidate.
     """
 
     key: bytes
     service: Service
     caller: tuple[str, int]
     candidates: tuple[Upstream, ...]
-    sent: float
+    offered_at: float
     packets: list[bytes] = field(factory=list)
 
     @property
     def host(self) -> Upstream:
-        """The agent that was offered the flow last."""
+        """The current candidate."""
         return self.candidates[0]
 
 
 class PendingFlights:
-    """First flights in order of their last offer.
+    """Pending first flights in order of ``offered_at``.
 
-    :param max_flights: further flights are forwarded but not kept.
+    :param max_flights: number of flights to keep; further ones are sent to their
+        first candidate but not kept.
     """
 
     def __init__(self, *, max_flights: int = MAX_FLIGHTS) -> None:
@@ -52,13 +55,13 @@
         return len(self.flights)
 
     def find(self, key: bytes) -> PendingFlight | None:
-        """Return the flight that a packet belongs to."""
+        """Return the flight with a key, or None."""
         return self.flights.get(key)
 
     def add(self, flight: PendingFlight) -> bool:
         """Keep a flight.
 
-        :return: False when too many are kept already.
+        :return: False when ``max_flights`` are kept already.
         """
         if len(self.flights) >= self.max_flights:
             return False
@@ -66,44 +69,44 @@
         return True
 
     def keep_packet(self, flight: PendingFlight, packet: bytes) -> None:
-        """Keep one more packet of a flight, up to the limit."""
+        """Keep a packet of a flight, up to ``MAX_PACKETS_PER_FLIGHT``."""
         if len(flight.packets) < MAX_PACKETS_PER_FLIGHT:
             flight.packets.append(packet)
 
     def remove(self, key: bytes) -> PendingFlight | None:
-        """Forget a flight."""
+        """Remove a flight."""
         return self.flights.pop(key, None)
 
     def advance(self, flight: PendingFlight, *, now: float) -> bool:
-        """Turn to the next candidate.
+        """Move a flight to its next candidate.
 
         :param now: monotonic time in seconds.
-        :return: False when none is left; the flight is forgotten then.
+        :return: False when none is left; the flight is then removed.
         """
         self.flights.pop(flight.key, None)
         if len(flight.candidates) < 2:
             return False
         flight.candidates = flight.candidates[1:]
-        flight.sent = now
+        flight.offered_at = now
         self.flights[flight.key] = flight
         return True
 
     def unanswered(self, *, now: float) -> tuple[PendingFlight, ...]:
-        """Return the flights whose present candidate has been silent too long.
+        """Return the flights without an answer for ``ANSWER_TIMEOUT_SECONDS``.
 
         :param now: monotonic time in seconds.
         """
-        late = []
+        expired = []
         for flight in self.flights.values():
-            if now - flight.sent < ANSWER_SECONDS:
+            if now - flight.offered_at < ANSWER_TIMEOUT_SECONDS:
                 break
-            late.append(flight)
-        return tuple(late)
+            expired.append(flight)
+        return tuple(expired)
 
     def clear(self) -> int:
-        """Forget every flight.
+        """Remove every flight.
 
-        :return: how many there were.
+        :return: the number of removed flights.
         """
         count = len(self.flights)
         self.flights.clear()
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_placer.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_placer.py
@@ -1,4 +1,4 @@
-"""Placement of first flights over the hosts of a service."""
+"""Placement of first flights on the hosts of a service."""
 
 from __future__ import annotations
 
@@ -13,15 +13,17 @@
 
 from .._events import EventLog
 from . import _events as events
-from ._hosts import EligibleHosts, HostBook
+from ._hosts import EligibleHosts, HostTracker
 from ._metrics import BalancerCounts
 from ._pending import PendingFlight, PendingFlights
 
 SERVICE_NUMBER_BYTES = 2
-SETTLED = frozenset(
+FINAL_STATUSES = frozenset(
     {PlacedStatus.ACCEPTED, PlacedStatus.PASSED_ON, PlacedStatus.IGNORED}
 )
-MISADDRESSED = frozenset({PlacedStatus.WRONG_SERVICE, PlacedStatus.WRONG_INCARNATION})
+MISADDRESSED_STATUSES = frozenset(
+    {PlacedStatus.WRONG_SERVICE, PlacedStatus.WRONG_INCARNATION}
+)
 
 
 @frozen(kw_only=True)
@@ -56,7 +58,7 @@
 
 
 def make_flight_key(*, service: int, destination_id: bytes) -> bytes:
-    """Name a first flight among those that wait.
+    """Return the key of a pending first flight.
 
     :param service: service number.
     :param destination_id: the connection ID that the caller chose.
@@ -65,7 +67,7 @@
 
 
 class Placer:
-    """Offers first flights to candidates until one takes them.
+    """Offers first flights to their candidates in turn until one accepts.
 
     :param send: sends an inner datagram to an agent.
     :param sender: inner address of this balancer.
@@ -83,45 +85,45 @@
         self.sender = sender
         self.counts = counts
         self.log = log
-        self.hosts = HostBook()
+        self.hosts = HostTracker()
         self.pending = PendingFlights()
         self.view = ConfigurationView()
         self.tables: dict[str, ServiceTable] = {}
         self.ejected: dict[str, frozenset[str]] = {}
-        self.service_of: dict[str, str] = {}
-        self.unsettled: frozenset[str] = frozenset()
+        self.service_by_host: dict[str, str] = {}
+        self.time_dependent_services: frozenset[str] = frozenset()
 
-    def take_view(self, view: ConfigurationView, *, now: float) -> None:
+    def apply_view(self, view: ConfigurationView, *, now: float) -> None:
         """Put a new configuration in force.
 
-        Only services that it changes are looked at: a pause of the datapath
-        must not grow with the size of the fleet.
+        Only the services that it changes are refreshed, because the datapath
+        pauses meanwhile and the pause must not grow with the size of the fleet.
         """
         changed = find_changed_services(self.view, view)
         self.view = view
-        self.service_of = {
+        self.service_by_host = {
             upstream.id: service
             for service, upstreams in view.upstreams.items()
             for upstream in upstreams
         }
-        self.hosts.take_view(view, now=now)
+        self.hosts.apply_view(view, now=now)
         for service in changed:
             self.refresh_service(service, now=now)
         self.refresh_tables(now=now)
 
     def refresh_tables(self, *, now: float) -> None:
-        """Rebuild the tables that time or the hosts themselves have changed.
+        """Rebuild the tables that elapsed time or reports of hosts have changed.
 
         :param now: Unix time in seconds.
         """
-        unsettled = frozenset(
-            self.service_of[host]
-            for host in self.hosts.unsettled(now=now)
-            if host in self.service_of
+        time_dependent = frozenset(
+            self.service_by_host[host]
+            for host in self.hosts.find_time_dependent_hosts(now=now)
+            if host in self.service_by_host
         )
-        for service in sorted(unsettled | self.unsettled):
+        for service in sorted(time_dependent | self.time_dependent_services):
             self.refresh_service(service, now=now)
-        self.unsettled = unsettled
+        self.time_dependent_services = time_dependent
         self.counts.suspects = sum(map(len, self.ejected.values()))
 
     def refresh_service(self, name: str, *, now: float) -> None:
@@ -133,11 +135,11 @@
             return
         self.log_suspects(name, now=now)
         eligible = self.hosts.select(service, self.view, now=now)
-        held = self.tables.get(name)
+        current = self.tables.get(name)
         if (
-            held is not None
-            and held.eligible == eligible
-            and held.placement == service.placement
+            current is not None
+            and current.eligible == eligible
+            and current.placement == service.placement
         ):
             return
         self.tables[name] = ServiceTable(
@@ -153,7 +155,7 @@
         )
 
     def log_suspects(self, service: str, *, now: float) -> None:
-        """Log which hosts of a service became suspect or are no longer."""
+        """Log the hosts of a service that became suspect or ceased to be."""
         upstreams = self.view.upstreams.get(service, ())
         ejected = self.hosts.suspects.ejected(
             (upstream.id for upstream in upstreams), now=now
@@ -195,21 +197,27 @@
 
         :return: None when the service has no eligible host.
         """
-        held = self.tables.get(service.id)
-        origin = Endpoint(host=caller[0], port=caller[1])
+        current = self.tables.get(service.id)
+        caller_endpoint = Endpoint(host=caller[0], port=caller[1])
         destination_id = key[SERVICE_NUMBER_BYTES:]
         candidates = ()
-        if held is not None:
-            candidates = held.table.choose(
-                make_flow_key(caller=origin, destination_id=destination_id),
+        if current is not None:
+            candidates = current.table.choose(
+                make_flow_key(caller=caller_endpoint, destination_id=destination_id),
                 count=service.placement.candidates,
             )
         if not candidates:
             self.counts.drops["no-candidates"] += 1
-            self.log.write(events.NO_CANDIDATES, service=service.id, caller=str(origin))
+            self.log.write(
+                events.NO_CANDIDATES, service=service.id, caller=str(caller_endpoint)
+            )
             return None
         flight = PendingFlight(
-            key=key, service=service, caller=caller, candidates=candidates, sent=now
+            key=key,
+            service=service,
+            caller=caller,
+            candidates=candidates,
+            offered_at=now,
         )
         if not self.pending.add(flight):
             self.counts.placements["not-kept"] += 1
@@ -217,14 +225,14 @@
         self.log.write(
             events.FLOW_PLACED,
             service=service.id,
-            caller=str(origin),
+            caller=str(caller_endpoint),
             flow=destination_id.hex(),
             candidates=[host.id for host in candidates],
         )
         return flight
 
     def offer(self, flight: PendingFlight, packet: bytes) -> None:
-        """Send one packet of a first flight to its present candidate."""
+        """Send one packet of a first flight to its current candidate."""
         host, port = flight.caller
         datagram = Datagram(
             kind=Kind.FORWARD,
@@ -236,14 +244,14 @@
             payload=packet,
         )
         self.send(datagram, flight.host.agent)
-        self.counts.of_service(flight.service.id).placed += 1
+        self.counts.for_service(flight.service.id).placed += 1
 
-    def take_answer(
+    def handle_answer(
         self, answer: Datagram, *, agent: Endpoint, now: float, time_now: float
     ) -> None:
-        """Act on what an agent did with a first flight.
+        """Handle an agent's answer to a first flight.
 
-        :param agent: where the answer comes from.
+        :param agent: inner address that the answer came from.
         :param now: monotonic time in seconds.
         :param time_now: Unix time in seconds.
         """
@@ -251,23 +259,23 @@
         flight = self.pending.find(key)
         if flight is None:
             return
-        asked = flight.host
-        if answer.status in SETTLED:
+        candidate = flight.host
+        if answer.status in FINAL_STATUSES:
             self.pending.remove(key)
             self.counts.placements[answer.status.name.lower()] += 1
-            if asked.agent == agent:
-                self.hosts.suspects.report_answer(asked.id)
+            if candidate.agent == agent:
+                self.hosts.suspects.report_answer(candidate.id)
             return
-        if asked.agent != agent:
+        if candidate.agent != agent:
             return
-        if answer.status in MISADDRESSED:
-            self.hosts.suspects.report_silence(asked.id, now=time_now)
+        if answer.status in MISADDRESSED_STATUSES:
+            self.hosts.suspects.report_silence(candidate.id, now=time_now)
         else:
-            self.hosts.suspects.report_answer(asked.id)
-        self.move_on(flight, reason=answer.status.name.lower(), now=now)
+            self.hosts.suspects.report_answer(candidate.id)
+        self.offer_to_next(flight, reason=answer.status.name.lower(), now=now)
 
-    def move_on(self, flight: PendingFlight, *, reason: str, now: float) -> None:
-        """Offer a first flight to its next candidate, or give up.
+    def offer_to_next(self, flight: PendingFlight, *, reason: str, now: float) -> None:
+        """Offer a first flight to its next candidate, or drop it when none is left.
 
         :param now: monotonic time in seconds.
         """
@@ -298,20 +306,23 @@
             self.offer(flight, packet)
 
     def expire(self, *, now: float, time_now: float) -> None:
-        """Move flights on whose candidates have been silent too long.
+        """Offer flights to the next candidate after ``ANSWER_TIMEOUT_SECONDS``.
 
         :param now: monotonic time in seconds.
         :param time_now: Unix time in seconds.
         """
         for flight in self.pending.unanswered(now=now):
             self.hosts.suspects.report_silence(flight.host.id, now=time_now)
-            self.move_on(flight, reason="silent", now=now)
+            self.offer_to_next(flight, reason="silent", now=now)
         self.counts.pending = len(self.pending)
 
-    def forget_held(self, *, late_seconds: float) -> None:
-        """Drop what was held while this process was stopped.
+    def drop_pending(self, *, late_seconds: float) -> None:
+        """Drop the pending flights after this process did not run for a while.
+
+        Answers may wait unread in the socket buffer, so a missing answer does not
+        make a host suspect.
 
-        Answers may wait unread in the socket, so silence proves nothing.
+        :param late_seconds: time by which a tick came late.
         """
         dropped = self.pending.clear()
         self.log.write(
--- a/testing/daemon/test_defects.py
+++ b/testing/daemon/test_defects.py
@@ -18,7 +18,7 @@
     balancer, caller, agent, upstream, address, monkeypatch, is_outer
 ):
     struck = next(iter(balancer.outers.values())) if is_outer else balancer.inner
-    hidden = "take_unrouted" if is_outer else "take_message"
+    hidden = "handle_unrouted" if is_outer else "handle_message"
     counted = "defect" if is_outer else "inner-defect"
     with monkeypatch.context() as patch:
         patch.setattr(struck, hidden, fail)
--- a/testing/daemon/test_placer.py
+++ b/testing/daemon/test_placer.py
@@ -2,7 +2,7 @@
 from attrs import evolve
 
 from daisygauge_daemon._balancer._metrics import BalancerCounts
-from daisygauge_daemon._balancer._pending import ANSWER_SECONDS
+from daisygauge_daemon._balancer._pending import ANSWER_TIMEOUT_SECONDS
 from daisygauge_daemon._balancer._placer import Placer
 from daisygauge_daemon._events import EventLog
 from daisygauge_records import Endpoint, Instance, Role
@@ -40,7 +40,7 @@
         counts=BalancerCounts(),
         log=EventLog(),
     )
-    placer.take_view(make_view(SERVICE, upstreams=HOSTS), now=NOW)
+    placer.apply_view(make_view(SERVICE, upstreams=HOSTS), now=NOW)
     return placer
 
 
@@ -57,7 +57,7 @@
 def answer(placer, sent, status, *, now=0.0):
     offer, agent = sent[-1]
     reply = evolve(offer, kind=Kind.PLACED, status=status, payload=b"callerid")
-    placer.take_answer(reply, agent=agent, now=now, time_now=NOW + now)
+    placer.handle_answer(reply, agent=agent, now=now, time_now=NOW + now)
 
 
 def test_every_packet_of_a_first_flight_meets_one_agent(placer, sent):
@@ -78,7 +78,7 @@
     place(placer)
 
     answer(placer, sent, status)
-    placer.expire(now=ANSWER_SECONDS, time_now=NOW)
+    placer.expire(now=ANSWER_TIMEOUT_SECONDS, time_now=NOW)
 
     assert len(placer.pending) == 0
     assert len(sent) == 1
@@ -88,7 +88,7 @@
     place(placer)
     place(placer)
 
-    placer.expire(now=ANSWER_SECONDS, time_now=NOW)
+    placer.expire(now=ANSWER_TIMEOUT_SECONDS, time_now=NOW)
 
     offers = [(offer.payload, agent) for offer, agent in sent]
     assert len(offers) == 4
@@ -110,12 +110,12 @@
 def test_an_answer_of_an_earlier_candidate_does_not_move_the_flow_again(placer, sent):
     place(placer)
     first_offer, first_agent = sent[0]
-    placer.expire(now=ANSWER_SECONDS, time_now=NOW)
+    placer.expire(now=ANSWER_TIMEOUT_SECONDS, time_now=NOW)
 
     late = evolve(
         first_offer, kind=Kind.PLACED, status=PlacedStatus.FULL, payload=b"callerid"
     )
-    placer.take_answer(late, agent=first_agent, now=0.4, time_now=NOW)
+    placer.handle_answer(late, agent=first_agent, now=0.4, time_now=NOW)
 
     assert len(sent) == 2
 
@@ -142,9 +142,9 @@
                 status=PlacedStatus.ACCEPTED,
                 payload=offer.payload[6:14],
             )
-            placer.take_answer(reply, agent=agent, now=0.1, time_now=NOW)
+            placer.handle_answer(reply, agent=agent, now=0.1, time_now=NOW)
 
-    placer.expire(now=ANSWER_SECONDS, time_now=NOW)
+    placer.expire(now=ANSWER_TIMEOUT_SECONDS, time_now=NOW)
     placer.refresh_tables(now=NOW)
     sent.clear()
     for number in range(200):
@@ -157,7 +157,7 @@
 def test_time_spent_stopped_blames_no_host(placer, sent):
     place(placer)
 
-    placer.forget_held(late_seconds=5.0)
+    placer.drop_pending(late_seconds=5.0)
     placer.expire(now=10.0, time_now=NOW)
 
     assert len(sent) == 1
@@ -184,7 +184,7 @@
 
 def test_a_host_that_says_it_leaves_gets_no_new_flows(placer, sent):
     host = HOSTS[2]
-    placer.hosts.take_gauge(
+    placer.hosts.record_load_report(
         host.id, incarnation=1, gauge=evolve(IDLE, leaving=True), now=NOW
     )
 
@@ -206,14 +206,14 @@
     )
     view = make_view(SERVICE, upstreams=HOSTS, version=2, instances={host.id: leaving})
 
-    placer.take_view(view, now=NOW)
+    placer.apply_view(view, now=NOW)
 
     assert host.agent not in hosts_offered(placer, sent)
 
 
 def test_hosts_that_are_not_ready_serve_when_none_is(placer, sent):
     for host in HOSTS:
-        placer.hosts.take_gauge(
+        placer.hosts.record_load_report(
             host.id, incarnation=1, gauge=evolve(IDLE, ready=False), now=NOW
         )
 
@@ -223,7 +223,7 @@
 
 
 def test_a_service_without_hosts_drops_and_counts(placer, sent):
-    placer.take_view(make_view(SERVICE, version=2), now=NOW)
+    placer.apply_view(make_view(SERVICE, version=2), now=NOW)
 
     place(placer)
 
@@ -234,10 +234,10 @@
 def test_a_change_of_one_service_rebuilds_no_other_table(placer, sent):
     other = make_service(number=2, port=4434, name="pattern-library")
     more = make_upstream(9)
-    placer.take_view(make_view(SERVICE, other, upstreams=HOSTS, version=2), now=NOW)
+    placer.apply_view(make_view(SERVICE, other, upstreams=HOSTS, version=2), now=NOW)
     kept = placer.tables[other.id]
 
-    placer.take_view(
+    placer.apply_view(
         make_view(SERVICE, other, upstreams=(*HOSTS, more), version=3), now=NOW
     )
     placer.refresh_tables(now=NOW)
@@ -248,7 +248,7 @@
 
 def test_a_cold_host_ramps_up_without_another_change(placer, sent):
     cold = make_upstream(9)
-    placer.take_view(make_view(SERVICE, upstreams=(*HOSTS, cold), version=2), now=NOW)
+    placer.apply_view(make_view(SERVICE, upstreams=(*HOSTS, cold), version=2), now=NOW)
     first = placer.tables[SERVICE.id].eligible.shares
 
     placer.refresh_tables(now=NOW + SERVICE.placement.ramp_seconds)
