--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_hosts.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_hosts.py
@@ -104,7 +104,8 @@
     ) -> tuple[frozenset[str], frozenset[str]]:
         """Return the hosts that reported to be leaving, and those not ready.
 
-        A report of readiness counts for ``MAX_LOAD_REPORT_AGE_SECONDS``.
+        A report of leaving counts at any age, one of not being ready only up to an
+        age of ``MAX_LOAD_REPORT_AGE_SECONDS``.
         """
         reports = {
             host: self.load_reports.gauges[host]
--- a/testing/daemon/conftest.py
+++ b/testing/daemon/conftest.py
@@ -87,5 +87,5 @@
 
 
 def pytest_asyncio_loop_factories(config, item):
-    """Tests of the daemons run on their event loop."""
+    """Run the tests on the event loop that the daemons use."""
     return {"uvloop": uvloop.new_event_loop}
--- a/testing/daemon/datapath.py
+++ b/testing/daemon/datapath.py
@@ -52,7 +52,7 @@
     )
 
 
-def issue_id(upstream, *, service=1, incarnation=5, keys=KEYS):
+def make_connection_id(upstream, *, service=1, incarnation=5, keys=KEYS):
     route = Route(agent=upstream.agent, service=service, incarnation=incarnation)
     return encode_connection_id(route=route, key=keys.newest(now=NOW))
 
--- a/testing/daemon/fakes.py
+++ b/testing/daemon/fakes.py
@@ -1,4 +1,4 @@
-"""Small stand-ins at the daemon's interfaces."""
+"""Fakes of the daemon's interfaces."""
 
 from __future__ import annotations
 
--- a/testing/daemon/test_balancer.py
+++ b/testing/daemon/test_balancer.py
@@ -10,7 +10,7 @@
     KEYS,
     NOW,
     first_flight,
-    issue_id,
+    make_connection_id,
     make_service,
     make_upstream,
     make_view,
@@ -20,10 +20,10 @@
 OUTER = "127.40.2.2"
 
 
-async def test_an_established_packet_goes_to_the_agent_its_id_names(
+async def test_an_established_packet_goes_to_the_agent_that_its_id_names(
     balancer, caller, agent, upstream, address, services
 ):
-    packet = short_packet(issue_id(upstream))
+    packet = short_packet(make_connection_id(upstream))
 
     caller.send(packet, address)
     datagram = await agent.receive_datagram()
@@ -44,12 +44,12 @@
 ):
     unpublished = make_upstream(9, port=other_agent.endpoint.port)
 
-    caller.send(short_packet(issue_id(unpublished)), address)
+    caller.send(short_packet(make_connection_id(unpublished)), address)
 
     assert (await other_agent.receive_datagram()).kind is Kind.FORWARD
 
 
-async def test_a_first_flight_is_offered_until_it_is_taken(
+async def test_a_first_flight_is_pending_until_an_agent_accepts_it(
     balancer, caller, agent, address
 ):
     caller.send(first_flight(), address)
@@ -79,10 +79,10 @@
 async def test_a_packet_on_the_socket_of_another_service_is_dropped(
     balancer, caller, agent, upstream, address, other_address
 ):
-    packet = short_packet(issue_id(upstream, service=1))
+    packet = short_packet(make_connection_id(upstream, service=1))
 
     caller.send(packet, other_address)
-    caller.send(short_packet(issue_id(upstream), payload=b"own"), address)
+    caller.send(short_packet(make_connection_id(upstream), payload=b"own"), address)
 
     assert (await agent.receive_datagram()).payload.endswith(b"own")
     while not balancer.counts.drops:
@@ -101,11 +101,11 @@
         (first_flight(size=300), "short-first-flight"),
     ],
 )
-async def test_a_useless_packet_is_dropped_and_counted(
+async def test_an_invalid_packet_is_dropped_and_counted(
     balancer, caller, agent, upstream, address, packet, reason
 ):
     caller.send(packet, address)
-    caller.send(short_packet(issue_id(upstream)), address)
+    caller.send(short_packet(make_connection_id(upstream)), address)
     await agent.receive_datagram()
 
     assert balancer.counts.drops == {reason: 1}
@@ -127,13 +127,13 @@
     assert agent.received.empty()
 
 
-async def test_a_draining_balancer_still_passes_packets(
+async def test_a_draining_balancer_still_forwards_packets(
     balancer, caller, agent, upstream, address
 ):
     draining = asyncio.create_task(balancer.drain())
     await asyncio.sleep(0)
 
-    caller.send(short_packet(issue_id(upstream)), address)
+    caller.send(short_packet(make_connection_id(upstream)), address)
 
     assert (await agent.receive_datagram()).kind is Kind.FORWARD
     await draining
@@ -150,7 +150,8 @@
         await asyncio.sleep(0)
 
     caller.send(
-        short_packet(issue_id(upstream, service=3)), Endpoint(host=OUTER, port=4435)
+        short_packet(make_connection_id(upstream, service=3)),
+        Endpoint(host=OUTER, port=4435),
     )
     assert (await agent.receive_datagram()).service == 3
 
@@ -165,7 +166,7 @@
     while not balancer.counts.unbound:
         await asyncio.sleep(0)
 
-    caller.send(short_packet(issue_id(upstream)), address)
+    caller.send(short_packet(make_connection_id(upstream)), address)
     assert (await agent.receive_datagram()).kind is Kind.FORWARD
     assert balancer.runtime.readiness.unmet == {"configuration"}
 
--- a/testing/daemon/test_defects.py
+++ b/testing/daemon/test_defects.py
@@ -1,4 +1,4 @@
-"""A datagram that shows a defect is dropped; the socket goes on."""
+"""An error in the handling of a datagram must not close the balancer's socket."""
 
 import asyncio
 
@@ -6,27 +6,27 @@
 
 from daisygauge_wire import Datagram, Kind
 
-from .datapath import issue_id, short_packet
+from .datapath import make_connection_id, short_packet
 
 
 def fail(*arguments, **keywords):
-    raise RuntimeError("a datagram that nobody thought of")
+    raise RuntimeError("unexpected datagram")
 
 
 @pytest.mark.parametrize("is_outer", [True, False])
-async def test_a_flow_goes_on_after_a_defective_datagram(
+async def test_a_flow_continues_after_the_handling_of_a_datagram_failed(
     balancer, caller, agent, upstream, address, monkeypatch, is_outer
 ):
-    struck = next(iter(balancer.outers.values())) if is_outer else balancer.inner
-    hidden = "handle_unrouted" if is_outer else "handle_message"
-    counted = "defect" if is_outer else "inner-defect"
+    protocol = next(iter(balancer.outers.values())) if is_outer else balancer.inner
+    method = "handle_unrouted" if is_outer else "handle_message"
+    reason = "defect" if is_outer else "inner-defect"
     with monkeypatch.context() as patch:
-        patch.setattr(struck, hidden, fail)
+        patch.setattr(protocol, method, fail)
         caller.send(bytes(40), address if is_outer else balancer.local)
-        while not balancer.counts.drops[counted]:
+        while not balancer.counts.drops[reason]:
             await asyncio.sleep(0)
 
-    caller.send(short_packet(issue_id(upstream), payload=b"hello"), address)
+    caller.send(short_packet(make_connection_id(upstream), payload=b"hello"), address)
     datagram = await agent.receive_datagram()
     reply = Datagram(kind=Kind.REPLY, service=1, caller=caller.endpoint, payload=b"re")
     agent.send_datagram(reply, balancer.local)
--- a/testing/daemon/test_events.py
+++ b/testing/daemon/test_events.py
@@ -22,7 +22,7 @@
     output = StringIO()
     destination = eliot.FileDestination(file=output)
     eliot.add_destinations(destination)
-    # The first destination of a process is given what was logged before it.
+    # eliot passes earlier messages on to the first destination of a process.
     output.seek(0)
     output.truncate()
     yield lambda: [json.loads(line) for line in output.getvalue().splitlines()]
@@ -47,7 +47,7 @@
         EventLog().write(PLAIN, b=1)
 
 
-def test_events_caused_by_outsiders_are_limited_and_counted(lines):
+def test_limited_events_are_suppressed_above_their_rate_and_counted(lines):
     now = 0.0
     log = EventLog(clock=lambda: now)
 
--- a/testing/daemon/test_placer.py
+++ b/testing/daemon/test_placer.py
@@ -60,7 +60,7 @@
     placer.handle_answer(reply, agent=agent, now=now, time_now=NOW + now)
 
 
-def test_every_packet_of_a_first_flight_meets_one_agent(placer, sent):
+def test_every_packet_of_a_first_flight_goes_to_one_agent(placer, sent):
     place(placer)
     place(placer)
 
@@ -74,7 +74,7 @@
 @pytest.mark.parametrize(
     "status", [PlacedStatus.ACCEPTED, PlacedStatus.PASSED_ON, PlacedStatus.IGNORED]
 )
-def test_a_flow_that_was_settled_is_forgotten(placer, sent, status):
+def test_a_flight_with_a_final_answer_is_removed(placer, sent, status):
     place(placer)
 
     answer(placer, sent, status)
@@ -84,7 +84,7 @@
     assert len(sent) == 1
 
 
-def test_a_silent_agent_loses_the_flow_to_the_next_candidate(placer, sent):
+def test_an_unanswered_flow_goes_to_the_next_candidate(placer, sent):
     place(placer)
     place(placer)
 
@@ -120,7 +120,7 @@
     assert len(sent) == 2
 
 
-def test_a_flow_that_no_candidate_takes_is_given_up(placer, sent):
+def test_a_flow_that_no_candidate_accepts_is_dropped(placer, sent):
     place(placer)
 
     for _ in range(SERVICE.placement.candidates):
@@ -130,7 +130,7 @@
     assert placer.counts.placements["unplaced"] == 1
 
 
-def test_a_host_that_stays_silent_gets_no_new_flows(placer, sent):
+def test_a_host_that_does_not_answer_gets_no_new_flows(placer, sent):
     for number in range(200):
         place(placer, b"caller%02x" % number)
     silent = sent[0][1]
@@ -154,7 +154,7 @@
     assert placer.counts.suspects == 1
 
 
-def test_time_spent_stopped_blames_no_host(placer, sent):
+def test_a_pause_of_the_process_makes_no_host_suspect(placer, sent):
     place(placer)
 
     placer.drop_pending(late_seconds=5.0)
@@ -182,7 +182,7 @@
     return {agent for _, agent in sent}
 
 
-def test_a_host_that_says_it_leaves_gets_no_new_flows(placer, sent):
+def test_a_host_that_reports_to_be_leaving_gets_no_new_flows(placer, sent):
     host = HOSTS[2]
     placer.hosts.record_load_report(
         host.id, incarnation=1, gauge=evolve(IDLE, leaving=True), now=NOW
@@ -246,7 +246,7 @@
     assert more in placer.tables[SERVICE.id].eligible.hosts
 
 
-def test_a_cold_host_ramps_up_without_another_change(placer, sent):
+def test_slow_start_ends_without_another_configuration(placer, sent):
     cold = make_upstream(9)
     placer.apply_view(make_view(SERVICE, upstreams=(*HOSTS, cold), version=2), now=NOW)
     first = placer.tables[SERVICE.id].eligible.shares
@@ -257,7 +257,7 @@
     assert placer.tables[SERVICE.id].eligible.shares == {}
 
 
-def test_a_suspect_host_is_tried_again_after_its_back_off(placer, sent):
+def test_a_suspect_host_gets_new_flows_after_its_back_off(placer, sent):
     host = HOSTS[0]
     for _ in range(2):
         placer.hosts.suspects.report_silence(host.id, now=NOW)
--- a/testing/daemon/test_process.py
+++ b/testing/daemon/test_process.py
@@ -1,4 +1,4 @@
-"""The balancer as a process, from its settings file to its exit code."""
+"""Tests of the balancer as a process, from its settings file to its exit code."""
 
 import asyncio
 import json
--- a/testing/daemon/test_runtime.py
+++ b/testing/daemon/test_runtime.py
@@ -22,7 +22,7 @@
 
 
 class RecordingRole:
-    """Notes what the runtime asks of it."""
+    """Records the calls that the runtime makes."""
 
     def __init__(self, runtime):
         self.runtime = runtime
@@ -90,7 +90,9 @@
     assert "daisygauge_ready 1.0" in (await get(runtime, "/metrics"))[1]
 
 
-async def test_a_stop_signal_means_not_ready_then_drained_then_closed(runtime, running):
+async def test_a_stop_signal_makes_a_daemon_not_ready_then_drains_and_closes_it(
+    runtime, running
+):
     role, task = running
 
     os.kill(os.getpid(), signal.SIGTERM)
--- a/testing/daemon/test_settings.py
+++ b/testing/daemon/test_settings.py
@@ -70,6 +70,6 @@
         load(incomplete)
 
 
-def test_a_missing_file_is_misuse():
+def test_a_missing_file_is_named():
     with pytest.raises(SettingsError, match="absent.json"):
         load_settings("absent.json")
