--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_hosts.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_hosts.py
@@ -8,7 +8,7 @@
 
 from daisygauge_control import ConfigurationView
 from daisygauge_policy import (
-    PeerGauges,
+    PeerLoadReports,
     PlacementTable,
     SlowStart,
     SuspectList,
@@ -17,7 +17,7 @@
     slow_start_share,
 )
 from daisygauge_records import RendezvousPlacement, Service, Upstream
-from daisygauge_wire import Gauge
+from daisygauge_wire import LoadReport
 
 MAX_LOAD_REPORT_AGE_SECONDS = 2.0
 MAX_SLOW_START_SECONDS = 600.0
@@ -42,7 +42,7 @@
     """
 
     def __init__(self) -> None:
-        self.load_reports = PeerGauges()
+        self.load_reports = PeerLoadReports()
         self.suspects = SuspectList()
         self.slow_start = SlowStart()
         self.loads: dict[str, float] = {}
@@ -62,15 +62,15 @@
         self.loads = {host: load for host, load in self.loads.items() if host in hosts}
 
     def record_load_report(
-        self, host: str, *, incarnation: int, gauge: Gauge, now: float
+        self, host: str, *, incarnation: int, report: LoadReport, now: float
     ) -> None:
         """Record the load report of a host's agent unless a newer one is known."""
-        previous = self.load_reports.gauges.get(host)
+        previous = self.load_reports.reports.get(host)
         if not self.load_reports.update(
-            host, incarnation=incarnation, gauge=gauge, now=now
+            host, incarnation=incarnation, report=report, now=now
         ):
             return
-        self.loads[host] = gauge.backlog
+        self.loads[host] = report.backlog
         if previous is not None and incarnation > previous.incarnation:
             self.slow_start.observe_restart(host, now=now)
             self.slow_starting.add(host)
@@ -108,20 +108,20 @@
         age of ``MAX_LOAD_REPORT_AGE_SECONDS``.
         """
         reports = {
-            host: self.load_reports.gauges[host]
+            host: self.load_reports.reports[host]
             for host in hosts
-            if host in self.load_reports.gauges
+            if host in self.load_reports.reports
         }
         fresh = {
-            host: current.gauge
+            host: current.report
             for host, current in reports.items()
             if current.age_seconds(now=now) <= MAX_LOAD_REPORT_AGE_SECONDS
         }
         return (
             frozenset(
-                host for host, current in reports.items() if current.gauge.leaving
+                host for host, current in reports.items() if current.report.leaving
             ),
-            frozenset(host for host, gauge in fresh.items() if not gauge.ready),
+            frozenset(host for host, report in fresh.items() if not report.ready),
         )
 
     def slow_start_shares(
@@ -152,8 +152,8 @@
         }
         leaving_or_not_ready = (
             host
-            for host, current in self.load_reports.gauges.items()
-            if current.gauge.leaving or not current.gauge.ready
+            for host, current in self.load_reports.reports.items()
+            if current.report.leaving or not current.report.ready
         )
         return frozenset(
             (*self.suspects.suspicions, *self.slow_starting, *leaving_or_not_ready)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
@@ -14,7 +14,7 @@
     Kind,
     MalformedDatagramError,
     decode_datagram,
-    decode_gauge,
+    decode_load_report,
     encode_datagram,
     is_reply,
     read_reply,
@@ -135,11 +135,11 @@
     def record_load_report(self, host: str, datagram: Datagram) -> None:
         """Record the load report that a probe carries."""
         try:
-            report = decode_gauge(datagram.payload)
+            report = decode_load_report(datagram.payload)
         except ValueError as error:
             raise MalformedDatagramError("gauge") from error
         self.placer.hosts.record_load_report(
-            host, incarnation=datagram.incarnation, gauge=report, now=time.time()
+            host, incarnation=datagram.incarnation, report=report, now=time.time()
         )
 
     def drop(self, sender: tuple[str, int], reason: str) -> None:
--- a/testing/daemon/test_balancer_fuzz.py
+++ b/testing/daemon/test_balancer_fuzz.py
@@ -92,7 +92,7 @@
     lambda rng: signed_datagram(rng)[: rng.randrange(1, 30)],
     lambda rng: signed_datagram(rng, service=rng.randrange(3, 65_536)),
     lambda rng: signed_datagram(rng, kind=Kind.FORWARD),
-    lambda rng: signed_datagram(rng, kind=Kind.GAUGE),
+    lambda rng: signed_datagram(rng, kind=Kind.LOAD_REPORT),
     lambda rng: signed_datagram(rng, kind=Kind.PROBE_ANSWER),
     lambda rng: signed_datagram(rng, kind=Kind.PLACED, payload=rng.randbytes(300)),
     lambda rng: signed_datagram(rng, candidates=(UNPUBLISHED.agent,)),
