--- a/testing/daemon/test_placer.py
+++ b/testing/daemon/test_placer.py
@@ -2,7 +2,7 @@
 from attrs import evolve
 
 from daisygauge_daemon._balancer._metrics import BalancerCounts
-from daisygauge_daemon._balancer._pending import ANSWER_SECONDS
+from daisygauge_daemon._balancer._pending import ANSWER_TIMEOUT_SECONDS
 from daisygauge_daemon._balancer._placer import Placer
 from daisygauge_daemon._events import EventLog
 from daisygauge_records import Endpoint, Instance, Role
@@ -40,7 +40,7 @@
         counts=BalancerCounts(),
         log=EventLog(),
     )
-    placer.take_view(make_view(SERVICE, upstreams=HOSTS), now=NOW)
+    placer.apply_view(make_view(SERVICE, upstreams=HOSTS), now=NOW)
     return placer
 
 
@@ -57,10 +57,10 @@
 def answer(placer, sent, status, *, now=0.0):
     offer, agent = sent[-1]
     reply = evolve(offer, kind=Kind.PLACED, status=status, payload=b"callerid")
-    placer.take_answer(reply, agent=agent, now=now, time_now=NOW + now)
+    placer.handle_answer(reply, agent=agent, now=now, time_now=NOW + now)
 
 
-def test_every_packet_of_a_first_flight_meets_one_agent(placer, sent):
+def test_every_packet_of_a_first_flight_goes_to_one_agent(placer, sent):
     place(placer)
     place(placer)
 
@@ -74,21 +74,21 @@
 @pytest.mark.parametrize(
     "status", [PlacedStatus.ACCEPTED, PlacedStatus.PASSED_ON, PlacedStatus.IGNORED]
 )
-def test_a_flow_that_was_settled_is_forgotten(placer, sent, status):
+def test_a_flight_with_a_final_answer_is_removed(placer, sent, status):
     place(placer)
 
     answer(placer, sent, status)
-    placer.expire(now=ANSWER_SECONDS, time_now=NOW)
+    placer.expire(now=ANSWER_TIMEOUT_SECONDS, time_now=NOW)
 
     assert len(placer.pending) == 0
     assert len(sent) == 1
 
 
-def test_a_silent_agent_loses_the_flow_to_the_next_candidate(placer, sent):
+def test_an_unanswered_flow_goes_to_the_next_candidate(placer, sent):
     place(placer)
     place(placer)
 
-    placer.expire(now=ANSWER_SECONDS, time_now=NOW)
+    placer.expire(now=ANSWER_TIMEOUT_SECONDS, time_now=NOW)
 
     offers = [(offer.payload, agent) for offer, agent in sent]
     assert len(offers) == 4
@@ -110,17 +110,17 @@
 def test_an_answer_of_an_earlier_candidate_does_not_move_the_flow_again(placer, sent):
     place(placer)
     first_offer, first_agent = sent[0]
-    placer.expire(now=ANSWER_SECONDS, time_now=NOW)
+    placer.expire(now=ANSWER_TIMEOUT_SECONDS, time_now=NOW)
 
     late = evolve(
         first_offer, kind=Kind.PLACED, status=PlacedStatus.FULL, payload=b"callerid"
     )
-    placer.take_answer(late, agent=first_agent, now=0.4, time_now=NOW)
+    placer.handle_answer(late, agent=first_agent, now=0.4, time_now=NOW)
 
     assert len(sent) == 2
 
 
-def test_a_flow_that_no_candidate_takes_is_given_up(placer, sent):
+def test_a_flow_that_no_candidate_accepts_is_dropped(placer, sent):
     place(placer)
 
     for _ in range(SERVICE.placement.candidates):
@@ -130,7 +130,7 @@
     assert placer.counts.placements["unplaced"] == 1
 
 
-def test_a_host_that_stays_silent_gets_no_new_flows(placer, sent):
+def test_a_host_that_does_not_answer_gets_no_new_flows(placer, sent):
     for number in range(200):
         place(placer, b"caller%02x" % number)
     silent = sent[0][1]
@@ -142,9 +142,9 @@
                 status=PlacedStatus.ACCEPTED,
                 payload=offer.payload[6:14],
             )
-            placer.take_answer(reply, agent=agent, now=0.1, time_now=NOW)
+            placer.handle_answer(reply, agent=agent, now=0.1, time_now=NOW)
 
-    placer.expire(now=ANSWER_SECONDS, time_now=NOW)
+    placer.expire(now=ANSWER_TIMEOUT_SECONDS, time_now=NOW)
     placer.refresh_tables(now=NOW)
     sent.clear()
     for number in range(200):
@@ -154,10 +154,10 @@
     assert placer.counts.suspects == 1
 
 
-def test_time_spent_stopped_blames_no_host(placer, sent):
+def test_a_pause_of_the_process_makes_no_host_suspect(placer, sent):
     place(placer)
 
-    placer.forget_held(late_seconds=5.0)
+    placer.drop_pending(late_seconds=5.0)
     placer.expire(now=10.0, time_now=NOW)
 
     assert len(sent) == 1
@@ -182,7 +182,7 @@
     return {agent for _, agent in sent}
 
 
-def test_a_host_that_says_it_leaves_gets_no_new_flows(placer, sent):
+def test_a_host_that_reports_to_be_leaving_gets_no_new_flows(placer, sent):
     host = HOSTS[2]
     placer.hosts.record_load_report(
         host.id, incarnation=1, report=evolve(IDLE, leaving=True), now=NOW
@@ -206,7 +206,7 @@
     )
     view = make_view(SERVICE, upstreams=HOSTS, version=2, instances={host.id: leaving})
 
-    placer.take_view(view, now=NOW)
+    placer.apply_view(view, now=NOW)
 
     assert host.agent not in hosts_offered(placer, sent)
 
@@ -223,7 +223,7 @@
 
 
 def test_a_service_without_hosts_drops_and_counts(placer, sent):
-    placer.take_view(make_view(SERVICE, version=2), now=NOW)
+    placer.apply_view(make_view(SERVICE, version=2), now=NOW)
 
     place(placer)
 
@@ -234,10 +234,10 @@
 def test_a_change_of_one_service_rebuilds_no_other_table(placer, sent):
     other = make_service(number=2, port=4434, name="pattern-library")
     more = make_upstream(9)
-    placer.take_view(make_view(SERVICE, other, upstreams=HOSTS, version=2), now=NOW)
+    placer.apply_view(make_view(SERVICE, other, upstreams=HOSTS, version=2), now=NOW)
     kept = placer.tables[other.id]
 
-    placer.take_view(
+    placer.apply_view(
         make_view(SERVICE, other, upstreams=(*HOSTS, more), version=3), now=NOW
     )
     placer.refresh_tables(now=NOW)
@@ -246,9 +246,9 @@
     assert more in placer.tables[SERVICE.id].eligible.hosts
 
 
-def test_a_cold_host_ramps_up_without_another_change(placer, sent):
+def test_slow_start_ends_without_another_configuration(placer, sent):
     cold = make_upstream(9)
-    placer.take_view(make_view(SERVICE, upstreams=(*HOSTS, cold), version=2), now=NOW)
+    placer.apply_view(make_view(SERVICE, upstreams=(*HOSTS, cold), version=2), now=NOW)
     first = placer.tables[SERVICE.id].eligible.shares
 
     placer.refresh_tables(now=NOW + SERVICE.placement.ramp_seconds)
@@ -257,7 +257,7 @@
     assert placer.tables[SERVICE.id].eligible.shares == {}
 
 
-def test_a_suspect_host_is_tried_again_after_its_back_off(placer, sent):
+def test_a_suspect_host_gets_new_flows_after_its_back_off(placer, sent):
     host = HOSTS[0]
     for _ in range(2):
         placer.hosts.suspects.report_silence(host.id, now=NOW)
