--- a/testing/relay/network.py
+++ b/testing/relay/network.py
@@ -1,4 +1,4 @@
-"""A fleet of balancers, agents and hosts in one thread, on a clock of its own."""
+"""Simulated balancers, agents, hosts and clients in one thread, on a fake clock."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 from daisygauge_relay._counters import RelayCounters
 from daisygauge_relay._settings import RelayAgentSettings, RelayBalancerSettings
 
-CROSSING_SECONDS = 0.001
+LATENCY_SECONDS = 0.001
 INNER_PORT = 7720
 CLIENT_PORT = 8172
 SERVICE = "order-desk"
@@ -53,7 +53,7 @@
 
 
 class Clock:
-    """Calls due at later times, in order."""
+    """A fake clock that runs scheduled calls in order of time."""
 
     def __init__(self):
         self.time = 100.0
@@ -75,7 +75,7 @@
 
 
 class RecordingLog:
-    """Keeps events; checks that their fields are those of the catalogue."""
+    """Records events; checks that they have the fields that their definition lists."""
 
     def __init__(self):
         self.lines = []
@@ -89,7 +89,7 @@
 
 
 class FakeRuntime:
-    """What balancers and agents ask of their process."""
+    """The part of RelayRuntime that balancers and agents use."""
 
     def __init__(self, clock, directory, settings):
         self.clock = clock
@@ -110,7 +110,11 @@
 
 @define
 class HostFlow:
-    """One flow at its host; ``sent`` counts the bytes of its answers."""
+    """One flow at its host.
+
+    :param requests: number of requests received.
+    :param sent: bytes of answers sent.
+    """
 
     sequence: int
     is_open: bool = False
@@ -119,7 +123,14 @@
 
 
 class FakeHost:
-    """An upstream: answers opening packets, runs requests, returns the rest."""
+    """An upstream: answers opening packets, runs requests, returns unknown flows.
+
+    :ivar max_pending: most requests that ran or waited at one time.
+    :ivar executed: bodies of the requests that ran to the end.
+    :ivar unknown_flows: packets of unknown flows, by flow.
+    :ivar is_silent: True to ignore packets and send none.
+    :ivar returns_openings: True to return every opening packet.
+    """
 
     def __init__(self, network, address, *, service=SERVICE, slots=2):
         self.network = network
@@ -129,15 +140,15 @@
         self.flows = {}
         self.running = 0
         self.queue = []
-        self.most_running = 0
-        self.ran = []
-        self.foreign = Counter()
-        self.is_dark = False
-        self.refuses = False
+        self.max_pending = 0
+        self.executed = []
+        self.unknown_flows = Counter()
+        self.is_silent = False
+        self.returns_openings = False
         self.work_seconds = 0.03
 
     def receive(self, data):
-        if self.is_dark:
+        if self.is_silent:
             return
         seq, ack, length, flags, _, dst, src, _ = HEAD.unpack_from(data)
         assert not flags & BOUNCED
@@ -145,16 +156,16 @@
         if flags & SYN:
             self.open(src, dst, flow, data)
         elif flow is None or not self.accepts(flow, ack):
-            self.foreign[src + dst] += 1
-            self.give_back(data)
+            self.unknown_flows[src + dst] += 1
+            self.return_packet(data)
         elif length:
             flow.requests += 1
             self.queue.append((src, dst, ack, data[HEAD.size :]))
             self.start()
 
     def open(self, src, dst, flow, data):
-        if self.refuses:
-            self.give_back(data)
+        if self.returns_openings:
+            self.return_packet(data)
             return
         if flow is None:
             flow = self.flows[src + dst] = HostFlow(self.network.rng.randrange(2**31))
@@ -168,7 +179,7 @@
         while self.queue and self.running < self.slots:
             request = self.queue.pop(0)
             self.running += 1
-            self.most_running = max(self.most_running, self.running + len(self.queue))
+            self.max_pending = max(self.max_pending, self.running + len(self.queue))
             self.network.clock.call_later(
                 self.work_seconds, lambda r=request: self.end(r)
             )
@@ -176,16 +187,16 @@
     def end(self, request):
         src, dst, ack, body = request
         self.running -= 1
-        self.ran.append(body)
+        self.executed.append(body)
         flow = self.flows.get(src + dst)
         sequence = ack if flow is None else flow.sequence + 1 + flow.sent
         if flow is not None:
             flow.sent += len(ANSWER)
-        if not self.is_dark:
+        if not self.is_silent:
             self.send(dst, src, flags=ACK, sequence=sequence, data=ANSWER)
         self.start()
 
-    def give_back(self, data):
+    def return_packet(self, data):
         head = bytearray(data)
         head[10] |= BOUNCED
         self.network.from_host(self.address, bytes(head))
@@ -196,14 +207,14 @@
 
 
 class NetworkEndpoint:
-    """Sends into the network from one instance."""
+    """Sends datagrams from one instance into the simulated network."""
 
     def __init__(self, network, host):
         self.network = network
         self.host = host
 
     def send(self, data, address):
-        self.network.carry(self.host, data, address)
+        self.network.transmit(self.host, data, address)
 
     def close(self):
         pass
@@ -211,7 +222,7 @@
 
 @define(kw_only=True)
 class FakeClient:
-    """One flow of a client, from its own end."""
+    """The client's end of one flow."""
 
     network: object
     end: tuple
@@ -233,10 +244,10 @@
         for copy in range(copies):
             delay = (0.0, 0.2, 0.6)[copy]
             self.network.clock.call_later(
-                delay, lambda copy=copy: self.knock(balancer, copy)
+                delay, lambda copy=copy: self.send_opening(balancer, copy)
             )
 
-    def knock(self, balancer, copy=0):
+    def send_opening(self, balancer, copy=0):
         if self.is_open:
             return
         data = pack_packet(self.end, self.service, flags=SYN, acknowledged=copy)
@@ -261,7 +272,12 @@
 
 
 class Network:
-    """Every instance of a small fleet, with links that can be cut."""
+    """The instances of a small fleet, with links that can be cut.
+
+    :ivar cut: pairs of sender and receiver whose datagrams are lost.
+    :ivar down: instances that neither send nor receive.
+    :ivar sent: datagrams sent, by instance.
+    """
 
     def __init__(self, *, hosts=4, balancers=2, slots=2, seed=1, first_start=True):
         self.clock = Clock()
@@ -284,7 +300,7 @@
         for number in range(balancers):
             self.start_balancer(f"10.0.0.{number + 1}")
 
-    # What operators and hosts publish.
+    # Publishing directory records.
 
     def publish(self, item):
         self.records[item.key] = item
@@ -387,23 +403,25 @@
         self.clock.run(0.05)
         return clients
 
-    # Packets on their way.
+    # Packet delivery.
 
     def to_balancer(self, address, data):
         if address not in self.down:
             balancer = self.balancers[address]
-            self.later(lambda: balancer.receive_packet(data, ("router", 1)))
+            self.deliver_later(lambda: balancer.receive_packet(data, ("router", 1)))
 
     def from_host(self, address, data):
         if address not in self.down:
-            self.later(lambda: self.agents[address].receive_upstream(data, ("host", 1)))
+            self.deliver_later(
+                lambda: self.agents[address].receive_upstream(data, ("host", 1))
+            )
 
-    def carry(self, source, data, address):
+    def transmit(self, source, data, address):
         host, port = address
         self.sent[source] += 1
         if source in self.down or (source, host) in self.cut:
             return
-        self.later(lambda: self.arrive(source, data, host, port))
+        self.deliver_later(lambda: self.arrive(source, data, host, port))
 
     def arrive(self, source, data, host, port):
         if host in self.clients_by_host:
@@ -427,8 +445,8 @@
             if pack_end(*end) == dst:
                 client.receive(data)
 
-    def later(self, call):
-        self.clock.call_later(CROSSING_SECONDS, call)
+    def deliver_later(self, call):
+        self.clock.call_later(LATENCY_SECONDS, call)
 
     def holder_of(self, client):
         key = pack_end(*client.end) + pack_end(*client.service)
@@ -440,7 +458,7 @@
 
 
 def ask_all(network, clients, *, balancer, sequence=1, seconds=0.6):
-    """Send a request in each flow; return how many were answered."""
+    """Send a request on each flow; return the number of answered ones."""
     before = [client.answers for client in clients]
     for client in clients:
         client.ask(balancer, sequence=sequence)
@@ -451,14 +469,14 @@
 
 
 def restart_host(network, address):
-    """Let a host crash and begin anew at its address."""
+    """Simulate a crash and restart of a host at its address."""
     host = network.hosts[address]
     host.flows.clear()
     network.publish_host(host, incarnation=2)
 
 
-def confirm(network):
-    """Let every process hear from the platform."""
+def refresh_directories(network):
+    """Update every directory as if read from the platform now."""
     for directory in network.directories.values():
         directory.replace(
             list(network.records.values()),
--- a/testing/relay/test_flows.py
+++ b/testing/relay/test_flows.py
@@ -1,8 +1,8 @@
-"""Open flows find their host after every loss that leaves the host alive."""
+"""Open flows reach their host after any failure that the host survives."""
 
 import pytest
 
-from .network import Network, ask_all, confirm, restart_host
+from .network import Network, ask_all, refresh_directories, restart_host
 
 
 @pytest.fixture
@@ -17,7 +17,7 @@
     assert ask_all(network, [client], balancer="10.0.0.1") == 1
 
 
-def test_open_flows_go_on_through_a_balancer_that_never_saw_them(network):
+def test_open_flows_continue_through_a_balancer_without_state_of_them(network):
     clients = network.open_clients(20)
     assert ask_all(network, clients, balancer="10.0.0.1") == 20
 
@@ -57,7 +57,7 @@
     assert ask_all(network, clients, balancer="10.0.0.1") == 20
 
 
-def test_open_flows_stay_when_hosts_are_added_and_leave(network):
+def test_open_flows_keep_their_host_when_hosts_and_balancers_are_added(network):
     clients = network.open_clients(20)
     network.add_host("10.0.1.9")
     network.start_balancer("10.0.0.3")
@@ -74,7 +74,7 @@
     assert [client.resets for client in clients] == [0] * 10
 
 
-def test_packets_reach_the_host_exactly_as_the_client_wrote_them(network):
+def test_packets_reach_the_host_exactly_as_the_client_sent_them(network):
     seen = []
     for host in network.hosts.values():
         receive = host.receive
@@ -90,7 +90,7 @@
     assert {data[-4:] for data in seen if len(data) > 31} == {b"\r\n\r\n"}
 
 
-def test_a_flow_that_nobody_holds_costs_a_bounded_number_of_searches(network):
+def test_a_flow_that_no_host_holds_causes_a_bounded_number_of_searches(network):
     client = network.new_client()
     client.host_sequence = 7
     balancer = network.balancers["10.0.0.1"]
@@ -115,7 +115,7 @@
     assert network.holder_of(client) is not None
 
 
-def test_a_client_of_a_restarted_host_is_told_at_once(network):
+def test_flows_of_a_restarted_host_are_reset_at_once(network):
     clients = network.open_clients(20)
     address, host = next(iter(network.hosts.items()))
     mine = [client for client in clients if network.holder_of(client) is host]
@@ -133,7 +133,7 @@
     assert not any(client.resets for client in rest)
 
 
-def test_clients_are_told_after_every_process_and_host_has_restarted(network):
+def test_flows_are_reset_after_every_process_and_host_has_restarted(network):
     clients = network.open_clients(10)
     ask_all(network, clients, balancer="10.0.0.1")
     network.first_start = False
@@ -141,14 +141,14 @@
         restart_host(network, address)
         network.start_agent(address)
     network.start_balancer("10.0.0.2")
-    confirm(network)
+    refresh_directories(network)
 
     ask_all(network, clients, balancer="10.0.0.2", sequence=100, seconds=0.1)
 
     assert [client.resets for client in clients] == [1] * 10
 
 
-def test_no_flow_is_ended_while_hosts_may_be_missing_from_the_list(network):
+def test_no_flow_is_reset_while_hosts_may_be_missing_from_the_directory(network):
     clients = network.open_clients(20)
     ask_all(network, clients, balancer="10.0.0.1")
     missing = next(key for key in network.records if key.startswith("host-"))
@@ -164,7 +164,7 @@
     assert not any(client.resets for client in clients)
 
 
-def test_no_flow_is_ended_while_an_agent_does_not_answer(network):
+def test_no_flow_is_reset_while_an_agent_does_not_answer(network):
     clients = network.open_clients(10)
     ask_all(network, clients, balancer="10.0.0.1")
     network.first_start = False
@@ -173,7 +173,7 @@
         restart_host(network, address)
         network.start_agent(address)
     network.start_balancer("10.0.0.2")
-    confirm(network)
+    refresh_directories(network)
 
     ask_all(network, clients, balancer="10.0.0.2", sequence=100)
 
@@ -194,7 +194,7 @@
     assert not any(client.resets for client in clients)
 
 
-def test_flows_of_a_new_life_go_on_when_its_entry_comes_late(network):
+def test_flows_of_a_new_incarnation_continue_when_its_entry_arrives_late(network):
     for host in network.hosts.values():
         host.flows.clear()
     clients = network.open_clients(20)
@@ -206,12 +206,12 @@
     assert not any(client.resets for client in clients)
 
 
-def test_flows_opened_before_the_agent_began_go_on_when_entries_come_late(network):
+def test_flows_older_than_their_agent_continue_when_entries_arrive_late(network):
     clients = network.open_clients(20)
     assert ask_all(network, clients, balancer="10.0.0.1") == 20
     network.first_start = False
     for address, host in network.hosts.items():
-        # The agent knew an earlier life of the host first, from an old entry.
+        # The agent read an outdated entry of an earlier incarnation first.
         network.start_agent(address)
         network.agents[address].refresh()
         network.publish_host(host, incarnation=2)
--- a/testing/relay/test_log.py
+++ b/testing/relay/test_log.py
@@ -33,7 +33,7 @@
     assert (line["event"], line["at"], line["source"]) == (623, 12.5, "peer-0")
 
 
-def test_a_reader_that_stops_reading_blocks_nothing_and_costs_bounded_memory(pipe):
+def test_a_stalled_reader_blocks_nothing_and_memory_stays_bounded(pipe):
     _, write = pipe
     log = QueuedLog(descriptor=write)
     log.start()
@@ -47,7 +47,7 @@
     assert log.total_dropped > 0
 
 
-def test_lost_lines_are_told_when_the_reader_comes_back(pipe):
+def test_dropped_lines_are_reported_when_the_reader_resumes(pipe):
     read, write = pipe
     log = QueuedLog(descriptor=write)
     log.start()
@@ -55,8 +55,8 @@
         log.emit(events.SOURCE_REGAINED, {"source": f"peer-{number}", "failures": 1})
     log.flush(lines=3)
 
-    told = [line for line in read_lines(read) if line["event"] == 626]
-    assert [line["lines"] for line in told] == [7]
+    reported = [line for line in read_lines(read) if line["event"] == 626]
+    assert [line["lines"] for line in reported] == [7]
 
 
 def test_lines_that_clients_can_cause_are_limited(pipe):
@@ -69,7 +69,7 @@
     assert len(log.queue) == events.FLOW_FOUND.burst
 
 
-def test_a_closed_reader_does_not_harm(pipe):
+def test_lines_for_a_closed_reader_are_discarded(pipe):
     read, write = os.pipe()
     os.close(read)
     log = QueuedLog(descriptor=write)
--- a/testing/relay/test_openings.py
+++ b/testing/relay/test_openings.py
@@ -1,4 +1,4 @@
-"""New flows reach a host that can serve them, or are refused at once."""
+"""New flows reach a host that can serve them or are reset at once."""
 
 import itertools
 
@@ -16,9 +16,9 @@
     return Network()
 
 
-def test_a_dark_host_costs_a_new_flow_less_than_a_repeated_opening(network):
+def test_a_new_flow_opens_despite_silent_hosts_before_its_opening_is_repeated(network):
     for host in list(network.hosts.values())[:3]:
-        host.is_dark = True
+        host.is_silent = True
     clients = [network.new_client() for _ in range(10)]
     for client in clients:
         client.connect("10.0.0.1")
@@ -27,7 +27,7 @@
     assert all(client.is_open for client in clients)
 
 
-def test_a_dead_agent_costs_a_new_flow_one_repeated_opening(network):
+def test_a_new_flow_opens_despite_dead_agents_when_its_opening_is_repeated(network):
     network.down.update(list(network.hosts)[:2])
     clients = [network.new_client() for _ in range(20)]
     for client in clients:
@@ -37,7 +37,7 @@
     assert all(client.is_open for client in clients)
 
 
-def test_silent_agents_are_tried_last_after_two_silences(network):
+def test_agents_are_tried_last_after_two_unanswered_openings(network):
     network.down.update(list(network.hosts)[:2])
     for _ in range(30):
         network.new_client().connect("10.0.0.1", copies=2)
@@ -52,7 +52,7 @@
 
 def test_a_full_host_passes_a_new_flow_on(network):
     for host in list(network.hosts.values())[:3]:
-        host.refuses = True
+        host.returns_openings = True
     clients = network.open_clients(10)
 
     assert all(client.is_open for client in clients)
@@ -98,9 +98,9 @@
     assert not host.flows
 
 
-def test_a_new_flow_never_reaches_a_host_whose_service_only_the_settings_tell(network):
+def test_a_new_flow_never_reaches_a_host_whose_settings_name_another_service(network):
     address, host = next(iter(network.hosts.items()))
-    # The entry of the old host still stands when the next one's agent starts.
+    # The directory still lists the previous host when the next one's agent starts.
     host.service = "pattern-library"
     network.start_agent(address)
 
@@ -110,7 +110,7 @@
     assert not host.flows
 
 
-def test_a_carried_packet_never_reaches_a_host_of_other_settings(network):
+def test_a_forwarded_packet_never_reaches_a_host_of_another_service(network):
     clients = network.open_clients(20)
     address, host = next((a, h) for a, h in network.hosts.items() if h.flows)
     host.service = "pattern-library"
@@ -122,7 +122,7 @@
         client.ask("10.0.0.1")
     network.clock.run(0.3)
 
-    assert not host.foreign
+    assert not host.unknown_flows
 
 
 def test_a_flow_to_an_unknown_route_is_refused_at_once(network):
@@ -143,7 +143,7 @@
     assert client.resets == 1
 
 
-def test_a_balancer_that_knows_nothing_yet_refuses_nothing(network):
+def test_a_balancer_without_a_configuration_refuses_nothing(network):
     balancer = network.start_balancer("10.0.0.5")
     balancer.runtime.directory = type(balancer.runtime.directory)()
     client = network.new_client()
@@ -169,7 +169,7 @@
     (client,) = network.open_clients(1)
     holder = [host for host in network.hosts.values() if host.flows]
     client.host_sequence = None
-    client.knock("10.0.0.1", copy=1)
+    client.send_opening("10.0.0.1", copy=1)
     network.clock.run(0.05)
 
     assert client.is_open
@@ -194,7 +194,7 @@
     assert not balancer.candidates.ejected
 
 
-def test_what_is_held_against_agents_that_left_is_forgotten(network):
+def test_suspicions_of_removed_agents_are_discarded(network):
     balancer = network.balancers["10.0.0.1"]
     balancer.placement.suspects.report_silence("10.0.9.9", now=network.clock.now())
     network.publish_routes()
@@ -203,13 +203,13 @@
     assert "10.0.9.9" not in balancer.placement.suspects.suspicions
 
 
-def test_a_late_copy_of_an_opening_packet_opens_nothing_anew(network):
+def test_a_late_copy_of_an_opening_packet_opens_no_second_flow(network):
     (client,) = network.open_clients(1)
     client.ask("10.0.0.1")
     network.clock.run(0.1)
     flows = sum(len(host.flows) for host in network.hosts.values())
     host_sequence, client.host_sequence = client.host_sequence, None
-    client.knock("10.0.0.1", copy=1)
+    client.send_opening("10.0.0.1", copy=1)
     network.clock.run(0.1)
 
     assert sum(len(host.flows) for host in network.hosts.values()) == flows
@@ -220,7 +220,7 @@
     assert not network.balancers["10.0.0.1"].runtime.counters.searched
 
 
-def test_a_frame_with_a_garbled_packet_is_dropped(network):
+def test_a_frame_with_a_malformed_packet_is_dropped(network):
     balancer = network.balancers["10.0.0.1"]
     frame = UnknownFlowFrame(balancer=bytes(4), service=1, packet=b"short")
 
@@ -229,11 +229,11 @@
     assert balancer.runtime.counters.dropped["malformed-packet"] == 1
 
 
-def test_copies_that_waited_together_ask_one_agent():
+def test_copies_that_were_queued_together_go_to_one_agent():
     network = Network()
     client = network.new_client()
     for copy in range(3):
-        client.knock("10.0.0.1", copy)
+        client.send_opening("10.0.0.1", copy)
     network.clock.run(0.05)
 
     assert network.balancers["10.0.0.1"].runtime.counters.placed == 1
@@ -241,16 +241,16 @@
 
 
 def slow_and_full_hosts(seconds):
-    """A fleet of two hosts: one answers late, the other takes no flow."""
+    """Create a network of two hosts: one answers late, the other returns openings."""
     network = Network(hosts=2)
     slow, full = network.hosts.values()
-    full.refuses = True
+    full.returns_openings = True
     receive = slow.receive
     slow.receive = lambda data: network.clock.call_later(seconds, lambda: receive(data))
     return network
 
 
-def test_a_flow_is_not_reset_while_an_upstream_may_still_take_it():
+def test_a_flow_is_not_reset_while_an_upstream_may_still_accept_it():
     network = slow_and_full_hosts(0.08)
     clients = [network.new_client() for _ in range(10)]
     for client in clients:
@@ -262,13 +262,13 @@
     assert not any(client.resets for client in clients)
 
 
-def test_a_repeated_opening_is_not_reset_while_the_first_may_be_taken():
+def test_a_repeated_opening_is_not_reset_while_the_first_may_be_accepted():
     network = slow_and_full_hosts(0.25)
     clients = [network.new_client() for _ in range(10)]
     for client in clients:
         client.connect("10.0.0.1", copies=1)
         network.clock.call_later(
-            0.2, lambda client=client: client.knock("10.0.0.2", copy=1)
+            0.2, lambda client=client: client.send_opening("10.0.0.2", copy=1)
         )
 
     network.clock.run(0.6)
@@ -279,7 +279,7 @@
 def test_a_flow_that_every_upstream_returns_is_refused_at_once():
     network = Network(hosts=2)
     for host in network.hosts.values():
-        host.refuses = True
+        host.returns_openings = True
     client = network.new_client()
     client.connect("10.0.0.1")
 
@@ -289,7 +289,7 @@
 
 
 @pytest.mark.parametrize("delays", list(itertools.permutations((0.06, 0.2, 0.3))))
-def test_a_flow_that_several_slow_upstreams_answer_goes_on_at_the_chosen_one(delays):
+def test_a_flow_that_several_slow_upstreams_answer_continues_at_the_chosen_one(delays):
     network = Network(hosts=3)
     for host, seconds in zip(network.hosts.values(), delays, strict=True):
         receive = host.receive
@@ -308,7 +308,7 @@
     assert client.answers
 
 
-def test_an_answer_that_a_restarted_agent_sees_first_does_not_claim_the_flow():
+def test_a_first_answer_at_a_restarted_agent_does_not_mark_the_flow_open():
     network = Network(hosts=2)
     client = network.new_client()
     client.connect("10.0.0.1")
@@ -326,7 +326,7 @@
     assert FlowStage.OPEN not in stages
 
 
-def test_an_upstream_not_chosen_never_claims_a_flow_whose_numbers_lie_near_its_own():
+def test_an_upstream_not_chosen_never_gets_a_flow_with_similar_sequence_numbers():
     network = Network(hosts=2, balancers=2)
     clients = network.open_clients(12)
     assert ask_all(network, clients, balancer="10.0.0.1") == 12
--- a/testing/relay/test_requests.py
+++ b/testing/relay/test_requests.py
@@ -1,4 +1,4 @@
-"""Requests wait at the agent, not in the host's queue."""
+"""Requests wait at the agent instead of in the host's queue."""
 
 import pytest
 
@@ -17,7 +17,7 @@
     network.clock.run(0.5)
 
     (host,) = network.hosts.values()
-    assert host.most_running <= host.slots + 1
+    assert host.max_pending <= host.slots + 1
     assert all(client.answers == 1 for client in clients)
 
 
@@ -32,7 +32,7 @@
     network.clock.run(1.0)
 
     (host,) = network.hosts.values()
-    waited = [body for body in host.ran if host.ran.count(body) == 1]
+    waited = [body for body in host.executed if host.executed.count(body) == 1]
     assert len(waited) >= 9
 
 
@@ -48,11 +48,11 @@
     agent.requests.apply(agent.scheduler.dispatch(now=network.clock.now()))
     network.clock.run(8.0)
 
-    assert len(host.ran) < 6
+    assert len(host.executed) < 6
     assert agent.runtime.log.names()["request-expired"] >= 1
 
 
-def test_a_stopping_agent_lets_every_request_go(network):
+def test_a_stopping_agent_delivers_every_held_request(network):
     (host,) = network.hosts.values()
     clients = network.open_clients(8)
     for client in clients:
@@ -61,10 +61,10 @@
     network.agents[host.address].stop()
     network.clock.run(1.0)
 
-    assert len(host.ran) == 8
+    assert len(host.executed) == 8
 
 
-def test_a_flow_opened_long_before_its_first_request_has_its_whole_time(network):
+def test_the_deadline_of_a_late_first_request_starts_at_its_arrival(network):
     (client,) = network.open_clients(1)
     network.clock.run(3.0)
 
--- a/testing/relay/test_searches.py
+++ b/testing/relay/test_searches.py
@@ -1,4 +1,4 @@
-"""Flows whose agent isn't known are found at a cost that balancers can bear."""
+"""Searches for the agent of a flow send few frames from and to balancers."""
 
 import pytest
 
@@ -44,23 +44,23 @@
     assert network.sent["10.0.0.2"] <= 20
 
 
-def test_a_balancer_hears_one_answer_for_a_flow_that_nobody_holds(network):
+def test_a_balancer_gets_one_answer_for_a_flow_that_no_host_holds(network):
     clients = network.open_clients(20)
     restart_everything(network)
-    heard = []
+    received = []
     receive = network.balancers["10.0.0.2"].receive_frame
     network.balancers["10.0.0.2"].receive_frame = lambda data, sender: (
-        heard.append(data),
+        received.append(data),
         receive(data, sender),
     )
 
     ask_all(network, clients, balancer="10.0.0.2", sequence=1)
 
     assert [client.resets for client in clients] == [1] * 20
-    assert len(heard) <= 20
+    assert len(received) <= 20
 
 
-def test_a_silent_agent_asked_first_costs_one_repetition(network):
+def test_a_silent_agent_asked_first_costs_one_retransmission(network):
     clients = network.open_clients(20)
     silent = next(address for address, host in network.hosts.items() if not host.flows)
     network.down.add(silent)
@@ -72,7 +72,7 @@
     assert answered[-1] == 20
 
 
-def test_an_agent_that_serves_another_service_by_now_still_finds_a_flow(network):
+def test_an_agent_that_has_changed_its_service_still_finds_a_flow(network):
     clients = network.open_clients(20)
     stale = network.directories.pop("10.0.0.2")
     for host in network.hosts.values():
--- a/testing/relay/test_splits.py
+++ b/testing/relay/test_splits.py
@@ -1,4 +1,4 @@
-"""Live flows keep their host whatever services their route names meanwhile."""
+"""Open flows keep their host when the services that their route names change."""
 
 import pytest
 from hypothesis import settings, strategies as st
@@ -13,7 +13,14 @@
 from daisygauge_control import HostState
 from daisygauge_relay._candidates import choose_service
 
-from .network import SERVICE, SERVICE_END, Network, ask_all, confirm, pack_end
+from .network import (
+    SERVICE,
+    SERVICE_END,
+    Network,
+    ask_all,
+    pack_end,
+    refresh_directories,
+)
 
 SMALL_SERVICE = "order-desk-trial"
 UNRELATED_SERVICE = "pattern-library"
@@ -44,12 +51,12 @@
 
 
 def settle(network):
-    """Let processes be old enough, and current, to trust their list of hosts."""
+    """Wait until processes may rely on their directory to list every host."""
     network.clock.run(SETTLED_SECONDS)
-    confirm(network)
+    refresh_directories(network)
 
 
-def test_a_flow_outlives_its_split_through_a_balancer_that_never_saw_it(network):
+def test_a_flow_outlives_its_split_through_a_balancer_without_state_of_it(network):
     clients = open_split(network)
     assert services_of(network, clients) == {SERVICE, SMALL_SERVICE}
     network.publish_routes()
@@ -62,7 +69,7 @@
     assert answered == CLIENTS
 
 
-def test_a_flow_outlives_its_split_when_every_process_begins_anew(network):
+def test_a_flow_outlives_its_split_when_every_process_restarts(network):
     clients = open_split(network)
     network.publish_routes()
     network.first_start = False
@@ -103,7 +110,7 @@
     assert answered == CLIENTS
 
 
-def test_an_agent_that_does_not_answer_keeps_a_flow_of_a_withdrawn_split(network):
+def test_a_flow_of_a_withdrawn_split_is_not_reset_while_its_agent_is_silent(network):
     clients = open_split(network)
     network.publish_routes()
     network.start_balancer("10.0.0.2")
@@ -132,7 +139,7 @@
     assert [client.resets for client in clients] == [1] * CLIENTS
 
 
-def test_agents_of_other_services_are_asked_only_for_flows_not_found_nearer(network):
+def test_agents_of_other_services_are_queried_only_when_the_route_agents_fail(network):
     clients = open_split(network)
     settle(network)
     network.sent.clear()
@@ -174,7 +181,7 @@
 
 
 class SplitMachine(RuleBasedStateMachine):
-    """Versions, restarts and searches in any order; no live flow is ever reset."""
+    """Versions, restarts and searches in any order never reset an open flow."""
 
     @initialize()
     def begin(self):
@@ -209,7 +216,7 @@
     @rule(seconds=st.sampled_from([0.1, 3.0, 16.0]))
     def wait(self, seconds):
         self.network.clock.run(seconds)
-        confirm(self.network)
+        refresh_directories(self.network)
 
     @rule(host=st.sampled_from(["10.0.1.1", "10.0.1.8"]))
     def drain_host(self, host):
@@ -225,7 +232,7 @@
         assert answered == len(is_open)
 
     @invariant()
-    def no_live_flow_is_reset(self):
+    def no_open_flow_is_reset(self):
         resets = [c for c in getattr(self, "clients", ()) if c.is_open and c.resets]
         assert not resets
 
--- a/testing/relay/test_start.py
+++ b/testing/relay/test_start.py
@@ -1,4 +1,4 @@
-"""Packets that arrive while a process starts are carried once it can route."""
+"""Packets that arrive while a process starts are forwarded once it can route."""
 
 import asyncio
 import json
@@ -53,11 +53,11 @@
         client.sendto(data, INGRESS)
 
 
-class LoadedTooEarlyError(OSError):
-    """Stands for the adapter's failure to load."""
+class AdapterLoadError(OSError):
+    """Simulates a failure to load the adapter."""
 
 
-def test_sockets_take_packets_before_the_adapter_is_loaded(tmp_path, capsys):
+def test_sockets_receive_packets_before_the_adapter_is_loaded(tmp_path, capsys):
     path = tmp_path / "settings.json"
     path.write_text(json.dumps(settings_document()))
     reached = []
@@ -69,7 +69,7 @@
             # A port without a listener would refuse the second datagram.
             client.send(b"2")
         reached.append(True)
-        raise LoadedTooEarlyError("enough seen")
+        raise AdapterLoadError("enough seen")
 
     code = run_relay(
         role="balancer", settings_path=str(path), load_platform=load_platform
@@ -81,7 +81,7 @@
 
 
 class StartingRuntime(FakeRuntime):
-    """A runtime whose directory becomes complete when the test says so."""
+    """A runtime whose directory is complete once the test sets ``complete``."""
 
     def __init__(self, directory, settings):
         super().__init__(Clock(), directory, settings)
@@ -111,7 +111,7 @@
 
 
 class EagerLoop:
-    """Hands a datagram over before it says that a socket is open, as uvloop may."""
+    """Delivers a datagram before it reports that a socket is open, as uvloop may."""
 
     def __init__(self, data):
         self.data = data
@@ -127,7 +127,7 @@
         self.sent.append(data)
 
 
-async def test_a_packet_that_comes_while_the_sockets_open_can_be_refused(
+async def test_a_packet_that_arrives_while_the_sockets_open_can_be_refused(
     settings, sockets, monkeypatch
 ):
     directory = Network().new_directory(HOST)
@@ -144,25 +144,23 @@
     assert len(loop.sent) == 1
 
 
-async def test_a_datagram_that_shows_a_defect_does_not_end_the_others(
-    settings, sockets
-):
-    taken, errors = [], []
+async def test_an_error_for_one_datagram_does_not_stop_the_others(settings, sockets):
+    received, errors = [], []
 
     def receive(data, sender):
         if data == b"bad":
             raise ZeroDivisionError("a defect")
-        taken.append(data)
+        received.append(data)
 
     endpoint = Endpoint(receive=receive, report=errors.append)
     await endpoint.open(sockets.outer)
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as client:
         for data in (b"good", b"bad", b"better"):
             client.sendto(data, INGRESS)
-    while len(taken) < 2:
+    while len(received) < 2:
         await asyncio.sleep(0.01)
 
-    assert taken == [b"good", b"better"]
+    assert received == [b"good", b"better"]
     assert [type(error) for error in errors] == [ZeroDivisionError]
     endpoint.close()
 
--- a/testing/relay/test_tasks.py
+++ b/testing/relay/test_tasks.py
@@ -1,4 +1,4 @@
-"""An unexpected error in a task doesn't end the process."""
+"""A supervised task restarts after an unexpected error."""
 
 import asyncio
 import os
@@ -17,7 +17,7 @@
 
 
 class FailingOnce:
-    """Work that meets something unexpected at first."""
+    """Work that raises an error on its first run."""
 
     def __init__(self, error):
         self.errors = [error]
@@ -40,7 +40,7 @@
 
 
 @pytest.mark.parametrize("error", [KeyError("items"), RecursionError(), ValueError()])
-async def test_a_task_that_failed_begins_again(runtime, error):
+async def test_a_failed_task_is_restarted(runtime, error):
     work = FailingOnce(error)
 
     runtime.tasks.supervise(work.run, name="directory")
