--- a/packages/daisygauge-control/src/daisygauge_control/__init__.py
+++ b/packages/daisygauge-control/src/daisygauge_control/__init__.py
@@ -2,7 +2,8 @@
 
 import lazy_loader
 
-# Modules are imported on first use, which keeps the start of a process short.
+# Modules are imported on first use, so that a process starts with only those that its
+# role uses.
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
--- a/packages/daisygauge-control/src/daisygauge_control/_member.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_member.py
@@ -11,7 +11,7 @@
 KEYS_GROUP = ""
 """Group of the records that every daemon needs."""
 TOMBSTONES_GROUP = "/tombstones"
-"""Group of tombstones; the slash keeps it distinct from every service id."""
+"""Group of tombstones; no service id contains a slash, so they can't collide."""
 
 
 @frozen(kw_only=True)
--- a/packages/daisygauge-control/src/daisygauge_control/_messages.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_messages.py
@@ -18,14 +18,14 @@
 from ._sealing import UnreadableMessageError
 from ._state import ConfigurationState
 
-MAX_HELD = 256
+MAX_HELD_RECORDS = 256
 MAX_REFUSALS = 8
 MAX_REASONS = 4
 DOCUMENTS_PER_DELTA = 500
 
 
 def make_hello(member: Member, state: ConfigurationState) -> FollowHello:
-    """Return the first message to a peer, which lists the records held already."""
+    """Return the hello to a peer: this daemon and the records that it holds."""
     hello = FollowHello(
         member=member.id,
         role=member.role.value,
@@ -34,14 +34,14 @@
         service=member.service,
     )
     records = state.store.records
-    if len(records) > MAX_HELD:
+    if len(records) > MAX_HELD_RECORDS:
         hello.buckets.extend(state.change_log.bucket_digests())
     else:
-        hello.held.extend(_held(record) for record in records.values())
+        hello.held.extend(_encode_held(record) for record in records.values())
     return hello
 
 
-def _held(record: Record) -> HeldRecord:
+def _encode_held(record: Record) -> HeldRecord:
     return HeldRecord(
         kind=record.kind, id=record.id, revision=record.revision, digest=record.digest
     )
--- a/packages/daisygauge-control/src/daisygauge_control/_node.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_node.py
@@ -66,7 +66,7 @@
         """Return the progress of this daemon with the records of a scope."""
         return make_report(self.state, service=service, ready=self.is_ready())
 
-    def compare(self, follower: Follower, *, now: float) -> None:
+    def update_behind_since(self, follower: Follower, *, now: float) -> None:
         """Update whether a follower lacks records that this daemon holds.
 
         :param now: monotonic time in seconds.
--- a/packages/daisygauge-control/src/daisygauge_control/_sealing.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_sealing.py
@@ -75,6 +75,6 @@
     return AESGCM(key.peer_call_seal)
 
 
-def sealed_bytes(sealed: Sealed) -> int:
+def sealed_size(sealed: Sealed) -> int:
     """Return the size of a message on its stream in bytes."""
     return sealed.ByteSize() + FRAMING_BYTES
--- a/packages/daisygauge-control/src/daisygauge_control/_service.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_service.py
@@ -22,7 +22,7 @@
 from ._member import is_wanted
 from ._messages import encode_instance, read_member, select_missing, split_documents
 from ._node import Follower, Node
-from ._sealing import UnreadableMessageError, open_sealed, seal, sealed_bytes
+from ._sealing import UnreadableMessageError, open_sealed, seal, sealed_size
 from ._watchers import select_instances
 
 HEARTBEAT_SECONDS = 5.0
@@ -74,7 +74,7 @@
         answer = seal(
             await self.answer_status(request), keys=node.keys, now=node.clock()
         )
-        await node.budget.wait_to_send(sealed_bytes(answer), is_sync=True)
+        await node.budget.wait_to_send(sealed_size(answer), is_sync=True)
         await stream.send_message(answer)
 
 
@@ -87,7 +87,7 @@
     sealed = await stream.recv_message()
     if sealed is None:
         raise UnreadableMessageError("the stream has ended")
-    node.budget.record_received(sealed_bytes(sealed))
+    node.budget.record_received(sealed_size(sealed))
     return open_sealed(sealed, FollowRequest, keys=node.keys, now=node.clock())
 
 
@@ -129,7 +129,7 @@
         self.request = request
         self.sent: Instances = {}
         self.sequence = node.state.change_log.sequence
-        self._selected: tuple[object, object] = (None, None)
+        self._selected_from: tuple[object, object] = (None, None)
         self._reported_ready = False
 
     async def receive_reports(self) -> None:
@@ -141,7 +141,7 @@
             except (TimeoutError, UnreadableMessageError):
                 return
             self.follower.report = request.report
-            self.node.compare(self.follower, now=time.monotonic())
+            self.node.update_behind_since(self.follower, now=time.monotonic())
 
     async def send_changes(self) -> None:
         """Send the records that the follower lacks, then every change."""
@@ -149,7 +149,7 @@
         await self._send(missing, is_sync=True)
         while True:
             await self._wait_for_changes()
-            self.node.compare(self.follower, now=time.monotonic())
+            self.node.update_behind_since(self.follower, now=time.monotonic())
             await self._send(self._changes_to_send(), is_sync=False)
 
     async def _wait_for_changes(self) -> None:
@@ -166,7 +166,7 @@
         state = self.node.state
         return (
             self.sequence != state.change_log.sequence
-            or self._selected[0] is not state.view.instances
+            or self._selected_from[0] is not state.view.instances
             or self._reported_ready != self.node.is_ready()
         )
 
@@ -174,9 +174,7 @@
         state = self.node.state
         changes = state.change_log.changes_after(self.sequence)
         if changes is None:
-            raise GRPCError(
-                Status.ABORTED, "too many changes to send one by one; follow again"
-            )
+            raise GRPCError(Status.ABORTED, "too many changes at once; follow again")
         self.sequence = state.change_log.sequence
         service = self.follower.member.service
         wanted = {
@@ -194,15 +192,17 @@
                 self._reported_ready = report.ready
                 delta.report.CopyFrom(report)
             sealed = seal(delta, keys=self.node.keys, now=self.node.clock())
-            await self.node.budget.wait_to_send(sealed_bytes(sealed), is_sync=is_sync)
+            await self.node.budget.wait_to_send(sealed_size(sealed), is_sync=is_sync)
             await self.stream.send_message(sealed)
 
     def _add_instances(self, delta: Delta) -> None:
         view = self.node.state.view
-        basis = (view.instances, view.upstreams)
-        if all(old is new for old, new in zip(self._selected, basis, strict=True)):
+        inputs = (view.instances, view.upstreams)
+        if all(
+            old is new for old, new in zip(self._selected_from, inputs, strict=True)
+        ):
             return
-        self._selected = basis
+        self._selected_from = inputs
         member = self.follower.member
         upstreams = view.upstreams.get(member.service, ())
         current = select_instances(
--- a/packages/daisygauge-control/src/daisygauge_control/_status.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_status.py
@@ -54,7 +54,7 @@
         members=[own],
     )
     for follower in node.followers.values():
-        node.compare(follower, now=now)
+        node.update_behind_since(follower, now=now)
         since = follower.behind_since
         status.members.append(
             MemberStatus(
--- a/packages/daisygauge-control/src/daisygauge_control/_subscription.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_subscription.py
@@ -15,7 +15,7 @@
 from ._credentials import NoKeyError, authenticate_channel
 from ._messages import decode_instances, make_hello
 from ._node import Node
-from ._sealing import UnreadableMessageError, open_sealed, seal, sealed_bytes
+from ._sealing import UnreadableMessageError, open_sealed, seal, sealed_size
 
 FIRST_ANSWER_SECONDS = 3.0
 SILENT_PEER_SECONDS = 12.0
@@ -61,7 +61,7 @@
     async def run(self) -> None:
         """Follow the peer.
 
-        :raises SUBSCRIPTION_ERRORS: when the peer can no longer be followed.
+        :raises SUBSCRIPTION_ERRORS: if the peer can no longer be followed.
         """
         channel = open_channel(self.peer, node=self.node)
         try:
@@ -87,7 +87,7 @@
     async def _send(self, stream: SubscriptionStream, request: FollowRequest) -> None:
         node = self.node
         sealed = seal(request, keys=node.keys, now=node.clock())
-        await node.budget.wait_to_send(sealed_bytes(sealed), is_sync=False)
+        await node.budget.wait_to_send(sealed_size(sealed), is_sync=False)
         await send_message(stream, sealed)
 
     async def _receive(self, stream: SubscriptionStream) -> None:
@@ -95,7 +95,7 @@
         if sealed is None:
             raise StreamTerminatedError("the peer closed the stream")
         node = self.node
-        node.budget.record_received(sealed_bytes(sealed))
+        node.budget.record_received(sealed_size(sealed))
         self._handle_delta(open_sealed(sealed, Delta, keys=node.keys, now=node.clock()))
 
     def _handle_delta(self, delta: Delta) -> None:
@@ -161,7 +161,7 @@
     grpclib 0.4.9 deletes the transport of a closed connection. A send that begins
     afterwards raises an ``AttributeError``.
 
-    :raises StreamTerminatedError: when the connection is closed.
+    :raises StreamTerminatedError: if the connection is closed.
     """
     try:
         await stream.send_message(sealed)
--- a/packages/daisygauge-control/src/daisygauge_control/_watch.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_watch.py
@@ -105,7 +105,7 @@
     async def _watch(
         self,
         read: Callable[..., Awaitable[Snapshot]],
-        take: Callable[[Snapshot], None],
+        handle: Callable[[Snapshot], None],
     ) -> None:
         after = NO_INDEX
         while True:
@@ -119,7 +119,7 @@
                 continue
             self._record_success()
             after = next_index(after=after, seen=snapshot.index)
-            take(snapshot)
+            handle(snapshot)
             if after == NO_INDEX:
                 await asyncio.sleep(READ_AGAIN_SECONDS)
 
