--- a/testing/agent/test_timer.py
+++ b/testing/agent/test_connection_timer.py
@@ -13,18 +13,18 @@
     loop = asyncio.get_running_loop()
     quic = SimpleNamespace(get_timer=loop.time)
     connection = CallerConnection(quic=quic, owner=None, caller=CALLER, address=CALLER)
-    connection.last_heard = loop.time()
+    connection.last_received = loop.time()
     connection.arm_timer(loop)
     connection.arm_timer(loop)
     await connection.wake.wait()
 
 
-def test_a_timer_that_is_due_can_be_armed_again_on_the_daemons_loop():
+def test_a_due_timer_can_be_armed_again_under_uvloop():
     uvloop.run(asyncio.wait_for(arm_due_timer_twice(), timeout=5))
 
 
 class EarlyLoop:
-    """A loop whose timers fire a little early, as rounded milliseconds do."""
+    """An event loop whose timers fire early, as uvloop's do by rounding to 1 ms."""
 
     def __init__(self):
         self.armed = []
@@ -41,7 +41,7 @@
     loop = EarlyLoop()
     quic = SimpleNamespace(get_timer=lambda: 100.0005)
     connection = CallerConnection(quic=quic, owner=None, caller=CALLER, address=CALLER)
-    connection.last_heard = loop.time()
+    connection.last_received = loop.time()
     connection.arm_timer(loop)
     callback, arguments = loop.armed.pop()
 
