Describe the operators' commands in the terms of the field

Several names and doc comments of daisygaugectl were figurative or vague: judge, story, beliefs, own_flags, work, define, TEXT, NOTHING_KNOWN. They are now diagnose, explanation, state changes, list_flags, handler, define_flags, DESCRIPTION and NO_DIAGNOSIS. Doc comments name the exit codes and errors. These names never leave the process.

Help texts and the lines of status are unchanged, and testing/ctl still compares the help with docs/CLI.md.

--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/__init__.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/__init__.py
@@ -1,4 +1,4 @@
-"""``daisygaugectl bench``: experiments with real processes on this machine."""
+"""``daisygaugectl bench``: runs experiments with real processes on this machine."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
     for experiment in (DATAPATH, AGENT, POLICIES, RELAYED, STARTUP)
 }
 
-TEXT = (
+DESCRIPTION = (
     """
 Runs experiments with real daemons and small stand-ins on loopback addresses,
 prints targets beside what was measured and writes one JSON file for each. Ratios
@@ -58,7 +58,11 @@
 
 
 def run_experiments(values: flags.FlagValues, arguments: Sequence[str]) -> int:
-    """Run the experiments named as arguments, all when none is named."""
+    """Run the experiments named as arguments, or all of them if none is named.
+
+    :return: the exit code.
+    :raises MisuseError: an argument names no experiment.
+    """
     unknown = [name for name in arguments if name not in EXPERIMENTS]
     if unknown:
         raise MisuseError(
@@ -83,7 +87,7 @@
     name="bench",
     summary="run experiments on this machine and compare them with their targets",
     arguments="[EXPERIMENT...]",
-    text=TEXT,
-    define=define_flags,
-    work=run_experiments,
+    description=DESCRIPTION,
+    define_flags=define_flags,
+    handler=run_experiments,
 )
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_check.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_check.py
@@ -1,4 +1,4 @@
-"""``daisygaugectl check``: validates records offline."""
+"""``daisygaugectl check``: validates record files offline."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 from ._command import EXIT_OK, EXIT_PROBLEM, Command
 
-TEXT = """
+DESCRIPTION = """
 Validates records without a fleet. A FILE holds one record or a list of records as
 JSON, comments allowed. Prints the effective model of each valid record, and every
 problem with its field and remedy. With --against it also prints what would change
@@ -36,10 +36,10 @@
 
 @frozen(kw_only=True)
 class CheckedRecords:
-    """What some files hold.
+    """The valid records of some files, and the problems of the others.
 
     :param records: valid records by ``kind/id``.
-    :param problems: one line for each fault.
+    :param problems: one message for each problem, with its remedy.
     """
 
     records: dict[str, Record]
@@ -47,9 +47,9 @@
 
 
 def read_values(path: str) -> Iterator[tuple[str, object]]:
-    """Yield the records of a file, each with a name for messages.
+    """Yield the unparsed records of a file, each with a name for messages.
 
-    :raises MisuseError: the file can't be read or is not JSON.
+    :raises MisuseError: the file is unreadable or is not valid JSON.
     """
     try:
         value = json5.loads(Path(path).read_text(encoding="utf-8"))
@@ -63,7 +63,10 @@
 
 
 def read_records(paths: Sequence[str]) -> CheckedRecords:
-    """Read and check the records of files."""
+    """Read and validate the records of some files.
+
+    :raises MisuseError: a file is unreadable or is not valid JSON.
+    """
     records: dict[str, Record] = {}
     problems = []
     for path in paths:
@@ -81,20 +84,25 @@
 
 
 def find_conflicts(records: dict[str, Record]) -> list[str]:
-    """Return what records that are valid alone do to each other."""
+    """Return the conflicts between records that are valid one by one.
+
+    :return: one message for each number or address that two services share, and for
+        each upstream whose service is missing.
+    """
     specs = {key: record.spec for key, record in records.items()}
     services = {key: spec for key, spec in specs.items() if isinstance(spec, Service)}
     problems = []
-    for label, read in (
+    for label, get_value in (
         ("number", lambda service: service.number),
         ("address", lambda service: service.address),
     ):
         seen: dict[object, str] = {}
         for key, service in sorted(services.items()):
-            other = seen.setdefault(read(service), key)
+            other = seen.setdefault(get_value(service), key)
             if other != key:
                 problems.append(
-                    f"{key}: {label} {read(service)} is that of {other}; choose another"
+                    f"{key}: {label} {get_value(service)} is that of {other}; "
+                    "choose another"
                 )
     names = {service.id for service in services.values()}
     for key, spec in sorted(specs.items()):
@@ -107,7 +115,7 @@
 
 
 def format_model(record: Record | None) -> str:
-    """Return a record's effective model as JSON, empty for none."""
+    """Return the effective model of a record as JSON, or an empty text for None."""
     if record is None:
         return ""
     if record.spec is None:
@@ -116,7 +124,7 @@
 
 
 def describe_change(key: str, *, old: Record | None, new: Record) -> str:
-    """Return what publishing a record would change, as a unified diff."""
+    """Return the change that publishing a record would make, as a unified diff."""
     lines = difflib.unified_diff(
         format_model(old).splitlines(keepends=True),
         format_model(new).splitlines(keepends=True),
@@ -127,7 +135,7 @@
 
 
 def find_outdated(records: dict[str, Record], current: dict[str, Record]) -> list[str]:
-    """Return records whose revision is too low to take effect."""
+    """Return a message for each record whose revision is too low to take effect."""
     return [
         f"{key}: revision {record.revision} does not take effect over "
         f"{current[key].revision}; publish revision {current[key].revision + 1}"
@@ -150,7 +158,11 @@
 
 
 def check_files(values: flags.FlagValues, arguments: Sequence[str]) -> int:
-    """Check the files named as arguments."""
+    """Check the files named as arguments and print the result.
+
+    :return: the exit code.
+    :raises MisuseError: no file is named, or a file is unreadable or not valid JSON.
+    """
     if not arguments:
         raise MisuseError("no file to check; name at least one FILE")
     checked = read_records(arguments)
@@ -174,7 +186,7 @@
     name="check",
     summary="validate records offline and show what they mean",
     arguments="FILE...",
-    text=TEXT,
-    define=define_flags,
-    work=check_files,
+    description=DESCRIPTION,
+    define_flags=define_flags,
+    handler=check_files,
 )
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_command.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_command.py
@@ -1,4 +1,4 @@
-"""What every command of ``daisygaugectl`` has."""
+"""Definition and command-line parsing of a ``daisygaugectl`` command."""
 
 from __future__ import annotations
 
@@ -13,58 +13,60 @@
 EXIT_OK = 0
 EXIT_PROBLEM = 1
 
-Work = Callable[[flags.FlagValues, Sequence[str]], int]
+Handler = Callable[[flags.FlagValues, Sequence[str]], int]
 
 
 @frozen(kw_only=True)
 class Command:
-    """One command.
+    """A command with its help, its flags and the function that runs it.
 
-    :param arguments: its positional arguments, as the usage line shows them.
-    :param text: what it does, for ``--help``.
-    :param define: adds its flags.
-    :param work: does it and returns the exit code.
+    :param summary: one line for the help of the program.
+    :param arguments: the positional arguments, as the usage line shows them.
+    :param description: help of the command, printed by ``--help``.
+    :param define_flags: adds the flags of the command to the given values.
+    :param handler: runs the command with its parsed flags and its positional
+        arguments, and returns the exit code.
     """
 
     name: str
     summary: str
     arguments: str
-    text: str
-    define: Callable[[flags.FlagValues], None]
-    work: Work
+    description: str
+    define_flags: Callable[[flags.FlagValues], None]
+    handler: Handler
 
     def make_flags(self) -> flags.FlagValues:
-        """Create the command's flags."""
+        """Create the flags of the command, with their default values."""
         values = new_flags()
-        self.define(values)
+        self.define_flags(values)
         return values
 
     def describe(self) -> str:
-        """Return the command's help."""
+        """Return the help of the command: usage, description and flags."""
         usage = f"usage: {PROGRAM} {self.name} [FLAGS] {self.arguments}".rstrip()
-        lines = [usage, "", self.text.strip(), "", "Flags:"]
+        lines = [usage, "", self.description.strip(), "", "Flags:"]
         lines += [
             f"  --{flag.name}: {flag.help} (default: {flag.default_as_str})"
-            for flag in sorted(self.own_flags(), key=lambda flag: flag.name)
+            for flag in sorted(self.list_flags(), key=lambda flag: flag.name)
         ]
         return "\n".join(lines)
 
-    def own_flags(self) -> list[flags.Flag]:
-        """Return the flags that the command defines."""
+    def list_flags(self) -> list[flags.Flag]:
+        """Return the flags of the command without ``--help``."""
         values = self.make_flags()
         return [values[name] for name in values if name != "help"]
 
     def run(self, arguments: Sequence[str]) -> int:
-        """Run the command.
+        """Parse the flags and run the command, or print its help.
 
-        :param arguments: the command line from the command's name on.
+        :param arguments: name of the command, followed by its flags and arguments.
         :return: the exit code.
-        :raises MisuseError: flags or arguments can't be used.
+        :raises MisuseError: a flag or an argument is invalid.
         """
         values = self.make_flags()
         program = f"{PROGRAM} {arguments[0]}"
-        rest = parse_flags(values, [program, *arguments[1:]])
+        positional = parse_flags(values, [program, *arguments[1:]])
         if values.help:
             print(self.describe())
             return EXIT_OK
-        return self.work(values, rest)
+        return self.handler(values, positional)
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_commands.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_commands.py
@@ -1,4 +1,4 @@
-"""The commands by name."""
+"""The commands of ``daisygaugectl`` by name."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 def describe_commands() -> str:
-    """Return the help of the program."""
+    """Return the help of the program, with a line for each command."""
     lines = [f"usage: {PROGRAM} COMMAND [FLAGS] [ARGUMENTS]", "", "Commands:"]
     lines += [f"  {name}: {command.summary}" for name, command in COMMANDS.items()]
     lines += [
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_log_lines.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_log_lines.py
@@ -1,4 +1,4 @@
-"""Log lines of daemons, read from files."""
+"""Reads the events of daemons from log files."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
 
 from attrs import frozen
 
-# Collected logs may hold a time and the name of the process in front of each line.
+# Log collectors may put a time and the name of the process before each line.
 _PREFIXED = re.compile(r"^\s*-?[\d.]+\s+(?P<process>\S+)\s+(?P<document>\{.*)$")
-_OWN_FIELDS = frozenset(
+_COMMON_FIELDS = frozenset(
     {
         "event",
         "level",
@@ -29,10 +29,11 @@
 
 @frozen(kw_only=True)
 class LogLine:
-    """One event of one process.
+    """An event that a process logged.
 
-    :param at: Unix time in seconds.
-    :param fields: the event's own fields.
+    :param at: Unix time of the event in seconds.
+    :param event: number of the event.
+    :param fields: the fields specific to the event.
     """
 
     at: float
@@ -43,15 +44,20 @@
     fields: dict[str, Any]
 
     def format(self, *, since: float) -> str:
-        """Return the line for people."""
+        """Return the event as one line of text.
+
+        :param since: Unix time in seconds from which the printed time counts.
+        """
         fields = ", ".join(f"{key} {value}" for key, value in self.fields.items())
         return f"{self.at - since:+9.3f} s  {self.process}: {self.text} ({fields})"
 
 
 def read_log_files(paths: Iterable[str]) -> tuple[LogLine, ...]:
-    """Read the lines of files in order of time; what is no event is left out.
+    """Read the events of some files in order of time, skipping all other lines.
+
+    The name of a file, without its suffix, is the process of the lines that name none.
 
-    :raises OSError: a file can't be read.
+    :raises OSError: a file is unreadable.
     """
     lines: list[LogLine] = []
     for path in paths:
@@ -61,7 +67,7 @@
 
 
 def read_lines(lines: Iterable[str], *, process: str) -> Iterator[LogLine]:
-    """Read lines of one file.
+    """Yield the events of the lines of one file, skipping all other lines.
 
     :param process: name of the process for lines that don't name one.
     """
@@ -84,7 +90,7 @@
             event=int(fields["event"]),
             name=str(fields["message_type"]).partition(":")[2],
             text=str(fields["text"]),
-            fields={k: v for k, v in fields.items() if k not in _OWN_FIELDS},
+            fields={k: v for k, v in fields.items() if k not in _COMMON_FIELDS},
         )
     except (ValueError, TypeError, KeyError):
         return None
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_status.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_status.py
@@ -1,4 +1,4 @@
-"""``daisygaugectl status``: how far the configuration has come."""
+"""``daisygaugectl status``: shows how far the configuration has propagated."""
 
 from __future__ import annotations
 
@@ -42,12 +42,12 @@
 
 
 def is_behind(member: MemberStatus) -> bool:
-    """Tell whether a daemon lacks a change that its peer has."""
+    """Return whether a daemon lacks a change that its peer has, or is not ready."""
     return member.behind_seconds > 0.0 or not member.report.ready
 
 
 def has_converged(status: StatusAnswer) -> bool:
-    """Tell whether every listed daemon has the whole configuration in force."""
+    """Return whether every listed daemon has the whole configuration in force."""
     return not any(
         domain.unseen or any(map(is_behind, domain.members))
         for domain in status.domains
@@ -55,7 +55,7 @@
 
 
 def format_member(member: MemberStatus) -> list[str]:
-    """Return the lines of a daemon that needs a look, none for the others."""
+    """Return lines for a daemon that is behind or refuses records, none for others."""
     lines = []
     if is_behind(member):
         lines.append(
@@ -69,7 +69,11 @@
 
 
 def format_domain(domain: DomainStatus) -> list[str]:
-    """Return the lines of a failure domain."""
+    """Return the lines for a failure domain.
+
+    The field ``seats`` holds its watchers, the processes that watch the platform on
+    behalf of others.
+    """
     revisions = [
         member.report.revision for member in domain.members if member.role == BALANCER
     ]
@@ -100,9 +104,10 @@
 
 
 def print_status(values: flags.FlagValues, arguments: Sequence[str]) -> int:
-    """Print what a daemon knows of the fleet.
+    """Print the status of the fleet as one daemon knows it.
 
-    :return: 0 when the fleet has converged, 1 when not or when nobody answers.
+    :return: 0 if the fleet has converged, 1 if not or if no daemon answers.
+    :raises MisuseError: an argument is given, or no platform is named.
     """
     if arguments:
         raise MisuseError(f"unexpected argument {arguments[0]!r}; give only flags")
@@ -123,8 +128,10 @@
     name="status",
     summary="show how far the configuration has come, as one daemon sees it",
     arguments="",
-    text="Asks one daemon for the revisions in force in every failure domain, and for\n"
-    "daemons that are behind, not heard of, or refuse records. It changes nothing.",
-    define=define_flags,
-    work=print_status,
+    description=(
+        "Asks one daemon for the revisions in force in every failure domain, and for\n"
+        "daemons that are behind, not heard of, or refuse records. It changes nothing."
+    ),
+    define_flags=define_flags,
+    handler=print_status,
 )
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/main.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/main.py
@@ -12,9 +12,9 @@
 
 
 def run_command(arguments: Sequence[str]) -> int:
-    """Run the command that a command line names.
+    """Run the command that a command line names; report misuse on standard error.
 
-    :param arguments: the command line, its first item the program's name.
+    :param arguments: the command line, starting with the name of the program.
     :return: the exit code.
     """
     program, *rest = arguments
@@ -34,5 +34,5 @@
 
 
 def run() -> None:
-    """Run the command named on the command line."""
+    """Run the command of this process's command line and exit with its code."""
     raise SystemExit(run_command(sys.argv))
--- a/testing/ctl/test_check.py
+++ b/testing/ctl/test_check.py
@@ -23,7 +23,7 @@
     return write_file
 
 
-def changed(record, **changes):
+def with_changes(record, **changes):
     return record | changes
 
 
@@ -40,18 +40,18 @@
     assert '"retry_share": 0.1' in output
 
 
-def test_a_fault_is_named_with_its_field(write, capsys):
+def test_a_problem_names_its_field(write, capsys):
     spec = SERVICE["spec"] | {"nmber": 4}
 
-    code = check(write("a.json", [changed(SERVICE, spec=spec)]))
+    code = check(write("a.json", [with_changes(SERVICE, spec=spec)]))
 
     assert code == 1
     assert "nmber" in capsys.readouterr().out
 
 
-def test_a_change_is_shown_against_what_is_in_force(write, capsys):
+def test_a_change_is_shown_as_a_diff_to_the_record_in_force(write, capsys):
     spec = SERVICE["spec"] | {"retry_share": 0.2}
-    new = changed(SERVICE, revision=4, spec=spec)
+    new = with_changes(SERVICE, revision=4, spec=spec)
 
     code = check(f"--against={write('old.json', SERVICE)}", write("new.json", new))
 
@@ -63,7 +63,7 @@
 
 def test_a_revision_that_would_not_take_effect_is_a_problem(write, capsys):
     spec = SERVICE["spec"] | {"retry_share": 0.2}
-    new = changed(SERVICE, spec=spec)
+    new = with_changes(SERVICE, spec=spec)
 
     code = check(f"--against={write('old.json', SERVICE)}", write("new.json", new))
 
@@ -72,11 +72,11 @@
 
 
 @pytest.mark.parametrize("field", ["number", "address"])
-def test_services_that_share_what_must_be_unique_are_a_problem(write, capsys, field):
+def test_services_with_the_same_number_or_address_are_a_problem(write, capsys, field):
     other = {"number": 2, "address": {"host": "127.40.2.1", "port": 4434}}
     other[field] = SERVICE["spec"][field]
 
-    code = check(write("a.json", [SERVICE, changed(SERVICE, id="b", spec=other)]))
+    code = check(write("a.json", [SERVICE, with_changes(SERVICE, id="b", spec=other)]))
 
     assert code == 1
     assert field in capsys.readouterr().out
--- a/testing/ctl/test_commands.py
+++ b/testing/ctl/test_commands.py
@@ -18,7 +18,7 @@
 
 
 @pytest.mark.parametrize("name", COMMANDS)
-def test_every_command_explains_itself(name, capsys):
+def test_every_command_prints_its_help(name, capsys):
     code = run_command(["daisygaugectl", name, "--help"])
 
     assert code == 0
@@ -36,7 +36,7 @@
         (["check", "absent.json"], "absent.json"),
     ],
 )
-def test_misuse_ends_with_exit_code_2_and_a_remedy(arguments, remedy, capsys):
+def test_misuse_gives_exit_code_2_and_names_a_remedy(arguments, remedy, capsys):
     code = run_command(["daisygaugectl", *arguments])
 
     output = capsys.readouterr()
@@ -44,7 +44,7 @@
     assert remedy in output.out + output.err
 
 
-def test_the_page_of_events_is_the_catalogue():
+def test_the_events_page_matches_the_catalogue():
     assert (DOCS / "EVENTS.md").read_text() == format_page()
 
 
@@ -57,7 +57,7 @@
     assert len(set(names)) == len(names)
 
 
-def test_the_page_of_commands_holds_their_help():
+def test_the_commands_page_contains_their_help():
     page = (DOCS / "CLI.md").read_text()
 
     assert describe_commands() in page
--- a/testing/ctl/test_explain.py
+++ b/testing/ctl/test_explain.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from daisygauge_ctl._explain import NOTHING_KNOWN, explain
+from daisygauge_ctl._explain import NO_DIAGNOSIS, explain
 from daisygauge_ctl._log_lines import read_lines, read_log_files
 
 FLOW = "100.64.0.7:40001>198.18.0.1:443"
@@ -45,15 +45,15 @@
         ],
     )
 
-    story = explain("r-1", lines).splitlines()
+    explanation = explain("r-1", lines).splitlines()
 
-    assert [text.split(":")[0].split()[-1] for text in story[:4]] == [
+    assert [text.split(":")[0].split()[-1] for text in explanation[:4]] == [
         "balancer",
         "agent",
         "agent",
         "agent",
     ]
-    assert "answered" in story[-1]
+    assert "answered" in explanation[-1]
 
 
 @pytest.mark.parametrize(
@@ -63,12 +63,12 @@
         (["opening-placed", "opening-taken", "request-begun"], "no answer was seen"),
         (["opening-taken", "request-begun", "request-expired"], "it has not run"),
         (["opening-refused"], "refused before it opened"),
-        (["opening-placed", "opening-uncertain"], "was not told"),
+        (["opening-placed", "opening-uncertain"], "was not notified"),
         (["request-begun", "flow-lost"], "No upstream holds the flow"),
-        (["flow-searched"], "nobody claimed"),
+        (["flow-searched"], "no agent claimed"),
     ],
 )
-def test_the_cause_is_named(names, expected):
+def test_the_events_give_the_diagnosis(names, expected):
     lines = read(
         p=[line(n, name, flow=FLOW, request="r-1") for n, name in enumerate(names)]
     )
@@ -76,7 +76,7 @@
     assert expected in explain("r-1", lines)
 
 
-def test_beliefs_that_changed_meanwhile_are_shown():
+def test_state_changes_of_the_involved_processes_are_shown():
     lines = read(
         agent=[
             line(1.0, "upstream-silent", upstream="10.0.0.1:80"),
@@ -85,10 +85,10 @@
         idle=[line(1.2, "source-lost", source="platform")],
     )
 
-    story = explain("r-1", lines)
+    explanation = explain("r-1", lines)
 
-    assert "upstream-silent" in story
-    assert "source-lost" not in story
+    assert "upstream-silent" in explanation
+    assert "source-lost" not in explanation
 
 
 def test_other_requests_of_the_flow_are_left_out():
@@ -102,16 +102,16 @@
     assert "r-0" not in explain("r-1", lines)
 
 
-def test_a_flow_can_be_asked_for():
+def test_a_flow_can_be_explained():
     assert FLOW in explain(FLOW, read(agent=[line(1.0, "opening-taken", flow=FLOW)]))
 
 
-def test_an_unknown_id_is_said_so():
+def test_an_unknown_id_has_no_explanation():
     assert explain("r-9", read(agent=[line(1.0, "opening-taken", flow=FLOW)])) is None
-    assert "suppressed" in NOTHING_KNOWN
+    assert "suppressed" in NO_DIAGNOSIS
 
 
-def test_lines_with_a_prefix_and_lines_that_are_no_events_are_read(tmp_path):
+def test_prefixed_lines_are_read_and_other_text_is_skipped(tmp_path):
     path = tmp_path / "day.log"
     path.write_text(
         f"  -1.5 side-a-1 {line(1.0, 'opening-taken', flow=FLOW)}\nno event\n{{}}\n"
--- a/testing/ctl/test_status.py
+++ b/testing/ctl/test_status.py
@@ -20,7 +20,7 @@
     return StatusAnswer(domains=[domain])
 
 
-def test_a_fleet_without_laggards_has_converged():
+def test_a_fleet_with_no_daemon_behind_has_converged():
     assert has_converged(status(member("b-1"), member("a-1", role="agent")))
 
 
@@ -35,7 +35,7 @@
     assert not has_converged(status(member("b-1", ready=False)))
 
 
-def test_a_listed_daemon_that_reports_to_nobody_is_named():
+def test_a_listed_daemon_without_a_report_is_named():
     answer = status(member("b-1"), unseen=["a-9"])
 
     assert not has_converged(answer)
