Name the benchmarks' parts by what they are

The datapath experiment called its environment a bed, limits began with LEAST and MOST, and several doc comments told less than the names (what an experiment is given, what a process costs before it serves). The module is now _testbed, limits begin with MIN and MAX, time-outs and conversions name their unit, and doc comments list every field with its unit. Bed, watched, busy, told, began and their like were local names.

Field names that are written to JSON, part names and the names of targets stay, because stored results are compared by them. The error of a testbed process that isn't ready, and that of a failed download, now say where to look.

The experiments agent, datapath and policies were not run.

--- a/packages/daisygauge-ctl/src/daisygauge_ctl/__init__.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/__init__.py
@@ -1,1 +1,1 @@
-"""The operator command line."""
+"""The operators' command line ``daisygaugectl``."""
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_agent.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_agent.py
@@ -1,4 +1,4 @@
-"""What connections, handshakes and bytes cost an agent."""
+"""Measures the cost of connections, handshakes and downloads for an agent."""
 
 from __future__ import annotations
 
@@ -33,20 +33,21 @@
 DOWNLOAD_BYTES = 4 * 1024 * 1024
 DOWNLOADS = 4
 CONNECT_SECONDS = 20.0
-LEAST_HANDSHAKES_A_CORE_SECOND = 11.0
-MOST_MEMORY_GROWTH = 1.25
+MIN_HANDSHAKES_PER_CORE_SECOND = 11.0
+MAX_MEMORY_GROWTH_RATIO = 1.25
 SERVICE = "bench"
 
 
 @frozen(kw_only=True)
 class ConnectionStep:
-    """Opening connections until a number of them is open.
-
-    :param handshakes_a_second: as the callers saw it, on a shared machine.
-    :param processor_ms: the agent's processor time for one handshake.
-    :param resident_bytes: the agent's memory once all are open.
-    :param bytes_a_connection: growth of memory since none was open.
-    :param idle_core_share: the agent's processor while nothing is asked.
+    """Cost of opening connections up to a given number.
+
+    :param connections: number of open connections at the end.
+    :param handshakes_a_second: as measured by the callers, who share the machine.
+    :param processor_ms: processor time of the agent for each handshake.
+    :param resident_bytes: resident memory of the agent once all are open.
+    :param bytes_a_connection: growth of that memory for each open connection.
+    :param idle_core_share: share of a core that the agent uses without requests.
     """
 
     connections: int
@@ -59,10 +60,10 @@
 
 @frozen(kw_only=True)
 class Throughput:
-    """Downloads, one after another, through one agent.
+    """Throughput of consecutive downloads through one agent.
 
-    :param bytes_a_second: as the caller saw it.
-    :param bytes_a_core_second: bytes for each second of the agent's processor.
+    :param bytes_a_second: as measured by the caller.
+    :param bytes_a_core_second: bytes for each second of the agent's processor time.
     :param core_share: share of a core that the agent used.
     """
 
@@ -72,23 +73,26 @@
 
 
 class AgentMeter:
-    """Reads an agent's processor time and memory."""
+    """Reads the processor time and memory of an agent.
+
+    :param pid: process id of the agent.
+    """
 
     def __init__(self, pid: int) -> None:
         self.process = psutil.Process(pid)
 
     def processor_seconds(self) -> float:
-        """Return the processor time used so far."""
+        """Return the user and system time used so far."""
         times = self.process.cpu_times()
         return times.user + times.system
 
     def resident_bytes(self) -> int:
-        """Return the memory in use."""
+        """Return the resident memory."""
         return self.process.memory_info().rss
 
 
 def make_deployment() -> Deployment:
-    """Return one balancer before one host."""
+    """Return a deployment of one balancer and one host."""
     classes = (RequestClass(name="download", path_prefix="/", streaming=True),)
     plan = ServicePlan(id=SERVICE, number=1, hosts=1, slots=2, classes=classes)
     return Deployment(
@@ -101,7 +105,7 @@
 
 
 async def open_connections(callers: list[Caller]) -> None:
-    """Open one connection for each caller, a few at a time."""
+    """Open one connection for each caller, ``CONCURRENT_HANDSHAKES`` at a time."""
     limit = asyncio.Semaphore(CONCURRENT_HANDSHAKES)
 
     async def open_one(caller: Caller) -> None:
@@ -116,46 +120,57 @@
     *,
     callers: list[Caller],
     service: Service,
-    wanted: int,
-    empty_bytes: int,
+    count: int,
+    baseline_bytes: int,
 ) -> ConnectionStep:
-    """Open connections until ``wanted`` are open, then leave them idle."""
+    """Open connections until ``count`` are open, then measure them while idle.
+
+    :param callers: callers with an open connection; the new ones are added.
+    :param count: number of connections to reach.
+    :param baseline_bytes: resident memory without connections.
+    """
     added = [
         Caller(service, client=Client.QH3, connect_timeout_seconds=CONNECT_SECONDS)
-        for _ in range(wanted - len(callers))
+        for _ in range(count - len(callers))
     ]
-    began, used = time.monotonic(), meter.processor_seconds()
+    started_at, processor_before = time.monotonic(), meter.processor_seconds()
     await open_connections(added)
-    seconds = time.monotonic() - began
+    seconds = time.monotonic() - started_at
     await asyncio.sleep(SETTLE_SECONDS)
-    processor = meter.processor_seconds() - used
+    processor = meter.processor_seconds() - processor_before
     callers.extend(added)
     resident = meter.resident_bytes()
-    used = meter.processor_seconds()
+    processor_before = meter.processor_seconds()
     await asyncio.sleep(IDLE_SECONDS)
-    idle = (meter.processor_seconds() - used) / IDLE_SECONDS
+    idle = (meter.processor_seconds() - processor_before) / IDLE_SECONDS
     return ConnectionStep(
-        connections=wanted,
+        connections=count,
         handshakes_a_second=len(added) / seconds,
         processor_ms=1_000 * processor / len(added),
         resident_bytes=resident,
-        bytes_a_connection=(resident - empty_bytes) / wanted,
+        bytes_a_connection=(resident - baseline_bytes) / count,
         idle_core_share=idle,
     )
 
 
 async def measure_throughput(meter: AgentMeter, *, service: Service) -> Throughput:
-    """Download through one connection of the faster client library."""
+    """Measure downloads through one connection of qh3, the faster client library.
+
+    :raises RuntimeError: a download failed.
+    """
     caller = Caller(service, client=Client.QH3)
     await caller.connect()
-    began, used = time.monotonic(), meter.processor_seconds()
+    started_at, processor_before = time.monotonic(), meter.processor_seconds()
     for _ in range(DOWNLOADS):
         path = f"/download?size={DOWNLOAD_BYTES}"
         outcome = await caller.request(Request(path=path, deadline_seconds=120.0))
         if not isinstance(outcome, Answered) or len(outcome.body) != DOWNLOAD_BYTES:
-            raise RuntimeError(f"a download failed: {outcome}")
-    seconds = time.monotonic() - began
-    processor = meter.processor_seconds() - used
+            raise RuntimeError(
+                f"a download of {DOWNLOAD_BYTES} bytes failed: {outcome}; check that "
+                "the host and its upstream are running"
+            )
+    seconds = time.monotonic() - started_at
+    processor = meter.processor_seconds() - processor_before
     await caller.close()
     total = DOWNLOADS * DOWNLOAD_BYTES
     return Throughput(
@@ -166,7 +181,7 @@
 
 
 async def run_agent(options: Options) -> Report:
-    """Measure one agent with real processes around it."""
+    """Measure one agent in a fleet of real processes."""
     addresses = AddressPlan(block=f"127.{options.network}.20")
     async with Fleet(make_deployment(), addresses=addresses) as fleet:
         (host,) = fleet.hosts_of(SERVICE)
@@ -174,17 +189,17 @@
         service = fleet.target(SERVICE)
         throughput = await measure_throughput(meter, service=service)
         await asyncio.sleep(SETTLE_SECONDS)
-        empty = meter.resident_bytes()
+        baseline = meter.resident_bytes()
         callers: list[Caller] = []
         steps = [
             await measure_step(
                 meter,
                 callers=callers,
                 service=service,
-                wanted=wanted,
-                empty_bytes=empty,
+                count=count,
+                baseline_bytes=baseline,
             )
-            for wanted in CONNECTION_STEPS
+            for count in CONNECTION_STEPS
         ]
         await asyncio.gather(*(caller.close() for caller in callers))
     return Report(
@@ -195,13 +210,13 @@
                 name="handshakes for each second of processor, slowest step",
                 measured=min(1_000 / step.processor_ms for step in steps),
                 comparison=">=",
-                target=LEAST_HANDSHAKES_A_CORE_SECOND,
+                target=MIN_HANDSHAKES_PER_CORE_SECOND,
             ),
             Target(
                 name="memory a connection, 2,000 over 500",
                 measured=steps[2].bytes_a_connection / steps[1].bytes_a_connection,
                 comparison="<=",
-                target=MOST_MEMORY_GROWTH,
+                target=MAX_MEMORY_GROWTH_RATIO,
             ),
         ),
         figures={"connections": steps, "throughput": throughput},
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_experiment.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_experiment.py
@@ -1,4 +1,4 @@
-"""What an experiment is given and what it returns."""
+"""Options, targets and reports of experiments."""
 
 from __future__ import annotations
 
@@ -16,8 +16,9 @@
     """How to run an experiment.
 
     :param seconds: length of each part.
-    :param results: directory for files beside the report.
-    :param network: second number of the loopback addresses to use.
+    :param seed: seed of random choices.
+    :param network: second number of the loopback addresses to use (127.N.x.x).
+    :param results: directory for files that an experiment writes beside its report.
     """
 
     seconds: float
@@ -28,9 +29,10 @@
 
 @frozen(kw_only=True)
 class Target:
-    """One figure beside the target that was set before it was measured.
+    """A measured figure and the target that was set before the measurement.
 
-    :param comparison: ``<=`` or ``>=``.
+    :param comparison: ``<=`` or ``>=``, with the figure on the left.
+    :param unit: unit to print after both values, with a leading space.
     """
 
     name: str
@@ -41,15 +43,15 @@
 
     @property
     def met(self) -> bool:
-        """Whether the figure is on the right side of its target."""
+        """Whether the figure meets its target."""
         return COMPARISONS[self.comparison](self.measured, self.target)
 
 
 @frozen(kw_only=True)
 class Report:
-    """What an experiment has measured.
+    """The result of an experiment.
 
-    :param figures: every figure, as attrs models or plain JSON values.
+    :param figures: all measured figures by name, as attrs models or plain JSON values.
     """
 
     experiment: str
@@ -65,9 +67,9 @@
 
 @frozen(kw_only=True)
 class Experiment:
-    """One experiment.
+    """An experiment that ``daisygaugectl bench`` can run.
 
-    :param run: does it; starts and ends its own processes.
+    :param run: runs the experiment; it starts and stops its own processes.
     """
 
     name: str
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_policies.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_policies.py
@@ -1,4 +1,4 @@
-"""The policies against baselines, on fleets of real daemons."""
+"""Compares the policies with baselines on fleets of real daemons."""
 
 from __future__ import annotations
 
@@ -12,7 +12,10 @@
 
 
 async def compare_policies(options: Options) -> Report:
-    """Run every page under every policy; each page fixes its length and seed."""
+    """Run every scenario (page) under every policy, and check the targets.
+
+    Each page defines its own length and seed, which replace those of the options.
+    """
     measurements = await run_policies()
     write_results(Path(options.results) / "policies", measurements=measurements)
     targets = tuple(
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_report.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_report.py
@@ -1,4 +1,4 @@
-"""Printing and keeping what experiments have measured."""
+"""Prints and stores the reports of experiments."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 def describe_machine() -> dict[str, Any]:
-    """Return what figures of this machine depend on."""
+    """Return the properties of this machine that measured figures depend on."""
     return {
         "cores": os.cpu_count(),
         "machine": platform.machine(),
@@ -26,21 +26,22 @@
 
 
 def write_report(report: Report, *, directory: Path) -> Path:
-    """Write a report as JSON.
+    """Write a report as JSON, with a description of this machine.
 
-    :return: the file's path.
+    :param directory: directory for the file; created if it is missing.
+    :return: path of the written file.
     """
     directory.mkdir(parents=True, exist_ok=True)
     path = directory / f"{report.experiment}.json"
     content = asdict(report) | {"machine": describe_machine()}
-    # Where the results go says nothing of the experiment.
+    # The results directory has no influence on the figures.
     del content["options"]["results"]
     path.write_text(json.dumps(content, indent=2) + "\n")
     return path
 
 
 def print_report(report: Report) -> None:
-    """Print a table of targets and measured figures."""
+    """Print the measured figures of a report with their targets."""
     print(f"{report.experiment}:")
     for target in report.targets:
         print(
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_startup.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_startup.py
@@ -1,4 +1,4 @@
-"""What a process of relayed flows costs before it serves."""
+"""Measures the cost of loading a process for relayed flows."""
 
 from __future__ import annotations
 
@@ -15,18 +15,18 @@
     "balancer": "daisygauge_relay._balancer",
     "agent": "daisygauge_relay._agent",
 }
-RUNS = 9
-"""Fresh processes for each role; the median leaves out a disturbed one."""
+RUNS_PER_ROLE = 9
+"""New processes for each role; the median is robust against single disturbed runs."""
 TARGET_CPU_SECONDS = 0.3
 TARGET_MEMORY_MB = 30.0
 
-_CHILD = """
+_CHILD_PROGRAM = """
 import importlib, json, resource
 importlib.import_module("daisygauge_relay._main")
 importlib.import_module("daisygauge_relay._serve")
 importlib.import_module({module!r})
 used = resource.getrusage(resource.RUSAGE_SELF)
-# The peak that getrusage tells includes the parent's memory before exec.
+# The peak that getrusage reports includes the parent's memory before exec.
 status = open("/proc/self/status").read()
 peak_kb = int(status.partition("VmHWM:")[2].split()[0])
 print(json.dumps([used.ru_utime + used.ru_stime, peak_kb / 1024]))
@@ -35,10 +35,10 @@
 
 @frozen(kw_only=True)
 class StartupCost:
-    """Median cost of loading a role.
+    """Median cost of loading the modules of a role.
 
-    :param cpu_seconds: processor time, user and system.
-    :param memory_mb: peak resident memory.
+    :param cpu_seconds: user and system time.
+    :param memory_mb: peak resident memory in MiB.
     """
 
     role: str
@@ -46,11 +46,16 @@
     memory_mb: float
 
 
-def measure_startup(role: str, *, runs: int = RUNS) -> StartupCost:
-    """Load a role in fresh processes, as the deploy file starts it."""
+def measure_startup(role: str, *, runs: int = RUNS_PER_ROLE) -> StartupCost:
+    """Load the modules of a role in new processes.
+
+    The interpreter runs without ``site`` (``-S``), as ``deploy/system.toml`` has it.
+    """
     paths = [path for path in sys.path if path]
-    child = f"import sys; sys.path[:] = {paths!r}" + _CHILD.format(module=MODULES[role])
-    command = [sys.executable, "-S", "-c", child]
+    program = f"import sys; sys.path[:] = {paths!r}" + _CHILD_PROGRAM.format(
+        module=MODULES[role]
+    )
+    command = [sys.executable, "-S", "-c", program]
     figures = [json.loads(subprocess.check_output(command)) for _ in range(runs)]
     return StartupCost(
         role=role,
@@ -60,7 +65,7 @@
 
 
 async def run_startup(options: Options) -> Report:
-    """Measure the start of both roles."""
+    """Measure the loading of both roles."""
     costs = [measure_startup(role) for role in MODULES]
     targets = [
         target
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_bed.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_testbed.py
@@ -1,4 +1,4 @@
-"""Starts what the datapath experiment needs and measures its parts."""
+"""Starts the processes of the datapath experiment and measures its parts."""
 
 from __future__ import annotations
 
@@ -38,22 +38,26 @@
 AGENT_PORT = 7_000
 SERVICE_NUMBER = 1
 DEFAULT_FLOWS = 1_000
-START_SECONDS = 20.0
-POLL_SECONDS = 0.05
+START_TIMEOUT_SECONDS = 20.0
+POLL_INTERVAL_SECONDS = 0.05
 INNER_TRAILER_BYTES = 8
-"""The tag of an inner datagram, which follows the packet."""
-MICROSECONDS = 1e6
-DAEMON = str(Path(sys.executable).parent / "daisygauged")
+"""Length of the tag that follows the packet in an inner datagram."""
+MICROSECONDS_PER_SECOND = 1e6
+DAEMON_PATH = str(Path(sys.executable).parent / "daisygauged")
 
 _CONVERTER = cattrs.preconf.json.make_converter()
 
 
-class BedError(RuntimeError):
-    """A process of the experiment did not start."""
+class TestbedError(RuntimeError):
+    """A process of the experiment did not become ready."""
 
 
-class Bed:
-    """One balancer, one bare forwarder, and a platform to configure from."""
+class Testbed:
+    """A balancer, a bare forwarder and the platform that holds the configuration.
+
+    :param options: options of the experiment.
+    :param directory: directory for settings and log files.
+    """
 
     def __init__(self, *, options: Options, directory: Path) -> None:
         self.options = options
@@ -72,7 +76,7 @@
         try:
             await self.start()
         except BaseException:
-            await self.end()
+            await self.stop()
             raise
         return self
 
@@ -82,10 +86,13 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        await self.end()
+        await self.stop()
 
     async def start(self) -> None:
-        """Start every process that lasts for the whole experiment."""
+        """Start the processes that run for the whole experiment.
+
+        :raises TestbedError: a process is not ready in time.
+        """
         module = [sys.executable, "-m"]
         await self.launch(
             "platform",
@@ -108,16 +115,16 @@
         )
         settings = self.directory / "balancer.json"
         settings.write_text(json.dumps(self.balancer_settings()))
-        await self.launch("balancer", [DAEMON, f"--settings={settings}"])
-        await self.wait_url(f"http://{self.inner.host}:{METRICS_PORT}/ready")
+        await self.launch("balancer", [DAEMON_PATH, f"--settings={settings}"])
+        await self.wait_until_ready(f"http://{self.inner.host}:{METRICS_PORT}/ready")
 
-    async def end(self) -> None:
-        """End every process."""
+    async def stop(self) -> None:
+        """Kill every process."""
         for process in self.processes.values():
             await process.kill()
 
     async def launch(self, name: str, command: list[str]) -> None:
-        """Start a process whose output goes to a file."""
+        """Start a process that writes its output to a log file."""
         process = ManagedProcess(
             id=name,
             role=name,
@@ -145,9 +152,14 @@
         }
 
     async def publish(self) -> None:
-        """Publish the key, the service and its one upstream."""
+        """Publish the key, the service and its only upstream.
+
+        :raises TestbedError: the platform is not ready in time.
+        """
         base = f"http://{self.platform}/v1/kv/records"
-        await self.wait_url(f"http://{self.platform}/v1/health/service/daisygauge")
+        await self.wait_until_ready(
+            f"http://{self.platform}/v1/health/service/daisygauge"
+        )
         specs = {
             "key/key-1": {"number": self.key.number, "secret": self.key.secret},
             "service/bench": {
@@ -175,12 +187,12 @@
                 async with session.put(f"{base}/{name}", json=record) as answer:
                     answer.raise_for_status()
 
-    async def wait_url(self, url: str) -> None:
-        """Wait until a URL answers 200.
+    async def wait_until_ready(self, url: str) -> None:
+        """Wait until a URL answers with status 200.
 
-        :raises BedError: it took too long.
+        :raises TestbedError: it does not within ``START_TIMEOUT_SECONDS``.
         """
-        deadline = time.monotonic() + START_SECONDS
+        deadline = time.monotonic() + START_TIMEOUT_SECONDS
         async with aiohttp.ClientSession() as session:
             while time.monotonic() < deadline:
                 try:
@@ -189,13 +201,15 @@
                             return
                 except aiohttp.ClientError:
                     pass
-                await asyncio.sleep(POLL_SECONDS)
+                await asyncio.sleep(POLL_INTERVAL_SECONDS)
         logs = "\n".join(
             path.read_text()[-2_000:] for path in self.directory.glob("*.log")
         )
-        raise BedError(f"{url} does not answer; the processes say:\n{logs}")
+        raise TestbedError(
+            f"{url} is not ready; see the end of each process log:\n{logs}"
+        )
 
-    def plan(self, kind: TrafficKind, *, packet_bytes: int) -> SourcePlan:
+    def make_plan(self, kind: TrafficKind, *, packet_bytes: int) -> SourcePlan:
         """Return a plan that sends as many packets as possible."""
         receiver = self.inner if kind is TrafficKind.REPLY else self.outer
         return SourcePlan(
@@ -221,9 +235,14 @@
         answers: bool = False,
         labels: dict[str, str] | None = None,
     ) -> Part:
-        """Send a plan's packets through one forwarder and receive them.
+        """Send packets through one forwarder and measure their rate and cost.
 
-        :param name: ``direct``, ``bare``, or anything else for the balancer.
+        :param name: ``direct`` for no forwarder, ``bare`` for the bare forwarder, any
+            other name for the balancer.
+        :param plan: the packets to send.
+        :param keep_delays: whether to measure the delay of each packet.
+        :param answers: whether the sink accepts first flights.
+        :param labels: parameters that tell parts of the same name apart.
         """
         forwarder = self.processes["bare" if name == "bare" else "balancer"]
         receivers = {"direct": self.agent, "bare": self.bare}
@@ -236,28 +255,30 @@
             answer_key=self.key if answers else None,
         )
         source_plan = evolve(plan, receiver=receivers.get(name, plan.receiver))
-        watched = psutil.Process(forwarder.pid)
-        before = watched.cpu_times()
-        source, sink = await exchange(source_plan, sink_plan)
-        after = watched.cpu_times()
-        busy = (after.user + after.system) - (before.user + before.system)
+        process = psutil.Process(forwarder.pid)
+        before = process.cpu_times()
+        source, sink = await run_source_and_sink(source_plan, sink_plan)
+        after = process.cpu_times()
+        processor_seconds = (after.user + after.system) - (before.user + before.system)
         return Part(
             name=name,
             source=source,
             sink=sink,
-            processor_us=MICROSECONDS * busy / max(sink.received, 1),
-            resident_bytes=watched.memory_info().rss,
+            processor_us=MICROSECONDS_PER_SECOND
+            * processor_seconds
+            / max(sink.received, 1),
+            resident_bytes=process.memory_info().rss,
             labels=labels or {},
         )
 
 
-async def exchange(
+async def run_source_and_sink(
     source_plan: SourcePlan, sink_plan: SinkPlan
 ) -> tuple[SourceResult, SinkResult]:
-    """Run one source and one sink to their ends."""
-    sink = await open_tool("sink", _CONVERTER.dumps(sink_plan))
+    """Run a source and a sink until both exit, and return their results."""
+    sink = await start_tool("sink", _CONVERTER.dumps(sink_plan))
     await sink.stdout.readline()
-    source = await open_tool("source", _CONVERTER.dumps(source_plan))
+    source = await start_tool("source", _CONVERTER.dumps(source_plan))
     sent, _ = await source.communicate()
     received, _ = await sink.communicate()
     return (
@@ -266,8 +287,8 @@
     )
 
 
-async def open_tool(name: str, plan: str) -> asyncio.subprocess.Process:
-    """Start a process of the benchmark that prints its result."""
+async def start_tool(name: str, plan: str) -> asyncio.subprocess.Process:
+    """Start ``source`` or ``sink``, which prints its result as JSON."""
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_traffic.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_traffic.py
@@ -1,4 +1,4 @@
-"""What the processes of the datapath experiment tell each other."""
+"""Plans and results that the processes of the datapath experiment exchange."""
 
 from __future__ import annotations
 
@@ -8,12 +8,12 @@
 
 from daisygauge_records import Endpoint, Key
 
-STAMP_BYTES = 8
-"""Each packet ends with the monotonic time of its sending in nanoseconds."""
+SEND_TIME_BYTES = 8
+"""Each packet ends with the monotonic time, in nanoseconds, at which it was sent."""
 
 
 class TrafficKind(enum.Enum):
-    """What a source sends."""
+    """The kind of packets that a source sends."""
 
     ESTABLISHED = "established"
     """Packets of established flows to the outer socket."""
@@ -25,14 +25,18 @@
 
 @frozen(kw_only=True)
 class SourcePlan:
-    """What a source sends.
-
-    :param receiver: where packets go.
-    :param agent: the agent that connection IDs name.
-    :param caller: where replies are to end.
-    :param flows: distinct flows, taken in turn.
+    """The packets that a source sends.
+
+    :param receiver: address to which packets are sent.
+    :param agent: the agent that connection IDs and replies name.
+    :param caller: destination of replies, and the host to send from.
+    :param key: key for connection IDs and replies.
+    :param service: number of the service.
+    :param flows: number of distinct flows, used in turn.
     :param rate: packets a second, 0 for as many as possible.
+    :param seconds: how long to send.
     :param packet_bytes: length of each packet.
+    :param seed: seed of the connection IDs of first flights.
     """
 
     kind: TrafficKind
@@ -50,9 +54,11 @@
 
 @frozen(kw_only=True)
 class SourceResult:
-    """What a source has sent.
+    """The result of a source.
 
-    :param lateness_seconds: how far the sender was behind its plan at worst.
+    :param sent: number of packets.
+    :param seconds: how long the source sent.
+    :param lateness_seconds: the longest time by which it was behind its rate.
     """
 
     sent: int
@@ -62,11 +68,12 @@
 
 @frozen(kw_only=True)
 class SinkPlan:
-    """What a sink receives.
+    """How a sink receives packets.
 
-    :param trailer_bytes: bytes that follow the packet in each datagram.
+    :param address: address to receive on.
+    :param trailer_bytes: length of the trailer after the packet in each datagram.
     :param keep_delays: whether to measure the delay of each packet.
-    :param answer_key: with a key, first flights are answered as taken.
+    :param answer_key: key for replies that accept first flights; None for no replies.
     """
 
     address: Endpoint
@@ -77,10 +84,13 @@
 
 @frozen(kw_only=True)
 class SinkResult:
-    """What a sink has received.
+    """The result of a sink.
 
-    :param rate: packets a second between the first and the last one.
-    :param p50: median delay in seconds.
+    :param received: number of packets.
+    :param rate: packets a second between the first and the last packet.
+    :param p50: median delay in seconds; 0 if delays are not measured.
+    :param p99: 99th percentile of the delay in seconds.
+    :param p999: 99.9th percentile of the delay in seconds.
     """
 
     received: int
@@ -92,11 +102,14 @@
 
 @frozen(kw_only=True)
 class Part:
-    """One part of the experiment.
+    """The result of one part of the experiment.
 
+    :param name: path of the packets: ``direct``, ``bare``, or another name for the
+        balancer.
     :param processor_us: processor time of the forwarding process for each
         packet that arrived, in microseconds.
-    :param resident_bytes: memory of the forwarding process after the part.
+    :param resident_bytes: resident memory of the forwarding process after the part.
+    :param labels: parameters in which parts of the same name differ.
     """
 
     name: str
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/forwarder.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/forwarder.py
@@ -1,4 +1,4 @@
-"""A bare uvloop forwarder: what the event loop and the system alone cost.
+"""A bare uvloop forwarder, to measure the cost of the event loop and the system.
 
 usage: python -m daisygauge_ctl._bench.forwarder LISTEN_HOST:PORT SEND_HOST:PORT
 """
@@ -11,13 +11,14 @@
 
 import uvloop
 
-from ._sockets import open_socket, read_address
+from ._sockets import open_socket, parse_address
 
 
 class Forwarder(asyncio.DatagramProtocol):
-    """Sends each datagram on as it is.
+    """Forwards each datagram unchanged.
 
     :param outgoing: transport of the socket to send from.
+    :param receiver: address to which datagrams are forwarded.
     """
 
     def __init__(
@@ -27,12 +28,12 @@
         self.receiver = receiver
 
     def datagram_received(self, data: bytes, sender: tuple[str, int]) -> None:
-        """Send one datagram on."""
+        """Forward one datagram."""
         self.outgoing.sendto(data, self.receiver)
 
 
 async def forward(listen: tuple[str, int], receiver: tuple[str, int]) -> None:
-    """Forward until a signal comes."""
+    """Forward datagrams until the process receives SIGTERM."""
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
@@ -47,4 +48,4 @@
 
 
 if __name__ == "__main__":
-    uvloop.run(forward(read_address(sys.argv[1]), read_address(sys.argv[2])))
+    uvloop.run(forward(parse_address(sys.argv[1]), parse_address(sys.argv[2])))
