--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_agent.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_agent.py
@@ -166,8 +166,8 @@
         outcome = await caller.request(Request(path=path, deadline_seconds=120.0))
         if not isinstance(outcome, Answered) or len(outcome.body) != DOWNLOAD_BYTES:
             raise RuntimeError(
-                f"a download of {DOWNLOAD_BYTES} bytes failed: {outcome}; check that "
-                "the host and its upstream are running"
+                f"a download failed: {outcome}; check that the host and its upstream "
+                "are running"
             )
     seconds = time.monotonic() - started_at
     processor = meter.processor_seconds() - processor_before
--- a/testing/ctl/test_explain.py
+++ b/testing/ctl/test_explain.py
@@ -9,7 +9,7 @@
 OTHER = "100.64.0.8:40001>198.18.0.1:443"
 
 
-def line(at, name, **fields):
+def make_line(at, name, **fields):
     return json.dumps(
         {
             "event": 600,
@@ -23,7 +23,7 @@
     )
 
 
-def read(**processes):
+def read_logs(**processes):
     lines = [
         found
         for process, texts in processes.items()
@@ -33,15 +33,15 @@
 
 
 def test_a_request_is_followed_across_processes_in_order_of_time():
-    lines = read(
+    lines = read_logs(
         agent=[
-            line(2.0, "opening-taken", flow=FLOW),
-            line(3.0, "request-begun", flow=FLOW, request="r-1"),
-            line(4.0, "request-answered", flow=FLOW, request="r-1", seconds=1.0),
+            make_line(2.0, "opening-taken", flow=FLOW),
+            make_line(3.0, "request-begun", flow=FLOW, request="r-1"),
+            make_line(4.0, "request-answered", flow=FLOW, request="r-1", seconds=1.0),
         ],
         balancer=[
-            line(1.0, "opening-placed", flow=FLOW),
-            line(1.5, "opening-placed", flow=OTHER),
+            make_line(1.0, "opening-placed", flow=FLOW),
+            make_line(1.5, "opening-placed", flow=OTHER),
         ],
     )
 
@@ -69,20 +69,20 @@
     ],
 )
 def test_the_events_give_the_diagnosis(names, expected):
-    lines = read(
-        p=[line(n, name, flow=FLOW, request="r-1") for n, name in enumerate(names)]
+    lines = read_logs(
+        p=[make_line(n, name, flow=FLOW, request="r-1") for n, name in enumerate(names)]
     )
 
     assert expected in explain("r-1", lines)
 
 
 def test_state_changes_of_the_involved_processes_are_shown():
-    lines = read(
+    lines = read_logs(
         agent=[
-            line(1.0, "upstream-silent", upstream="10.0.0.1:80"),
-            line(1.5, "request-begun", flow=FLOW, request="r-1"),
+            make_line(1.0, "upstream-silent", upstream="10.0.0.1:80"),
+            make_line(1.5, "request-begun", flow=FLOW, request="r-1"),
         ],
-        idle=[line(1.2, "source-lost", source="platform")],
+        idle=[make_line(1.2, "source-lost", source="platform")],
     )
 
     explanation = explain("r-1", lines)
@@ -92,10 +92,10 @@
 
 
 def test_other_requests_of_the_flow_are_left_out():
-    lines = read(
+    lines = read_logs(
         agent=[
-            line(1.0, "request-begun", flow=FLOW, request="r-0"),
-            line(2.0, "request-begun", flow=FLOW, request="r-1"),
+            make_line(1.0, "request-begun", flow=FLOW, request="r-0"),
+            make_line(2.0, "request-begun", flow=FLOW, request="r-1"),
         ]
     )
 
@@ -103,18 +103,24 @@
 
 
 def test_a_flow_can_be_explained():
-    assert FLOW in explain(FLOW, read(agent=[line(1.0, "opening-taken", flow=FLOW)]))
+    assert FLOW in explain(
+        FLOW, read_logs(agent=[make_line(1.0, "opening-taken", flow=FLOW)])
+    )
 
 
 def test_an_unknown_id_has_no_explanation():
-    assert explain("r-9", read(agent=[line(1.0, "opening-taken", flow=FLOW)])) is None
+    assert (
+        explain("r-9", read_logs(agent=[make_line(1.0, "opening-taken", flow=FLOW)]))
+        is None
+    )
     assert "suppressed" in NO_DIAGNOSIS
 
 
 def test_prefixed_lines_are_read_and_other_text_is_skipped(tmp_path):
     path = tmp_path / "day.log"
     path.write_text(
-        f"  -1.5 side-a-1 {line(1.0, 'opening-taken', flow=FLOW)}\nno event\n{{}}\n"
+        f"  -1.5 side-a-1 {make_line(1.0, 'opening-taken', flow=FLOW)}\n"
+        "no event\n{}\n"
     )
 
     (found,) = read_log_files([str(path)])
