Name the inner socket's handler of load reports by the message

handle_load_report handles a received message and passes the report on to HostTracker.record_load_report; one name for both was ambiguous. Two texts of the placer say what happens to unanswered flights.

--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_events.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_events.py
@@ -105,7 +105,7 @@
     name="woke-late",
     level=Level.WARNING,
     text="The process did not run for a while; pending first flights are dropped and "
-    "no host is suspected for them. Check the instance for overload.",
+    "no host becomes suspect because of them. Check the instance for overload.",
     fields=("late_seconds", "dropped"),
 )
 
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
@@ -121,7 +121,7 @@
         """Record the load report in a probe and answer the probe."""
         host = self.hosts.get((datagram.service, sender))
         if host is not None and datagram.payload:
-            self.record_load_report(host.id, datagram)
+            self.handle_load_report(host.id, datagram)
         if not self.answers_probes:
             return
         answer = Datagram(
@@ -132,7 +132,7 @@
         )
         self.send(answer, sender)
 
-    def record_load_report(self, host: str, datagram: Datagram) -> None:
+    def handle_load_report(self, host: str, datagram: Datagram) -> None:
         """Record the load report that a probe carries."""
         try:
             report = decode_load_report(datagram.payload)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_placer.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_placer.py
@@ -306,7 +306,7 @@
             self.offer(flight, packet)
 
     def expire(self, *, now: float, time_now: float) -> None:
-        """Offer flights to the next candidate after ``ANSWER_TIMEOUT_SECONDS``.
+        """Offer unanswered flights to their next candidates; report the silent hosts.
 
         :param now: monotonic time in seconds.
         :param time_now: Unix time in seconds.
