Rename exported names of wire, records and the adapter

DerivedKeys gets reset_token_key, peer_call_key and peer_call_sealing_key, because these attributes are keys and not what is made with them; the purposes that the keys are derived with stay.

The bytes on the wire stay: members of PlacementStatus, whose names appear as reasons in logs and metrics, keep their names, and load reports and datagrams are packed by position.

Checked: lint; testing/wire, testing/records, testing/policy and testing/ctl (315 passed); mypy counts equal before and after (attr-defined 78, name-defined 15 in the sources; attr-defined 16 in the tests).

--- a/packages/daisygauge-control/src/daisygauge_control/_credentials.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_credentials.py
@@ -54,7 +54,7 @@
     def tag(self, key: DerivedKeys) -> str:
         """Return the keyed hash of the call."""
         text = "\n".join((self.method, self.sender, self.receiver, str(self.sent_ms)))
-        return hmac.new(key.peer_call, text.encode(), hashlib.sha256).hexdigest()
+        return hmac.new(key.peer_call_key, text.encode(), hashlib.sha256).hexdigest()
 
 
 def sign_call(call: Call, *, keys: KeyRing) -> dict[str, str]:
--- a/packages/daisygauge-control/src/daisygauge_control/_sealing.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_sealing.py
@@ -72,7 +72,7 @@
 
 
 def _cipher(key: DerivedKeys) -> AESGCM:
-    return AESGCM(key.peer_call_seal)
+    return AESGCM(key.peer_call_sealing_key)
 
 
 def size_of(sealed: Sealed) -> int:
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/sink.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/sink.py
@@ -17,7 +17,7 @@
     DerivedKeys,
     KeyRing,
     Kind,
-    PlacedStatus,
+    PlacementStatus,
     decode_datagram,
     encode_datagram,
     read_packet_header,
@@ -77,9 +77,9 @@
         offer = decode_datagram(data, keys=keys, now=time.time())
         header = read_packet_header(offer.payload)
         answer = Datagram(
-            kind=Kind.PLACED,
+            kind=Kind.PLACEMENT,
             service=offer.service,
-            status=PlacedStatus.ACCEPTED,
+            status=PlacementStatus.ACCEPTED,
             caller=offer.caller,
             payload=header.destination_id,
         )
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_acceptor.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_acceptor.py
@@ -16,8 +16,8 @@
     IssuedId,
     Route,
     RoutedConnection,
+    derive_reset_token,
     encode_connection_id,
-    reset_token,
 )
 
 from .._settings import TlsSettings
@@ -89,7 +89,7 @@
             incarnation=self.node.incarnation,
         )
         connection_id = encode_connection_id(route=route, key=key)
-        token = reset_token(connection_id, key=key)
+        token = derive_reset_token(connection_id, key=key)
         return IssuedId(connection_id=connection_id, reset_token=token)
 
     def accept(
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_dispatch.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_dispatch.py
@@ -15,7 +15,7 @@
     MalformedDatagramError,
     PacketHeader,
     PacketKind,
-    PlacedStatus,
+    PlacementStatus,
     decode_connection_id,
     decode_datagram,
     read_packet_header,
@@ -88,10 +88,10 @@
     def on_forward(self, datagram: Datagram) -> None:
         """Pass a caller's packet to its connection, or handle an unknown one."""
         if datagram.service != self.node.service_number:
-            self.refuse(datagram, status=PlacedStatus.WRONG_SERVICE)
+            self.refuse(datagram, status=PlacementStatus.WRONG_SERVICE)
             return
         if datagram.incarnation not in (ANY_INCARNATION, self.node.incarnation):
-            self.refuse(datagram, status=PlacedStatus.WRONG_INCARNATION)
+            self.refuse(datagram, status=PlacementStatus.WRONG_INCARNATION)
             return
         self.metrics.received.inc()
         self.node.last_balancer = datagram.sender
@@ -105,7 +105,7 @@
             return
         self.packet_handlers[header.kind](datagram, header)
 
-    def refuse(self, datagram: Datagram, *, status: PlacedStatus) -> None:
+    def refuse(self, datagram: Datagram, *, status: PlacementStatus) -> None:
         """Answer a packet for another service or another incarnation of this agent."""
         reason = status.name.lower()
         self.drop(datagram.sender, reason=reason)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_first_flights.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_first_flights.py
@@ -30,7 +30,7 @@
     Datagram,
     Kind,
     PacketHeader,
-    PlacedStatus,
+    PlacementStatus,
 )
 
 from . import _events as events
@@ -40,8 +40,8 @@
 from ._table import ConnectionTable
 
 REFUSAL_STATUSES = {
-    FlightReason.LEAVING: PlacedStatus.LEAVING,
-    FlightReason.FULL: PlacedStatus.FULL,
+    FlightReason.LEAVING: PlacementStatus.LEAVING,
+    FlightReason.FULL: PlacementStatus.FULL,
 }
 VERSION_NEGOTIATION = QuicPacketType.VERSION_NEGOTIATION
 
@@ -79,10 +79,10 @@
         connection = self.table.by_flight.get(flight_key)
         if connection is not None:
             connection.receive(datagram.payload, caller=datagram.caller)
-            self.report(datagram, flight_key[1], status=PlacedStatus.ACCEPTED)
+            self.report(datagram, flight_key[1], status=PlacementStatus.ACCEPTED)
             return
         if self.table.has_ended(flight_key, now=now):
-            self.report(datagram, flight_key[1], status=PlacedStatus.ACCEPTED)
+            self.report(datagram, flight_key[1], status=PlacementStatus.ACCEPTED)
             return
         passed = self.passed.find(make_memory_key(flight_key), now=now)
         if passed is not None and datagram.hops < MAX_HOPS:
@@ -92,7 +92,7 @@
             self.place(datagram, flight_key)
         else:
             # Without an answer the balancer would consider this host dead.
-            self.report(datagram, flight_key[1], status=PlacedStatus.IGNORED)
+            self.report(datagram, flight_key[1], status=PlacementStatus.IGNORED)
 
     def may_open_connection(self, datagram: Datagram) -> bool:
         """Return whether a packet may open a connection.
@@ -142,7 +142,7 @@
                 connection = self.accept(datagram, flight_key)
                 connection.receive(datagram.payload, caller=datagram.caller)
                 self.count("accepted")
-                self.report(datagram, flight_key[1], status=PlacedStatus.ACCEPTED)
+                self.report(datagram, flight_key[1], status=PlacementStatus.ACCEPTED)
                 self.node.log.write(
                     events.FLIGHT_ACCEPTED,
                     caller=str(datagram.caller),
@@ -187,14 +187,14 @@
             incarnation=ANY_INCARNATION,
         )
         self.node.send(forwarded, receiver=decision.target)
-        self.report(datagram, flight_key[1], status=PlacedStatus.PASSED_ON)
+        self.report(datagram, flight_key[1], status=PlacementStatus.PASSED_ON)
 
     def report(
-        self, datagram: Datagram, caller_id: bytes, *, status: PlacedStatus
+        self, datagram: Datagram, caller_id: bytes, *, status: PlacementStatus
     ) -> None:
         """Report the result of a first flight to its balancer."""
         answer = Datagram(
-            kind=Kind.PLACED,
+            kind=Kind.PLACEMENT,
             service=datagram.service,
             incarnation=self.node.incarnation,
             status=status,
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_reset.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_reset.py
@@ -4,7 +4,7 @@
 
 import os
 
-from daisygauge_wire import DerivedKeys, reset_token
+from daisygauge_wire import DerivedKeys, derive_reset_token
 
 MIN_RESET_BYTES = 21
 MAX_RESET_BYTES = 43
@@ -29,4 +29,4 @@
         return None
     unpredictable = bytearray(os.urandom(size - TOKEN_BYTES))
     unpredictable[0] = unpredictable[0] & _SHORT_HEADER_MASK | _FIXED_BIT
-    return bytes(unpredictable) + reset_token(connection_id, key=key)
+    return bytes(unpredictable) + derive_reset_token(connection_id, key=key)
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_streams.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_streams.py
@@ -91,7 +91,7 @@
 
     def is_full(self) -> bool:
         """Return whether more than ``MAX_UNSENT_BYTES`` wait to be sent."""
-        unsent = self.connection.quic.unsent_bytes(self.stream_id)
+        unsent = self.connection.quic.unacknowledged_bytes(self.stream_id)
         return unsent > MAX_UNSENT_BYTES
 
     def resume(self) -> None:
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
@@ -56,7 +56,7 @@
         self.answers_probes = True
         self.transport: asyncio.DatagramTransport | None = None
         self.handlers: dict[Kind, Callable[[Datagram, Endpoint], None]] = {
-            Kind.PLACED: self.take_placed,
+            Kind.PLACEMENT: self.take_placed,
             Kind.PROBE: self.take_probe,
         }
 
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_outer.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_outer.py
@@ -14,7 +14,7 @@
     DerivedKeys,
     ForwardEncoder,
     KeyRing,
-    open_connection_id,
+    decrypt_connection_id,
     pack_endpoint,
     read_destination_id,
     read_packet_header,
@@ -81,7 +81,7 @@
     def handle_datagram(self, data: bytes, caller: tuple[str, int]) -> None:
         """Handle one packet from a caller as the packet table says."""
         destination_id = read_destination_id(data)
-        route = open_connection_id(destination_id, keys=self.keys)
+        route = decrypt_connection_id(destination_id, keys=self.keys)
         if route is None:
             self.take_unrouted(data, caller)
             return
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_placer.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_placer.py
@@ -9,7 +9,7 @@
 from daisygauge_control import ConfigurationView
 from daisygauge_policy import PlacementTable, make_flow_key
 from daisygauge_records import Endpoint, Placement, Service
-from daisygauge_wire import Datagram, Kind, PlacedStatus
+from daisygauge_wire import Datagram, Kind, PlacementStatus
 
 from .._events import EventLog
 from . import _events as events
@@ -19,9 +19,11 @@
 
 SERVICE_NUMBER_BYTES = 2
 SETTLED = frozenset(
-    {PlacedStatus.ACCEPTED, PlacedStatus.PASSED_ON, PlacedStatus.IGNORED}
+    {PlacementStatus.ACCEPTED, PlacementStatus.PASSED_ON, PlacementStatus.IGNORED}
+)
+MISADDRESSED = frozenset(
+    {PlacementStatus.WRONG_SERVICE, PlacementStatus.WRONG_INCARNATION}
 )
-MISADDRESSED = frozenset({PlacedStatus.WRONG_SERVICE, PlacedStatus.WRONG_INCARNATION})
 
 
 @frozen(kw_only=True)
--- a/packages/daisygauge-policy/src/daisygauge_policy/_first_flight.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_first_flight.py
@@ -102,7 +102,11 @@
 ) -> Endpoint:
     """Return the least filled target, or the first if none has a load report."""
     reported = [target for target in targets if target in reports]
-    return min(reported, key=lambda target: reports[target].fill, default=targets[0])
+    return min(
+        reported,
+        key=lambda target: reports[target].connection_utilization,
+        default=targets[0],
+    )
 
 
 def _is_better(
@@ -110,7 +114,7 @@
 ) -> bool:
     match placement:
         case RendezvousPlacement(pass_margin=float() as margin) if peer is not None:
-            allowed = peer.fill * (1.0 + margin) * own.max_connections
+            allowed = peer.connection_utilization * (1.0 + margin) * own.max_connections
             return own.connections > allowed + CONNECTION_SLACK
     return False
 
--- a/packages/daisygauge-policy/src/daisygauge_policy/_hand_off.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_hand_off.py
@@ -173,7 +173,7 @@
 
 
 def _requests_per_slot(report: LoadReport, *, sent: int = 0) -> float:
-    return (report.recent + report.running + sent) / max(report.slots, 1)
+    return (report.recent_completions + report.running + sent) / max(report.slots, 1)
 
 
 def _measure_fleet(own: LoadReport, peers: Sequence[PeerLoad]) -> FleetLoad:
--- a/packages/daisygauge-records/src/daisygauge_records/__init__.py
+++ b/packages/daisygauge-records/src/daisygauge_records/__init__.py
@@ -2,10 +2,10 @@
 
 from ._errors import (
     DocumentError,
+    InvalidValueError,
     Problem,
     RecordError,
     SettingsError,
-    ValueRefusedError,
 )
 from ._instances import Instance, Role
 from ._merge import (
@@ -70,7 +70,7 @@
     "Spec",
     "Unchanged",
     "Upstream",
-    "ValueRefusedError",
+    "InvalidValueError",
     "WorthQueue",
     "load_settings",
     "merge_records",
--- a/packages/daisygauge-records/src/daisygauge_records/_errors.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_errors.py
@@ -47,7 +47,7 @@
     """A settings file that is refused."""
 
 
-class ValueRefusedError(ValueError):
+class InvalidValueError(ValueError):
     """A value that its field does not take.
 
     :param problems: the faults, with paths relative to the refused value.
@@ -58,6 +58,6 @@
         super().__init__(" | ".join(str(problem) for problem in self.problems))
 
     @classmethod
-    def of(cls, message: str, *, remedy: str, path: str = "") -> ValueRefusedError:
+    def of(cls, message: str, *, remedy: str, path: str = "") -> InvalidValueError:
         """Refuse a value for one reason."""
         return cls([Problem(path=path, message=message, remedy=remedy)])
--- a/packages/daisygauge-records/src/daisygauge_records/_parse.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_parse.py
@@ -8,7 +8,7 @@
 import attrs
 import orjson
 
-from ._errors import Problem, RecordError, ValueRefusedError
+from ._errors import InvalidValueError, Problem, RecordError
 from ._models import Key, Record, Service, Spec, Upstream
 from ._rules import is_id
 from ._schema_1 import FIELD_NAMES, Key1, Service1, Upstream1, convert
@@ -56,7 +56,7 @@
     """
     try:
         envelope = _read_envelope(value)
-    except ValueRefusedError as error:
+    except InvalidValueError as error:
         raise RecordError(name=name, problems=error.problems) from None
     name = f"{envelope.kind}/{envelope.id}"
     try:
@@ -69,7 +69,7 @@
             digest=_digest(envelope),
             document=_canonical(attrs.asdict(envelope, recurse=False)),
         )
-    except ValueRefusedError as error:
+    except InvalidValueError as error:
         raise RecordError(name=name, problems=error.problems) from None
 
 
@@ -99,7 +99,7 @@
         if not holds
     ]
     if problems:
-        raise ValueRefusedError(problems)
+        raise InvalidValueError(problems)
     return envelope
 
 
@@ -115,7 +115,7 @@
     spec = envelope.spec
     model = KINDS[envelope.kind]
     if isinstance(spec, dict) and "id" in spec:
-        raise ValueRefusedError.of(
+        raise InvalidValueError.of(
             "the field is unknown",
             remedy="write the id beside kind and revision, not in the spec",
             path="spec.id",
@@ -129,8 +129,8 @@
     try:
         converted = convert(id=envelope.id, spec=flat)
         return structure(unstructure(converted), type(converted))
-    except ValueRefusedError as error:
-        raise ValueRefusedError(
+    except InvalidValueError as error:
+        raise InvalidValueError(
             [_name_schema_1_field(problem) for problem in error.problems]
         ) from None
 
@@ -147,7 +147,7 @@
     try:
         return orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
     except orjson.JSONEncodeError as error:
-        raise ValueRefusedError.of(
+        raise InvalidValueError.of(
             str(error), remedy="use numbers of 64 bits and valid text", path="$"
         ) from None
 
--- a/packages/daisygauge-records/src/daisygauge_records/_schema_1.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_schema_1.py
@@ -6,7 +6,7 @@
 
 from attrs import field, frozen
 
-from ._errors import ValueRefusedError
+from ._errors import InvalidValueError
 from ._models import (
     DEFAULT_DEADLINE_SECONDS,
     DEFAULT_MAX_CONNECTIONS,
@@ -98,7 +98,7 @@
 def convert(*, id: str, spec: Spec1) -> Service | Upstream | Key:
     """Convert a spec of schema version 1 into the effective model.
 
-    :raises ValueRefusedError: naming the field of schema version 1 at fault.
+    :raises InvalidValueError: naming the field of schema version 1 at fault.
     """
     match spec:
         case Service1():
@@ -126,7 +126,7 @@
 def _convert_class(index: int, spec: RequestClass1) -> RequestClass:
     method, separator, path_prefix = spec.match.partition(" ")
     if not separator:
-        raise ValueRefusedError.of(
+        raise InvalidValueError.of(
             f"{spec.match!r} is not acceptable",
             remedy="write a method, a space and a path prefix, such as 'GET /feed'",
             path=f"classes[{index}].match",
@@ -167,7 +167,7 @@
 def _select(field_name: str, name: str, table: dict[str, Choice]) -> Choice:
     if name in table:
         return table[name]
-    raise ValueRefusedError.of(
+    raise InvalidValueError.of(
         f"{name!r} is unknown",
         remedy=f"use one of {sorted(table)}",
         path=field_name,
--- a/packages/daisygauge-records/src/daisygauge_records/_settings.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_settings.py
@@ -7,7 +7,7 @@
 
 import json5
 
-from ._errors import Problem, SettingsError, ValueRefusedError
+from ._errors import InvalidValueError, Problem, SettingsError
 from ._structure import structure
 
 Model = TypeVar("Model")
@@ -39,7 +39,7 @@
         raise _refuse(name, str(error), "write JSON with comments") from None
     try:
         return structure(value, model)
-    except ValueRefusedError as error:
+    except InvalidValueError as error:
         raise SettingsError(name=name, problems=error.problems) from None
 
 
--- a/packages/daisygauge-records/src/daisygauge_records/_structure.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_structure.py
@@ -15,7 +15,7 @@
 )
 from cattrs.gen import make_dict_structure_fn
 
-from ._errors import Problem, ValueRefusedError
+from ._errors import InvalidValueError, Problem
 from ._models import (
     FifoQueue,
     HandOff,
@@ -55,9 +55,9 @@
 }
 
 
-def _refuse(value: object, *, expected: str) -> ValueRefusedError:
+def _refuse(value: object, *, expected: str) -> InvalidValueError:
     shown = type(value).__name__ if isinstance(value, (dict, list)) else repr(value)
-    return ValueRefusedError.of(f"{shown} has the wrong type", remedy=f"use {expected}")
+    return InvalidValueError.of(f"{shown} has the wrong type", remedy=f"use {expected}")
 
 
 def _structure_scalar(value: Any, kind: type) -> Any:
@@ -80,7 +80,7 @@
         raise _refuse(value, expected='an object with a "type"')
     tag = value.get("type")
     if not isinstance(tag, str) or tag not in variants:
-        raise ValueRefusedError.of(
+        raise InvalidValueError.of(
             f"{tag!r} is unknown", remedy=f"use one of {sorted(variants)}", path="type"
         )
     fields = {name: item for name, item in value.items() if name != "type"}
@@ -101,7 +101,7 @@
         made = plain(value, model)
         problems = check_rules(made)
         if problems:
-            raise ValueRefusedError(problems)
+            raise InvalidValueError(problems)
         return made
 
     return structure_model
@@ -125,10 +125,10 @@
     for index, value in enumerate(values):
         try:
             items.append(structure(value, kind, path=f"[{index}]"))
-        except ValueRefusedError as error:
+        except InvalidValueError as error:
             problems.extend(error.problems)
     if problems:
-        raise ValueRefusedError(problems)
+        raise InvalidValueError(problems)
     return items
 
 
@@ -161,17 +161,17 @@
     is reported, not only the first.
 
     :param path: where the value stands in its document.
-    :raises ValueRefusedError: with the path and remedy of every fault.
+    :raises InvalidValueError: with the path and remedy of every fault.
     """
     try:
         return _CONVERTER.structure(value, model)
     except (ValueError, BaseValidationError) as error:
-        raise ValueRefusedError(tuple(_walk(error, path))) from None
+        raise InvalidValueError(tuple(_walk(error, path))) from None
 
 
 def _walk(error: BaseException, path: str) -> Iterator[Problem]:
     match error:
-        case ValueRefusedError():
+        case InvalidValueError():
             for problem in error.problems:
                 yield attrs.evolve(problem, path=_join(path, problem.path))
         case ForbiddenExtraKeysError():
--- a/packages/daisygauge-wire/src/daisygauge_wire/_connection_id.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_connection_id.py
@@ -68,7 +68,7 @@
     return body + key.connection_id_tag(body)
 
 
-def open_connection_id(
+def decrypt_connection_id(
     connection_id: bytes, *, keys: Mapping[int, DerivedKeys]
 ) -> bytes | None:
     """Check a connection ID and decrypt its routing part, building no model.
@@ -99,7 +99,7 @@
 
     :return: None for an ID that no key in force has issued.
     """
-    block = open_connection_id(connection_id, keys=keys.accepted(now=now))
+    block = decrypt_connection_id(connection_id, keys=keys.accepted(now=now))
     if block is None:
         return None
     host, port, service, incarnation, _ = _ROUTE.unpack(block)
@@ -110,8 +110,8 @@
     )
 
 
-def reset_token(connection_id: bytes, *, key: DerivedKeys) -> bytes:
+def derive_reset_token(connection_id: bytes, *, key: DerivedKeys) -> bytes:
     """Derive the stateless reset token of a connection ID (RFC 9000, 10.3.2)."""
     return hashlib.blake2b(
-        connection_id, key=key.reset_token, digest_size=RESET_TOKEN_BYTES
+        connection_id, key=key.reset_token_key, digest_size=RESET_TOKEN_BYTES
     ).digest()
--- a/packages/daisygauge-wire/src/daisygauge_wire/_datagram.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_datagram.py
@@ -37,7 +37,7 @@
     """A caller's packet on its way to an agent."""
     REPLY = 2
     """A packet for a caller on its way to a balancer."""
-    PLACED = 3
+    PLACEMENT = 3
     """What an agent did with a first flight; the payload is the caller's ID."""
     PROBE = 4
     """An agent asks whether a balancer is alive; the payload is a load report."""
@@ -47,7 +47,7 @@
     """The load of one agent, for its peers; the payload is a load report."""
 
 
-class PlacedStatus(enum.IntEnum):
+class PlacementStatus(enum.IntEnum):
     """What became of a first flight."""
 
     NONE = 0
@@ -79,7 +79,7 @@
     kind: Kind
     service: int = 0
     incarnation: int = ANY_INCARNATION
-    status: PlacedStatus = PlacedStatus.NONE
+    status: PlacementStatus = PlacementStatus.NONE
     hops: int = 0
     caller: Endpoint = NO_ENDPOINT
     address: Endpoint = NO_ENDPOINT
@@ -181,7 +181,7 @@
             kind=Kind(kind),
             service=service,
             incarnation=incarnation,
-            status=PlacedStatus(status),
+            status=PlacementStatus(status),
             hops=hops,
             caller=Endpoint(host=inet_ntoa(caller), port=caller_port),
             address=Endpoint(host=inet_ntoa(address), port=address_port),
--- a/packages/daisygauge-wire/src/daisygauge_wire/_fast_path.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_fast_path.py
@@ -20,7 +20,7 @@
     VERSION,
     Kind,
     MalformedDatagramError,
-    PlacedStatus,
+    PlacementStatus,
     has_valid_tag,
 )
 from ._keyring import DerivedKeys
@@ -54,7 +54,9 @@
     def __init__(
         self, *, address: Endpoint, sender: Endpoint, key: DerivedKeys
     ) -> None:
-        self.start = bytes([VERSION, Kind.FORWARD, key.number, PlacedStatus.NONE, 0, 0])
+        self.start = bytes(
+            [VERSION, Kind.FORWARD, key.number, PlacementStatus.NONE, 0, 0]
+        )
         self.end = pack_endpoint(address.host, address.port) + pack_endpoint(
             sender.host, sender.port
         )
--- a/packages/daisygauge-wire/src/daisygauge_wire/_keyring.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_keyring.py
@@ -60,13 +60,13 @@
             ),
             size=DATAGRAM_TAG_BYTES,
         )
-        self.reset_token = derive_key(
+        self.reset_token_key = derive_key(
             secret=secret, purpose=b"reset-token", size=DERIVED_KEY_BYTES
         )
-        self.peer_call = derive_key(
+        self.peer_call_key = derive_key(
             secret=secret, purpose=b"peer-call", size=DERIVED_KEY_BYTES
         )
-        self.peer_call_seal = derive_key(
+        self.peer_call_sealing_key = derive_key(
             secret=secret, purpose=b"peer-call-seal", size=DERIVED_KEY_BYTES
         )
         block_key = derive_key(secret=secret, purpose=b"cid-aes", size=CIPHER_KEY_BYTES)
--- a/packages/daisygauge-wire/src/daisygauge_wire/_load_report.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_load_report.py
@@ -23,7 +23,8 @@
     :param service_seconds: smoothed time of a short request in its slot.
     :param ready: False until the upstream answers its health check.
     :param sequence: grows with every load report of one incarnation.
-    :param recent: short requests completed lately, older ones counting less.
+    :param recent_completions: recently completed short requests, with a weight
+        that decays with their age.
     """
 
     slots: int
@@ -35,7 +36,7 @@
     leaving: bool
     ready: bool
     sequence: int
-    recent: float = 0.0
+    recent_completions: float = 0.0
 
     @property
     def backlog(self) -> float:
@@ -43,7 +44,7 @@
         return (self.running + self.waiting) / max(self.slots, 1)
 
     @property
-    def fill(self) -> float:
+    def connection_utilization(self) -> float:
         """Open connections as a share of the allowed number."""
         return self.connections / max(self.max_connections, 1)
 
@@ -60,7 +61,7 @@
         report.service_seconds,
         flags,
         report.sequence & 0xFFFFFFFF,
-        report.recent,
+        report.recent_completions,
     )
 
 
@@ -85,5 +86,5 @@
         leaving=bool(flags & _LEAVING),
         ready=bool(flags & _READY),
         sequence=sequence,
-        recent=recent,
+        recent_completions=recent,
     )
--- a/packages/daisygauge-wire/src/daisygauge_wire/_quic.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_quic.py
@@ -85,7 +85,7 @@
         frame.push_uint_var(stream.max_stream_data_local)
         stream.max_stream_data_local_sent = stream.max_stream_data_local
 
-    def unsent_bytes(self, stream_id: int) -> int:
+    def unacknowledged_bytes(self, stream_id: int) -> int:
         """Bytes of a stream that the caller has not acknowledged yet."""
         stream = self._streams.get(stream_id)
         if stream is None:
--- a/testing/adapter/test_packets.py
+++ b/testing/adapter/test_packets.py
@@ -5,7 +5,7 @@
     ACK,
     BOUNCED,
     FIN,
-    HEAD,
+    HEADER,
     RST,
     SYN,
     PlatformCodec,
@@ -39,7 +39,7 @@
 
 
 def test_both_directions_name_the_same_flow():
-    answer = HEAD.pack(9, 1, 0, SYN | ACK, 0, FLOW[:6], FLOW[6:], 1)
+    answer = HEADER.pack(9, 1, 0, SYN | ACK, 0, FLOW[:6], FLOW[6:], 1)
 
     packet = CODEC.read_from_upstream(answer)
 
@@ -61,7 +61,7 @@
     dst, src, flags, seq, ack, sum, data
 ):
     flags &= ~BOUNCED
-    sent = HEAD.pack(seq, ack, len(data), flags, 0, dst, src, sum) + data
+    sent = HEADER.pack(seq, ack, len(data), flags, 0, dst, src, sum) + data
     marked = bytearray(sent)
     marked[10] |= BOUNCED
     marked[11:15] = b"echo"
@@ -75,13 +75,13 @@
         try:
             assert len(read(data).flow) == 12
         except MalformedPacketError:
-            assert len(data) < HEAD.size
+            assert len(data) < HEADER.size
 
 
 @given(st.binary(max_size=300))
 def test_any_data_has_a_request_id_or_none(data):
     found = CODEC.find_request_id(
-        HEAD.pack(0, 0, 0, 0, 0, bytes(6), bytes(6), 0) + data
+        HEADER.pack(0, 0, 0, 0, 0, bytes(6), bytes(6), 0) + data
     )
 
     assert found is None or len(found) <= 64
@@ -89,7 +89,7 @@
 
 @pytest.mark.parametrize("method", ["GET", "POST"])
 def test_the_id_of_a_request_is_found(method):
-    head = HEAD.pack(0, 0, 0, ACK, 0, bytes(6), bytes(6), 0)
+    head = HEADER.pack(0, 0, 0, ACK, 0, bytes(6), bytes(6), 0)
     data = f"{method} / HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: abc123\r\n\r\n".encode()
 
     assert CODEC.find_request_id(head + data) == "abc123"
--- a/testing/agent/fakes.py
+++ b/testing/agent/fakes.py
@@ -124,7 +124,7 @@
                 self.replies += 1
                 caller = datagram.caller
                 self.send_to_caller(datagram.payload, (caller.host, caller.port))
-            case Kind.PLACED:
+            case Kind.PLACEMENT:
                 self.statuses.append(datagram.status)
             case Kind.PROBE:
                 answer = Datagram(kind=Kind.PROBE_ANSWER, sender=self.inner_endpoint)
--- a/testing/agent/test_datagrams.py
+++ b/testing/agent/test_datagrams.py
@@ -8,10 +8,10 @@
 from daisygauge_wire import (
     Datagram,
     Kind,
-    PlacedStatus,
+    PlacementStatus,
     Route,
+    derive_reset_token,
     encode_connection_id,
-    reset_token,
 )
 
 from .fakes import HOST, KEYS
@@ -56,7 +56,7 @@
     forward(balancer, agent, packet, incarnation=old)
     await wait_until(lambda: replies)
 
-    assert replies[0].endswith(reset_token(connection_id, key=KEY))
+    assert replies[0].endswith(derive_reset_token(connection_id, key=KEY))
     assert len(replies[0]) < len(packet)
 
 
@@ -81,7 +81,7 @@
     forward(balancer, agent, flight, service=4)
     await wait_until(lambda: balancer.statuses)
 
-    assert balancer.statuses == [PlacedStatus.WRONG_SERVICE]
+    assert balancer.statuses == [PlacementStatus.WRONG_SERVICE]
     assert len(agent.table) == 0
 
 
--- a/testing/agent/test_unusable_first_flights.py
+++ b/testing/agent/test_unusable_first_flights.py
@@ -11,7 +11,7 @@
 from daisygauge_wire import (
     Datagram,
     Kind,
-    PlacedStatus,
+    PlacementStatus,
     decode_datagram,
     encode_datagram,
 )
@@ -29,7 +29,7 @@
 
     def datagram_received(self, data, sender):
         datagram = decode_datagram(data, keys=KEYS, now=NOW)
-        if datagram.kind is Kind.PLACED:
+        if datagram.kind is Kind.PLACEMENT:
             self.placed.put_nowait(datagram)
 
 
@@ -66,4 +66,4 @@
     transport.close()
 
     assert answer.payload == b"callerid"
-    assert answer.status is PlacedStatus.IGNORED
+    assert answer.status is PlacementStatus.IGNORED
--- a/testing/daemon/datapath.py
+++ b/testing/daemon/datapath.py
@@ -101,7 +101,11 @@
         payload = read_caller_id(offer)
         self.send_datagram(
             evolve(
-                offer, kind=Kind.PLACED, status=status, candidates=(), payload=payload
+                offer,
+                kind=Kind.PLACEMENT,
+                status=status,
+                candidates=(),
+                payload=payload,
             ),
             receiver,
         )
--- a/testing/daemon/test_balancer.py
+++ b/testing/daemon/test_balancer.py
@@ -4,7 +4,7 @@
 from attrs import evolve
 
 from daisygauge_records import Endpoint
-from daisygauge_wire import Datagram, Kind, PlacedStatus, Route, encode_connection_id
+from daisygauge_wire import Datagram, Kind, PlacementStatus, Route, encode_connection_id
 
 from .datapath import (
     KEYS,
@@ -54,7 +54,7 @@
 ):
     caller.send(first_flight(), address)
     offer = await agent.receive_datagram()
-    agent.answer(offer, PlacedStatus.ACCEPTED, balancer.local)
+    agent.answer(offer, PlacementStatus.ACCEPTED, balancer.local)
     while len(balancer.placer.pending):
         await asyncio.sleep(0)
 
--- a/testing/daemon/test_balancer_fuzz.py
+++ b/testing/daemon/test_balancer_fuzz.py
@@ -12,7 +12,7 @@
     Datagram,
     KeyRing,
     Kind,
-    PlacedStatus,
+    PlacementStatus,
     Route,
     encode_connection_id,
     encode_datagram,
@@ -92,7 +92,7 @@
     lambda rng: resigned(rng, kind=Kind.FORWARD),
     lambda rng: resigned(rng, kind=Kind.LOAD_REPORT),
     lambda rng: resigned(rng, kind=Kind.PROBE_ANSWER),
-    lambda rng: resigned(rng, kind=Kind.PLACED, payload=rng.randbytes(300)),
+    lambda rng: resigned(rng, kind=Kind.PLACEMENT, payload=rng.randbytes(300)),
     lambda rng: resigned(rng, candidates=(STRANGER.agent,)),
 )
 
@@ -131,7 +131,7 @@
         datagram = await agent.receive_datagram()
         if datagram.incarnation != ANY_INCARNATION:
             return datagram
-        agent.answer(datagram, PlacedStatus.IGNORED, balancer.local)
+        agent.answer(datagram, PlacementStatus.IGNORED, balancer.local)
 
 
 async def check_flow(number, flow, balancer, caller, agent, address):
--- a/testing/daemon/test_placer.py
+++ b/testing/daemon/test_placer.py
@@ -6,7 +6,7 @@
 from daisygauge_daemon._balancer._placer import Placer
 from daisygauge_daemon._events import EventLog
 from daisygauge_records import Endpoint, Instance, Role
-from daisygauge_wire import Kind, LoadReport, PlacedStatus
+from daisygauge_wire import Kind, LoadReport, PlacementStatus
 
 from .datapath import NOW, first_flight, make_service, make_upstream, make_view
 
@@ -56,7 +56,7 @@
 
 def answer(placer, sent, status, *, now=0.0):
     offer, agent = sent[-1]
-    reply = evolve(offer, kind=Kind.PLACED, status=status, payload=b"callerid")
+    reply = evolve(offer, kind=Kind.PLACEMENT, status=status, payload=b"callerid")
     placer.take_answer(reply, agent=agent, now=now, time_now=NOW + now)
 
 
@@ -72,7 +72,8 @@
 
 
 @pytest.mark.parametrize(
-    "status", [PlacedStatus.ACCEPTED, PlacedStatus.PASSED_ON, PlacedStatus.IGNORED]
+    "status",
+    [PlacementStatus.ACCEPTED, PlacementStatus.PASSED_ON, PlacementStatus.IGNORED],
 )
 def test_a_flow_that_was_settled_is_forgotten(placer, sent, status):
     place(placer)
@@ -97,7 +98,8 @@
 
 
 @pytest.mark.parametrize(
-    "status", [PlacedStatus.LEAVING, PlacedStatus.FULL, PlacedStatus.WRONG_INCARNATION]
+    "status",
+    [PlacementStatus.LEAVING, PlacementStatus.FULL, PlacementStatus.WRONG_INCARNATION],
 )
 def test_a_refused_flow_goes_to_the_next_candidate_at_once(placer, sent, status):
     place(placer)
@@ -113,7 +115,10 @@
     placer.expire(now=ANSWER_SECONDS, time_now=NOW)
 
     late = evolve(
-        first_offer, kind=Kind.PLACED, status=PlacedStatus.FULL, payload=b"callerid"
+        first_offer,
+        kind=Kind.PLACEMENT,
+        status=PlacementStatus.FULL,
+        payload=b"callerid",
     )
     placer.take_answer(late, agent=first_agent, now=0.4, time_now=NOW)
 
@@ -124,7 +129,7 @@
     place(placer)
 
     for _ in range(SERVICE.placement.candidates):
-        answer(placer, sent, PlacedStatus.FULL)
+        answer(placer, sent, PlacementStatus.FULL)
 
     assert len(sent) == SERVICE.placement.candidates
     assert placer.counts.placements["unplaced"] == 1
@@ -138,8 +143,8 @@
         if agent != silent:
             reply = evolve(
                 offer,
-                kind=Kind.PLACED,
-                status=PlacedStatus.ACCEPTED,
+                kind=Kind.PLACEMENT,
+                status=PlacementStatus.ACCEPTED,
                 payload=offer.payload[6:14],
             )
             placer.take_answer(reply, agent=agent, now=0.1, time_now=NOW)
--- a/testing/policy/queue_model.py
+++ b/testing/policy/queue_model.py
@@ -56,7 +56,7 @@
             leaving=False,
             ready=True,
             sequence=self.sequence,
-            recent=self.recent.count(now=now),
+            recent_completions=self.recent.count(now=now),
         )
 
     def slot_use(self):
--- a/testing/policy/test_hand_off.py
+++ b/testing/policy/test_hand_off.py
@@ -86,7 +86,7 @@
 reports_strategy = st.builds(
     lambda running, waiting, seconds, leaving, ready, recent: evolve(
         REPORT,
-        recent=recent,
+        recent_completions=recent,
         running=running,
         waiting=waiting,
         service_seconds=seconds,
@@ -123,22 +123,31 @@
 
 
 def test_a_host_that_did_more_than_its_share_hands_off_to_an_idle_peer():
-    own = evolve(IDLE, recent=60.0)
-    busy, idler = evolve(REPORT, recent=40.0), evolve(IDLE, recent=42.0)
+    own = evolve(IDLE, recent_completions=60.0)
+    busy, idler = (
+        evolve(REPORT, recent_completions=40.0),
+        evolve(IDLE, recent_completions=42.0),
+    )
 
     assert choose(own, busy, idler).peer == "host-1"
 
 
 def test_a_host_keeps_requests_when_the_peers_did_nearly_as_much():
-    assert choose(evolve(IDLE, recent=51.0), evolve(IDLE, recent=49.0)) == (
-        KeepRequest()
+    assert (
+        choose(
+            evolve(IDLE, recent_completions=51.0), evolve(IDLE, recent_completions=49.0)
+        )
+        == KeepRequest()
     )
 
 
 def test_a_slow_peer_gets_no_requests_for_having_done_less():
-    own = evolve(IDLE, recent=60.0)
+    own = evolve(IDLE, recent_completions=60.0)
 
-    assert choose(own, evolve(IDLE, recent=5.0, service_seconds=0.5)) == KeepRequest()
+    assert (
+        choose(own, evolve(IDLE, recent_completions=5.0, service_seconds=0.5))
+        == KeepRequest()
+    )
 
 
 def test_agents_with_the_same_load_reports_do_not_all_choose_one_peer():
--- a/testing/relay/network.py
+++ b/testing/relay/network.py
@@ -22,7 +22,7 @@
 from daisygauge_platform._packets import (
     ACK,
     BOUNCED,
-    HEAD,
+    HEADER,
     RST,
     SYN,
     PlatformCodec,
@@ -45,7 +45,7 @@
 
 
 def pack_packet(source, target, *, flags=0, sequence=0, acknowledged=0, data=b""):
-    head = HEAD.pack(
+    head = HEADER.pack(
         sequence, acknowledged, len(data), flags, 0, pack_end(*target),
         pack_end(*source), 77,
     )  # fmt: skip
@@ -139,7 +139,7 @@
     def receive(self, data):
         if self.is_dark:
             return
-        seq, ack, length, flags, _, dst, src, _ = HEAD.unpack_from(data)
+        seq, ack, length, flags, _, dst, src, _ = HEADER.unpack_from(data)
         assert not flags & BOUNCED
         flow = self.flows.get(src + dst)
         if flags & SYN:
@@ -149,7 +149,7 @@
             self.give_back(data)
         elif length:
             flow.requests += 1
-            self.queue.append((src, dst, ack, data[HEAD.size :]))
+            self.queue.append((src, dst, ack, data[HEADER.size :]))
             self.start()
 
     def open(self, src, dst, flow, data):
@@ -191,7 +191,7 @@
         self.network.from_host(self.address, bytes(head))
 
     def send(self, source, target, *, flags, sequence, data=b""):
-        head = HEAD.pack(sequence, 1, len(data), flags, 0, target, source, 5)
+        head = HEADER.pack(sequence, 1, len(data), flags, 0, target, source, 5)
         self.network.from_host(self.address, head + data)
 
 
@@ -251,13 +251,13 @@
         self.network.to_balancer(balancer, data)
 
     def receive(self, data):
-        seq, _, length, flags, *_ = HEAD.unpack_from(data)
+        seq, _, length, flags, *_ = HEADER.unpack_from(data)
         if flags & RST:
             self.resets += 1
         elif flags & SYN and not self.is_open:
             self.host_sequence = seq
         elif length:
-            self.received.append(data[HEAD.size :])
+            self.received.append(data[HEADER.size :])
 
 
 class Network:
@@ -422,7 +422,7 @@
         return {end[0]: self.deliver_to_client for end in self.clients}
 
     def deliver_to_client(self, data):
-        _, _, _, _, _, dst, _, _ = HEAD.unpack_from(data)
+        _, _, _, _, _, dst, _, _ = HEADER.unpack_from(data)
         for end, client in self.clients.items():
             if pack_end(*end) == dst:
                 client.receive(data)
--- a/testing/soak/client.py
+++ b/testing/soak/client.py
@@ -7,7 +7,7 @@
 
 from relay.network import pack_end, pack_packet
 
-from daisygauge_platform._packets import ACK, FIN, HEAD, RST, SYN
+from daisygauge_platform._packets import ACK, FIN, HEADER, RST, SYN
 
 COPY_SECONDS = (0.2, 0.4, 0.8)
 """Pauses after each opening packet; then the attempt ends."""
@@ -33,14 +33,14 @@
         self.sequence = 1
 
     def receive(self, data):
-        seq, _, length, flags, *_ = HEAD.unpack_from(data)
+        seq, _, length, flags, *_ = HEADER.unpack_from(data)
         if flags & RST:
             self.is_reset = True
         elif flags & SYN:
             if self.host_sequence is None:
                 self.host_sequence = seq
         elif length:
-            self.answered[seq] = data[HEAD.size :]
+            self.answered[seq] = data[HEADER.size :]
         self.news.set()
 
     async def wait(self, is_true, seconds):
--- a/testing/soak/host.py
+++ b/testing/soak/host.py
@@ -8,7 +8,7 @@
 
 from relay.network import pack_end
 
-from daisygauge_platform._packets import ACK, BOUNCED, FIN, HEAD, SYN
+from daisygauge_platform._packets import ACK, BOUNCED, FIN, HEADER, SYN
 
 WORK_SECONDS = 0.02
 
@@ -57,7 +57,7 @@
     def receive(self, data):
         if self.is_dark:
             return
-        seq, ack, length, flags, echo, dst, src, _ = HEAD.unpack_from(data)
+        seq, ack, length, flags, echo, dst, src, _ = HEADER.unpack_from(data)
         if flags & BOUNCED or echo or data[11:15] != bytes(4):
             self.report(f"{self.address} got a packet with marks of ours")
         if flags & SYN and flags & ACK:
@@ -71,7 +71,7 @@
         elif flow is None or not self.accepts(flow, ack):
             self.give_back(data)
         elif length:
-            self.take(src, flow, seq, data[HEAD.size : HEAD.size + length])
+            self.take(src, flow, seq, data[HEADER.size : HEADER.size + length])
         elif flags & FIN:
             del self.flows[src]
 
@@ -116,7 +116,9 @@
     def answer(self, client, flow, *, flags, sequence, data=b""):
         if self.is_dark:
             return
-        head = HEAD.pack(sequence, 1, len(data), flags, 0, client, flow.service_end, 5)
+        head = HEADER.pack(
+            sequence, 1, len(data), flags, 0, client, flow.service_end, 5
+        )
         self.send(head + data)
 
     def give_back(self, data):
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -19,7 +19,7 @@
 )
 from relay.network import pack_end
 
-from daisygauge_platform._packets import HEAD
+from daisygauge_platform._packets import HEADER
 
 from .client import SoakFlow
 from .fabric import Fabric
@@ -243,7 +243,7 @@
         transport.sendto(data, (balancer, CLIENT_PORT))
 
     def receive_client(self, data):
-        dst = HEAD.unpack_from(data)[5]
+        dst = HEADER.unpack_from(data)[5]
         flow = self.flows.get(dst)
         if flow is None:
             return
--- a/testing/wire/strategies.py
+++ b/testing/wire/strategies.py
@@ -9,7 +9,7 @@
     KeyRing,
     Kind,
     LoadReport,
-    PlacedStatus,
+    PlacementStatus,
     Route,
 )
 
@@ -29,7 +29,7 @@
     kind=st.sampled_from(Kind),
     service=counts,
     incarnation=large_counts,
-    status=st.sampled_from(PlacedStatus),
+    status=st.sampled_from(PlacementStatus),
     hops=st.integers(0, 0xFF),
     caller=endpoints,
     address=endpoints,
--- a/testing/wire/test_decoders.py
+++ b/testing/wire/test_decoders.py
@@ -13,16 +13,16 @@
     decode_connection_id,
     decode_datagram,
     decode_load_report,
+    decrypt_connection_id,
+    derive_reset_token,
     encode_connection_id,
     encode_datagram,
     encode_load_report,
     is_reply,
-    open_connection_id,
     pack_endpoint,
     read_destination_id,
     read_packet_header,
     read_reply,
-    reset_token,
     unpack_endpoint,
 )
 
@@ -64,7 +64,7 @@
     issued = encode_connection_id(route=route, key=OTHER_KEYS.newest(now=NOW))
 
     assert decode_connection_id(issued, keys=KEYS, now=NOW) is None
-    assert reset_token(issued, key=KEY) != reset_token(
+    assert derive_reset_token(issued, key=KEY) != derive_reset_token(
         issued, key=OTHER_KEYS.newest(now=NOW)
     )
 
@@ -166,7 +166,7 @@
     route, caller, address, sender, packet
 ):
     id = encode_connection_id(route=route, key=KEY)
-    opened = open_connection_id(id, keys=KEYS.accepted(now=NOW))
+    opened = decrypt_connection_id(id, keys=KEYS.accepted(now=NOW))
     encoder = ForwardEncoder(address=address, sender=sender, key=KEY)
 
     frame = encoder.encode(
--- a/testing/wire/test_quic.py
+++ b/testing/wire/test_quic.py
@@ -19,9 +19,9 @@
     Route,
     RoutedConnection,
     decode_connection_id,
+    derive_reset_token,
     encode_connection_id,
     read_packet_header,
-    reset_token,
 )
 
 from .strategies import KEY, KEYS, NOW
@@ -35,7 +35,9 @@
 
 def issue_id():
     issued = encode_connection_id(route=ROUTE, key=KEY)
-    return IssuedId(connection_id=issued, reset_token=reset_token(issued, key=KEY))
+    return IssuedId(
+        connection_id=issued, reset_token=derive_reset_token(issued, key=KEY)
+    )
 
 
 @pytest.fixture(scope="module")
@@ -164,8 +166,8 @@
 
     assert used.stateless_reset_token in {
         None,
-        reset_token(used.cid, key=KEY),
+        derive_reset_token(used.cid, key=KEY),
     }
     assert {id.stateless_reset_token for id in pair.client._peer_cid_available} == {
-        reset_token(id.cid, key=KEY) for id in pair.client._peer_cid_available
+        derive_reset_token(id.cid, key=KEY) for id in pair.client._peer_cid_available
     }
