Describe records and settings in the usual terms of validation

Doc comments of the records package spoke of faults, truth and words that readers "take"; error fields weren't explained by what they hold. They now say problem, invalid field and validation, and each :raises: states its condition. Private names follow (Rule.is_valid, _collect_problems, SCHEMA_1_FIELDS). No message text changes, and no field of a record or a settings file.

Tests are named after the property that they check. The mutation of the merge follows the renamed sort key.

--- a/packages/daisygauge-records/src/daisygauge_records/__init__.py
+++ b/packages/daisygauge-records/src/daisygauge_records/__init__.py
@@ -1,4 +1,4 @@
-"""Records that operators publish, and how they are checked and merged."""
+"""Validation and merging of the configuration records that operators publish."""
 
 from ._errors import (
     DocumentError,
--- a/packages/daisygauge-records/src/daisygauge_records/_errors.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_errors.py
@@ -1,4 +1,4 @@
-"""Errors that name the field at fault and the remedy."""
+"""Errors that state the invalid field and how to correct it."""
 
 from __future__ import annotations
 
@@ -9,11 +9,11 @@
 
 @frozen(kw_only=True)
 class Problem:
-    """One fault of a document.
+    """One invalid field of a document.
 
-    :param path: where the fault is, for example ``spec.classes[0].worth``.
-    :param message: what is wrong there.
-    :param remedy: what the author has to change.
+    :param path: path of the field, for example ``spec.classes[0].worth``.
+    :param message: why the field is invalid.
+    :param remedy: how the author can correct it.
     """
 
     path: str
@@ -25,10 +25,10 @@
 
 
 class DocumentError(ValueError):
-    """A document that cannot be used.
+    """A document is invalid.
 
-    :param name: the record (``kind/id``) or file at fault.
-    :param problems: every fault found, in the order of the document.
+    :param name: the record (``kind/id``) or file that is invalid.
+    :param problems: all problems found, in the order of the document.
     """
 
     def __init__(self, *, name: str, problems: Sequence[Problem]) -> None:
@@ -40,17 +40,17 @@
 
 
 class RecordError(DocumentError):
-    """A published record that is refused; the last good one stays in force."""
+    """A published record is refused; the last valid one stays in force."""
 
 
 class SettingsError(DocumentError):
-    """A settings file that is refused."""
+    """A settings file is refused."""
 
 
 class InvalidValueError(ValueError):
-    """A value that its field does not take.
+    """A value is invalid for its field.
 
-    :param problems: the faults, with paths relative to the refused value.
+    :param problems: the problems, with paths relative to the value.
     """
 
     def __init__(self, problems: Sequence[Problem]) -> None:
@@ -59,5 +59,5 @@
 
     @classmethod
     def of(cls, message: str, *, remedy: str, path: str = "") -> InvalidValueError:
-        """Refuse a value for one reason."""
+        """Create an error with a single problem."""
         return cls([Problem(path=path, message=message, remedy=remedy)])
--- a/packages/daisygauge-records/src/daisygauge_records/_instances.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_instances.py
@@ -1,4 +1,4 @@
-"""The platform's list of instances, which lags behind the truth."""
+"""Entries of the platform's instance list, which lags behind the actual state."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class Role(enum.Enum):
-    """What an instance of the system does."""
+    """Role of an instance in the system."""
 
     BALANCER = "balancer"
     AGENT = "agent"
@@ -21,7 +21,7 @@
     """One entry of the instance list.
 
     :param inner: address of the inner datagram socket.
-    :param peer_port: port of the grpc server, on the same address.
+    :param peer_port: port of the gRPC server, on the same address.
     :param leaving: True once the platform has decided to stop the instance.
     """
 
--- a/packages/daisygauge-records/src/daisygauge_records/_merge.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_merge.py
@@ -1,8 +1,9 @@
-"""The merge of records, which gives every daemon the same result in any order.
+"""Merging of records, with the same result on every daemon in any order.
 
-The records of one id form a total order by revision, then by digest. A merge
-keeps the greatest, so it is commutative, associative, idempotent and monotone
-(a join semilattice, Shapiro et al., "Conflict-free Replicated Data Types").
+The records of one ID are totally ordered by revision, then by digest. A merge
+keeps the greatest record, so it is commutative, associative, idempotent and
+monotone (a join semilattice; Shapiro et al., "Conflict-free Replicated Data
+Types").
 """
 
 from __future__ import annotations
@@ -14,9 +15,9 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Applied:
-    """The incoming record is in force.
+    """The incoming record is now in force.
 
-    :param replaced: the record that was in force before, if any.
+    :param replaced: the record that was in force before, or None.
     """
 
     record: Record
@@ -25,7 +26,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Unchanged:
-    """The incoming record was in force already."""
+    """The incoming record was already in force."""
 
     record: Record
 
@@ -40,7 +41,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Conflict:
-    """Two contents were published with one revision; the digest has settled it."""
+    """Two different records have the same revision; the greater digest is kept."""
 
     kept: Record
     dropped: Record
@@ -51,25 +52,25 @@
 
 
 def merge_records(first: Record, second: Record) -> Record:
-    """Return the record that goes into force out of two of one id."""
-    return max(first, second, key=_order)
+    """Return the one of two records with the same ID that goes into force."""
+    return max(first, second, key=_order_key)
 
 
-def _order(record: Record) -> tuple[int, str]:
+def _order_key(record: Record) -> tuple[int, str]:
     return record.revision, record.digest
 
 
 class RecordStore:
     """The records in force, tombstones included.
 
-    :ivar records: records by kind and id.
+    :ivar records: records by kind and ID.
     """
 
     def __init__(self) -> None:
         self.records: dict[RecordId, Record] = {}
 
     def apply(self, record: Record) -> MergeOutcome:
-        """Merge one record into the store."""
+        """Merge a record into the store and return the outcome."""
         name = (record.kind, record.id)
         current = self.records.get(name)
         if current is None:
@@ -77,11 +78,13 @@
             return Applied(record=record, replaced=None)
         kept = merge_records(current, record)
         self.records[name] = kept
-        return _describe(current=current, incoming=record, kept=kept)
+        return _describe_outcome(current=current, incoming=record, kept=kept)
 
 
-def _describe(*, current: Record, incoming: Record, kept: Record) -> MergeOutcome:
-    if _order(current) == _order(incoming):
+def _describe_outcome(
+    *, current: Record, incoming: Record, kept: Record
+) -> MergeOutcome:
+    if _order_key(current) == _order_key(incoming):
         return Unchanged(record=current)
     if current.revision == incoming.revision:
         dropped = incoming if kept is current else current
--- a/packages/daisygauge-records/src/daisygauge_records/_models.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_models.py
@@ -1,4 +1,4 @@
-"""Effective records: the one model into which every schema version is converted."""
+"""Effective models, which records of all schema versions are converted into."""
 
 from __future__ import annotations
 
@@ -26,14 +26,14 @@
 
 @frozen(kw_only=True)
 class RequestClass:
-    """How one kind of request of a service is treated.
+    """Policy for one kind of request of a service.
 
-    The first class whose method and path prefix match a request applies.
+    A request belongs to the first class whose method and path prefix match it.
 
     :param method: HTTP method, or ``*`` for every method.
-    :param worth: value of one request answered whole and in time.
-    :param deadline_seconds: longest time from arrival to the end of the answer.
-    :param streaming: True for long answers, which use a connection, not a slot.
+    :param worth: value of one request that is answered completely and in time.
+    :param deadline_seconds: maximum time from arrival to the end of the answer.
+    :param streaming: True for long answers, which occupy a connection and no slot.
     :param idempotent: True when the system may run the request more than once.
     """
 
@@ -48,12 +48,13 @@
 
 @frozen(kw_only=True)
 class RendezvousPlacement:
-    """Weighted rendezvous hashing with passing on to less loaded agents.
+    """Weighted rendezvous hashing; busy agents pass first flights on.
 
-    :param candidates: agents offered a new flow, in order.
-    :param pass_margin: relative load above the best peer at which an agent
-        passes a first flight on; None disables passing.
-    :param ramp_seconds: time over which the weight of a cold host grows.
+    :param candidates: number of agents that a new flow is offered to, in order.
+    :param pass_margin: share by which the load of an agent exceeds that of the least
+        loaded peer when it passes a first flight on; None disables passing on.
+    :param ramp_seconds: duration of the slow start, in which the weight of a cold
+        host grows.
     """
 
     candidates: int = 3
@@ -63,7 +64,7 @@
 
 @frozen(kw_only=True)
 class RoundRobinPlacement:
-    """Each balancer deals new flows out in turn; a baseline for experiments."""
+    """Round robin by each balancer; a baseline for experiments."""
 
     candidates: int = 3
 
@@ -82,7 +83,7 @@
 class WorthQueue:
     """A bounded queue ordered by worth per expected slot time.
 
-    :param capacity_per_slot: waiting requests for each slot.
+    :param capacity_per_slot: maximum number of waiting requests per slot.
     """
 
     capacity_per_slot: int = 16
@@ -90,7 +91,7 @@
 
 @frozen(kw_only=True)
 class FifoQueue:
-    """A bounded queue in order of arrival; a baseline for experiments."""
+    """A bounded first-in, first-out queue; a baseline for experiments."""
 
     capacity_per_slot: int = 16
 
@@ -100,9 +101,9 @@
 
 @frozen(kw_only=True)
 class LoadHandOff:
-    """Hands requests that have not run to a less loaded peer agent.
+    """Requests that have not run are handed to less loaded peer agents.
 
-    :param margin: queued requests for each slot by which a peer must be better.
+    :param margin: minimum difference to the peer in queued requests per slot.
     """
 
     margin: float = 0.5
@@ -110,7 +111,7 @@
 
 @frozen(kw_only=True)
 class NoHandOff:
-    """Requests run at the agent that ends their connection."""
+    """Requests run at the agent that terminates their connection."""
 
 
 HandOff = LoadHandOff | NoHandOff
@@ -122,9 +123,9 @@
 
     :param number: service number inside the system, 1 to 65535, unique.
     :param address: address and port that callers use.
-    :param classes: request classes, first match wins.
-    :param retry_share: retries allowed as a share of first tries.
-    :param caller_share: largest share of a host's queue for one caller.
+    :param classes: request classes; the first match applies.
+    :param retry_share: maximum number of retries as a share of first attempts.
+    :param caller_share: maximum share of a host's queue that one caller may fill.
     """
 
     id: str
@@ -142,11 +143,11 @@
 class Upstream:
     """A host of a service and the agent beside it.
 
-    :param id: instance id of the agent, equal to its id in the instance list.
+    :param id: instance ID of the agent, the same as in the instance list.
     :param agent: address of the agent's inner datagram socket.
-    :param peer_port: port of the agent's grpc server, on the same address.
-    :param slots: requests that the host runs at once.
-    :param max_connections: connections that the host may hold.
+    :param peer_port: port of the agent's gRPC server, on the same address.
+    :param slots: number of requests that the host runs at once.
+    :param max_connections: number of connections that the host may hold.
     """
 
     id: str
@@ -162,7 +163,7 @@
 class Key:
     """A secret shared by balancers and agents.
 
-    :param number: key id carried in packets, 0 to 255.
+    :param number: number that identifies the key in packets, 0 to 255.
     :param secret: 32 random bytes in hexadecimal.
     :param not_before: Unix time in seconds from which new packets use the key.
     :param not_after: Unix time in seconds after which the key is refused.
@@ -180,13 +181,13 @@
 
 @frozen(kw_only=True)
 class Record:
-    """One published record after conversion into the effective model.
+    """A published record after conversion into the effective model.
 
     :param kind: ``service``, ``upstream`` or ``key``.
-    :param revision: position in the order of the record's changes.
+    :param revision: number that increases with every change of the record.
     :param spec: the effective content, or None for a deletion (tombstone).
-    :param digest: hexadecimal digest of the published content, which settles
-        two contents published with one revision.
+    :param digest: hexadecimal digest of the published content, which decides between
+        two contents with the same revision.
     :param document: the published content in canonical form, for other daemons.
     """
 
--- a/packages/daisygauge-records/src/daisygauge_records/_parse.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_parse.py
@@ -1,4 +1,4 @@
-"""Reading of published records into the effective model."""
+"""Parsing of published records into the effective model."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from ._errors import InvalidValueError, Problem, RecordError
 from ._models import Key, Record, Service, Spec, Upstream
 from ._rules import is_id
-from ._schema_1 import FIELD_NAMES, Key1, Service1, Upstream1, convert
+from ._schema_1 import SCHEMA_1_FIELDS, Key1, Service1, Upstream1, convert
 from ._structure import structure
 from ._unstructure import unstructure
 
@@ -24,7 +24,7 @@
 
 @attrs.frozen(kw_only=True)
 class Envelope:
-    """What every published record has, whatever its kind and schema version."""
+    """Fields of a published record that don't depend on kind and schema version."""
 
     kind: str
     id: str
@@ -35,11 +35,12 @@
 
 
 def parse_record(document: bytes | str, *, name: str = "record") -> Record:
-    """Read a published record.
+    """Parse a published record.
 
     :param document: JSON text.
-    :param name: name for messages, until kind and id are known.
-    :raises RecordError: naming the record, every field at fault and the remedy.
+    :param name: name of the record in messages while kind and ID are unknown.
+    :raises RecordError: the record is invalid; names every invalid field and its
+        remedy.
     """
     try:
         value = orjson.loads(document)
@@ -50,30 +51,32 @@
 
 
 def parse_record_value(value: object, *, name: str = "record") -> Record:
-    """Read a published record from JSON values.
+    """Parse a published record from decoded JSON.
 
-    :raises RecordError: naming the record, every field at fault and the remedy.
+    :param name: name of the record in messages while kind and ID are unknown.
+    :raises RecordError: the record is invalid; names every invalid field and its
+        remedy.
     """
     try:
-        envelope = _read_envelope(value)
+        envelope = _parse_envelope(value)
     except InvalidValueError as error:
         raise RecordError(name=name, problems=error.problems) from None
     name = f"{envelope.kind}/{envelope.id}"
     try:
-        spec = None if envelope.deleted else _read_spec(envelope)
+        spec = None if envelope.deleted else _parse_spec(envelope)
         return Record(
             kind=envelope.kind,
             id=envelope.id,
             revision=envelope.revision,
             spec=spec,
-            digest=_digest(envelope),
-            document=_canonical(attrs.asdict(envelope, recurse=False)),
+            digest=_compute_digest(envelope),
+            document=_encode_canonical(attrs.asdict(envelope, recurse=False)),
         )
     except InvalidValueError as error:
         raise RecordError(name=name, problems=error.problems) from None
 
 
-def _read_envelope(value: object) -> Envelope:
+def _parse_envelope(value: object) -> Envelope:
     envelope = structure(value, Envelope)
     checks = (
         ("kind", envelope.kind in KINDS, f"use one of {sorted(KINDS)}"),
@@ -95,23 +98,23 @@
             message=f"{getattr(envelope, path)!r} is not acceptable",
             remedy=remedy,
         )
-        for path, holds, remedy in checks
-        if not holds
+        for path, is_valid, remedy in checks
+        if not is_valid
     ]
     if problems:
         raise InvalidValueError(problems)
     return envelope
 
 
-def _read_spec(envelope: Envelope) -> Spec:
+def _parse_spec(envelope: Envelope) -> Spec:
     match envelope.schema_version:
         case 1:
-            return _read_schema_1(envelope)
+            return _parse_schema_1(envelope)
         case _:
-            return _read_schema_2(envelope)
+            return _parse_schema_2(envelope)
 
 
-def _read_schema_2(envelope: Envelope) -> Spec:
+def _parse_schema_2(envelope: Envelope) -> Spec:
     spec = envelope.spec
     model = KINDS[envelope.kind]
     if isinstance(spec, dict) and "id" in spec:
@@ -124,26 +127,26 @@
     return structure(value, model, path="spec")
 
 
-def _read_schema_1(envelope: Envelope) -> Spec:
-    flat = structure(envelope.spec, SCHEMA_1[envelope.kind], path="spec")
+def _parse_schema_1(envelope: Envelope) -> Spec:
+    flat_spec = structure(envelope.spec, SCHEMA_1[envelope.kind], path="spec")
     try:
-        converted = convert(id=envelope.id, spec=flat)
+        converted = convert(id=envelope.id, spec=flat_spec)
         return structure(unstructure(converted), type(converted))
     except InvalidValueError as error:
         raise InvalidValueError(
-            [_name_schema_1_field(problem) for problem in error.problems]
+            [_restore_schema_1_path(problem) for problem in error.problems]
         ) from None
 
 
-def _name_schema_1_field(problem: Problem) -> Problem:
-    for effective, flat in FIELD_NAMES.items():
+def _restore_schema_1_path(problem: Problem) -> Problem:
+    for effective, original in SCHEMA_1_FIELDS.items():
         if problem.path == effective or problem.path.endswith(f".{effective}"):
-            path = problem.path.removesuffix(effective) + flat
+            path = problem.path.removesuffix(effective) + original
             return attrs.evolve(problem, path=f"spec.{path}")
     return attrs.evolve(problem, path=f"spec.{problem.path}")
 
 
-def _canonical(value: object) -> bytes:
+def _encode_canonical(value: object) -> bytes:
     try:
         return orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
     except orjson.JSONEncodeError as error:
@@ -152,7 +155,7 @@
         ) from None
 
 
-def _digest(envelope: Envelope) -> str:
+def _compute_digest(envelope: Envelope) -> str:
     content = [
         envelope.kind,
         envelope.id,
@@ -160,4 +163,6 @@
         envelope.deleted,
         None if envelope.deleted else envelope.spec,
     ]
-    return hashlib.blake2b(_canonical(content), digest_size=DIGEST_BYTES).hexdigest()
+    return hashlib.blake2b(
+        _encode_canonical(content), digest_size=DIGEST_BYTES
+    ).hexdigest()
--- a/packages/daisygauge-records/src/daisygauge_records/_rules.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_rules.py
@@ -1,4 +1,4 @@
-"""Limits on the values of record fields, beyond their types."""
+"""Validation of the values of record fields, beyond their types."""
 
 from __future__ import annotations
 
@@ -34,22 +34,22 @@
 
 @frozen(kw_only=True)
 class Rule:
-    """A condition that one field of a model has to meet.
+    """A condition on one field of a model.
 
-    :param holds: tells whether a value is acceptable.
-    :param remedy: tells the author what to write.
-    :param secret: True when messages must not show the value.
+    :param is_valid: returns whether a value meets the condition.
+    :param remedy: how the author can correct the field.
+    :param secret: True when messages must not contain the value.
     """
 
     field: str
-    holds: Callable[[Any], bool]
+    is_valid: Callable[[Any], bool]
     remedy: str
     secret: bool = False
 
     def check(self, model: object) -> Problem | None:
-        """Return the fault of a model's field, or None."""
+        """Return the problem with the field of a model, or None."""
         value = getattr(model, self.field)
-        if self.holds(value):
+        if self.is_valid(value):
             return None
         shown = "the value" if self.secret else repr(value)
         return Problem(
@@ -60,7 +60,7 @@
 def _between(field: str, low: float, high: float) -> Rule:
     return Rule(
         field=field,
-        holds=lambda value: value is None or low <= value <= high,
+        is_valid=lambda value: value is None or low <= value <= high,
         remedy=f"write a number from {low} to {high}",
     )
 
@@ -68,7 +68,7 @@
 def _at_least(field: str, low: float) -> Rule:
     return Rule(
         field=field,
-        holds=lambda value: low <= value < float("inf"),
+        is_valid=lambda value: low <= value < float("inf"),
         remedy=f"write a number of at least {low}",
     )
 
@@ -76,7 +76,7 @@
 def _above_zero(field: str) -> Rule:
     return Rule(
         field=field,
-        holds=lambda value: 0 < value < float("inf"),
+        is_valid=lambda value: 0 < value < float("inf"),
         remedy="write a number above 0",
     )
 
@@ -90,7 +90,7 @@
 
 
 def is_id(value: str) -> bool:
-    """Tell whether a text can be the id of a record or an instance."""
+    """Tell whether a string is a valid ID of a record or an instance."""
     return ID_PATTERN.fullmatch(value) is not None
 
 
@@ -99,47 +99,47 @@
 
 
 def id_rule(field: str) -> Rule:
-    """Require an id of letters, digits, dots, dashes and underscores."""
+    """Create the rule for a field that holds an ID."""
     return Rule(
         field=field,
-        holds=is_id,
+        is_valid=is_id,
         remedy="use 1 to 63 letters, digits, '.', '_' or '-', starting with a "
         "letter or digit",
     )
 
 
-_IPV4 = Rule(
-    field="host", holds=_is_ipv4, remedy="write an IPv4 address such as 10.0.0.7"
+_IPV4_HOST = Rule(
+    field="host", is_valid=_is_ipv4, remedy="write an IPv4 address such as 10.0.0.7"
 )
-_NOT_EMPTY_NAME = Rule(field="name", holds=bool, remedy="give the class a name")
-_PREFIX = Rule(
+_NON_EMPTY_NAME = Rule(field="name", is_valid=bool, remedy="give the class a name")
+_PATH_PREFIX = Rule(
     field="path_prefix",
-    holds=lambda value: value.startswith("/"),
+    is_valid=lambda value: value.startswith("/"),
     remedy="write a path that starts with '/'",
 )
 _METHOD = Rule(
     field="method",
-    holds=lambda value: value == "*" or value.isupper(),
+    is_valid=lambda value: value == "*" or value.isupper(),
     remedy="write an upper-case HTTP method, or '*' for every method",
 )
 _SECRET = Rule(
     field="secret",
-    holds=_is_secret,
+    is_valid=_is_secret,
     remedy="write exactly 32 random bytes as 64 hexadecimal digits",
     secret=True,
 )
-_UNIQUE_CLASSES = Rule(
+_UNIQUE_CLASS_NAMES = Rule(
     field="classes",
-    holds=lambda value: len({entry.name for entry in value}) == len(value),
+    is_valid=lambda value: len({entry.name for entry in value}) == len(value),
     remedy="give each request class a name of its own",
 )
 
 RULES: dict[type, tuple[Rule, ...]] = {
-    Endpoint: (_IPV4, _between("port", 1, MAX_PORT)),
+    Endpoint: (_IPV4_HOST, _between("port", 1, MAX_PORT)),
     RequestClass: (
-        _NOT_EMPTY_NAME,
+        _NON_EMPTY_NAME,
         _METHOD,
-        _PREFIX,
+        _PATH_PREFIX,
         _at_least("worth", 0),
         _above_zero("deadline_seconds"),
     ),
@@ -156,7 +156,7 @@
     Service: (
         id_rule("id"),
         _between("number", 1, MAX_SERVICE_NUMBER),
-        _UNIQUE_CLASSES,
+        _UNIQUE_CLASS_NAMES,
         _between("retry_share", 0, 1),
         _between("caller_share", 0, 1),
     ),
@@ -178,10 +178,10 @@
 
 
 def check_rules(model: object) -> tuple[Problem, ...]:
-    """Return every fault of a model's own fields."""
+    """Return the problems with a model's own fields, without those of nested models."""
     rules = RULES.get(type(model), ())
-    found = [rule.check(model) for rule in rules]
-    problems = [problem for problem in found if problem is not None]
+    results = [rule.check(model) for rule in rules]
+    problems = [problem for problem in results if problem is not None]
     if isinstance(model, Key) and model.not_before >= model.not_after:
         problems.append(
             Problem(
--- a/packages/daisygauge-records/src/daisygauge_records/_schema_1.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_schema_1.py
@@ -1,4 +1,4 @@
-"""Schema version 1: flat specs, converted into the effective models."""
+"""Specs of schema version 1, which are flat, and their conversion."""
 
 from __future__ import annotations
 
@@ -98,7 +98,8 @@
 def convert(*, id: str, spec: Spec1) -> Service | Upstream | Key:
     """Convert a spec of schema version 1 into the effective model.
 
-    :raises InvalidValueError: naming the field of schema version 1 at fault.
+    :raises InvalidValueError: a field can't be converted; the path names the field of
+        schema version 1.
     """
     match spec:
         case Service1():
@@ -174,7 +175,7 @@
     )
 
 
-FIELD_NAMES: dict[str, str] = {
+SCHEMA_1_FIELDS: dict[str, str] = {
     "address.host": "host",
     "address.port": "port",
     "agent.host": "host",
@@ -185,4 +186,4 @@
     "path_prefix": "match",
     "deadline_seconds": "deadline_ms",
 }
-"""Fields of schema version 1 by the path of the effective field."""
+"""Field names of schema version 1 by path in the effective model."""
--- a/packages/daisygauge-records/src/daisygauge_records/_structure.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_structure.py
@@ -1,4 +1,4 @@
-"""Conversion of plain JSON values into attrs models, with nothing guessed."""
+"""Conversion of decoded JSON into attrs models, without coercion of types."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
     Queue: {"worth": WorthQueue, "fifo": FifoQueue},
     HandOff: {"load": LoadHandOff, "none": NoHandOff},
 }
-TAGS: dict[type, str] = {
+TAGS_BY_TYPE: dict[type, str] = {
     variant: tag
     for variants in TAGGED_UNIONS.values()
     for tag, variant in variants.items()
@@ -55,7 +55,7 @@
 }
 
 
-def _refuse(value: object, *, expected: str) -> InvalidValueError:
+def _create_type_error(value: object, *, expected: str) -> InvalidValueError:
     shown = type(value).__name__ if isinstance(value, (dict, list)) else repr(value)
     return InvalidValueError.of(f"{shown} has the wrong type", remedy=f"use {expected}")
 
@@ -63,21 +63,21 @@
 def _structure_scalar(value: Any, kind: type) -> Any:
     accepted, expected = _SCALARS[kind]
     if isinstance(value, bool) and kind is not bool:
-        raise _refuse(value, expected=expected)
+        raise _create_type_error(value, expected=expected)
     if not isinstance(value, accepted):
-        raise _refuse(value, expected=expected)
+        raise _create_type_error(value, expected=expected)
     return kind(value)
 
 
 def _structure_none(value: Any, _: Any) -> None:
     if value is not None:
-        raise _refuse(value, expected="null")
+        raise _create_type_error(value, expected="null")
 
 
 def _structure_tagged(value: Any, union: Any) -> Any:
     variants = TAGGED_UNIONS[union]
     if not isinstance(value, dict):
-        raise _refuse(value, expected='an object with a "type"')
+        raise _create_type_error(value, expected='an object with a "type"')
     tag = value.get("type")
     if not isinstance(tag, str) or tag not in variants:
         raise InvalidValueError.of(
@@ -88,7 +88,7 @@
 
 
 def _make_model_hook(model: type) -> Callable[[Any, Any], Any]:
-    plain = make_dict_structure_fn(
+    structure_fields = make_dict_structure_fn(
         model,
         _CONVERTER,
         _cattrs_forbid_extra_keys=True,
@@ -97,24 +97,24 @@
 
     def structure_model(value: Any, _: Any) -> Any:
         if not isinstance(value, dict):
-            raise _refuse(value, expected="an object in braces")
-        made = plain(value, model)
-        problems = check_rules(made)
+            raise _create_type_error(value, expected="an object in braces")
+        instance = structure_fields(value, model)
+        problems = check_rules(instance)
         if problems:
             raise InvalidValueError(problems)
-        return made
+        return instance
 
     return structure_model
 
 
 def _make_sequence_hook(kind: Any) -> Callable[[Any, Any], Any]:
     item_kind = get_args(kind)[0]
-    collect = get_origin(kind)
+    sequence_type = get_origin(kind)
 
     def structure_sequence(value: Any, _: Any) -> Any:
         if not isinstance(value, list):
-            raise _refuse(value, expected="a list in brackets")
-        return collect(_structure_items(value, item_kind))
+            raise _create_type_error(value, expected="a list in brackets")
+        return sequence_type(_structure_items(value, item_kind))
 
     return structure_sequence
 
@@ -155,31 +155,33 @@
 
 
 def structure(value: object, model: type[T], *, path: str = "") -> T:
-    """Convert plain JSON values into a model.
+    """Convert decoded JSON into a model.
 
-    Numbers are not read from texts, unknown fields are refused, and every fault
-    is reported, not only the first.
+    Strings aren't converted into numbers, unknown fields are refused, and all
+    problems are reported, not only the first.
 
-    :param path: where the value stands in its document.
-    :raises InvalidValueError: with the path and remedy of every fault.
+    :param path: path of the value in its document.
+    :raises InvalidValueError: with path and remedy of every problem.
     """
     try:
         return _CONVERTER.structure(value, model)
     except (ValueError, BaseValidationError) as error:
-        raise InvalidValueError(tuple(_walk(error, path))) from None
+        raise InvalidValueError(tuple(_collect_problems(error, path))) from None
 
 
-def _walk(error: BaseException, path: str) -> Iterator[Problem]:
+def _collect_problems(error: BaseException, path: str) -> Iterator[Problem]:
     match error:
         case InvalidValueError():
             for problem in error.problems:
-                yield attrs.evolve(problem, path=_join(path, problem.path))
+                yield attrs.evolve(problem, path=_join_path(path, problem.path))
         case ForbiddenExtraKeysError():
             for name in sorted(map(str, error.extra_fields)):
-                yield _unknown_field(_join(path, name), error.cl)
+                yield _describe_unknown_field(_join_path(path, name), error.cl)
         case BaseExceptionGroup():
             for inner in error.exceptions:
-                yield from _walk(inner, _join(path, _field_name(inner)))
+                yield from _collect_problems(
+                    inner, _join_path(path, _field_name(inner))
+                )
         case KeyError():
             yield Problem(path=path, message="the field is missing", remedy="add it")
         case ValueError():
@@ -188,7 +190,7 @@
             raise error
 
 
-def _unknown_field(path: str, model: type) -> Problem:
+def _describe_unknown_field(path: str, model: type) -> Problem:
     known = ", ".join(field.name for field in attrs.fields(model))
     return Problem(
         path=path,
@@ -204,7 +206,7 @@
     return ""
 
 
-def _join(path: str, name: str) -> str:
+def _join_path(path: str, name: str) -> str:
     if not path or not name:
         return path or name
     return f"{path}{name}" if name.startswith("[") else f"{path}.{name}"
--- a/packages/daisygauge-records/src/daisygauge_records/_unstructure.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_unstructure.py
@@ -1,4 +1,4 @@
-"""Conversion of effective models back into plain JSON values."""
+"""Conversion of effective models into values that can be encoded as JSON."""
 
 from __future__ import annotations
 
@@ -7,14 +7,13 @@
 
 import attrs
 
-from ._structure import TAGS
+from ._structure import TAGS_BY_TYPE
 
 
 def unstructure(value: Any) -> Any:
     """Convert a model into JSON values of schema version 2.
 
-    Fields that are without limit (infinite) are left out, as they are when an
-    author leaves them out.
+    Infinite numbers are omitted, as an author omits a field that has no limit.
     """
     if isinstance(value, (tuple, list)):
         return [unstructure(item) for item in value]
@@ -24,11 +23,11 @@
 
 
 def _unstructure_model(model: Any) -> dict[str, Any]:
-    tag = TAGS.get(type(model))
-    made: dict[str, Any] = {} if tag is None else {"type": tag}
+    tag = TAGS_BY_TYPE.get(type(model))
+    values: dict[str, Any] = {} if tag is None else {"type": tag}
     for field in attrs.fields(type(model)):
         item = getattr(model, field.name)
         if isinstance(item, float) and math.isinf(item):
             continue
-        made[field.name] = unstructure(item)
-    return made
+        values[field.name] = unstructure(item)
+    return values
--- a/testing/proof/mutations.py
+++ b/testing/proof/mutations.py
@@ -101,7 +101,7 @@
         edits=(
             Edit(
                 file="daisygauge-records/src/daisygauge_records/_merge.py",
-                old="return max(first, second, key=_order)",
+                old="return max(first, second, key=_order_key)",
                 new="return second",
             ),
         ),
--- a/testing/records/test_merge.py
+++ b/testing/records/test_merge.py
@@ -23,7 +23,7 @@
     revision=st.integers(1, 4),
     digest=st.sampled_from(["00", "01", "02"]),
 )
-SAME_ID = st.builds(
+RECORDS_OF_ONE_ID = st.builds(
     make_record,
     revision=st.integers(1, 4),
     digest=st.sampled_from(["00", "01", "02"]),
@@ -38,13 +38,13 @@
 
 
 @settings(derandomize=True)
-@given(first=SAME_ID, second=SAME_ID)
+@given(first=RECORDS_OF_ONE_ID, second=RECORDS_OF_ONE_ID)
 def test_the_merge_is_commutative(first, second):
     assert merge_records(first, second) == merge_records(second, first)
 
 
 @settings(derandomize=True)
-@given(first=SAME_ID, second=SAME_ID, third=SAME_ID)
+@given(first=RECORDS_OF_ONE_ID, second=RECORDS_OF_ONE_ID, third=RECORDS_OF_ONE_ID)
 def test_the_merge_is_associative(first, second, third):
     left = merge_records(merge_records(first, second), third)
     right = merge_records(first, merge_records(second, third))
@@ -53,14 +53,14 @@
 
 
 @settings(derandomize=True)
-@given(record=SAME_ID)
+@given(record=RECORDS_OF_ONE_ID)
 def test_the_merge_is_idempotent(record):
     assert merge_records(record, record) == record
 
 
 @settings(derandomize=True)
 @given(records=st.lists(RECORDS), seed=st.integers())
-def test_stores_agree_in_any_order_with_any_repeats(records, seed):
+def test_stores_converge_despite_reordered_and_duplicated_records(records, seed):
     rng = random.Random(seed)
     shuffled = records + [record for record in records if rng.random() < 0.5]
     rng.shuffle(shuffled)
@@ -70,19 +70,19 @@
 
 @settings(derandomize=True)
 @given(records=st.lists(RECORDS))
-def test_a_store_never_goes_back(records):
+def test_a_store_never_reverts_to_an_older_record(records):
     store = RecordStore()
     highest = {}
     for record in records:
         store.apply(record)
         order = (record.revision, record.digest)
         highest[record.id] = max(highest.get(record.id, order), order)
-        held = store.records["key", record.id]
+        stored = store.records["key", record.id]
 
-        assert (held.revision, held.digest) == highest[record.id]
+        assert (stored.revision, stored.digest) == highest[record.id]
 
 
-def test_each_outcome_of_a_merge_is_told():
+def test_applying_a_record_returns_the_outcome_of_the_merge():
     store = RecordStore()
     first = make_record(revision=1)
     second = make_record(revision=2, digest="01")
--- a/testing/records/test_parse.py
+++ b/testing/records/test_parse.py
@@ -25,18 +25,18 @@
 }
 
 
-def publish(kind, spec, *, schema_version=2, **changes):
+def make_record(kind, spec, *, schema_version=2, **changes):
     envelope = {"kind": kind, "id": "a", "schema_version": schema_version}
     return {**envelope, "revision": 1, "spec": spec, **changes}
 
 
-def refuse(value):
+def get_problems(value):
     with pytest.raises(RecordError) as caught:
         parse_record_value(value)
     return {problem.path: problem for problem in caught.value.problems}
 
 
-def test_schema_2_gives_the_effective_model():
+def test_schema_2_is_parsed_into_the_effective_model():
     spec = {
         **SERVICE,
         "classes": [{"name": "feed", "method": "GET", "streaming": True}],
@@ -44,7 +44,7 @@
         "hand_off": {"type": "none"},
     }
 
-    record = parse_record_value(publish("service", spec))
+    record = parse_record_value(make_record("service", spec))
 
     assert record.spec == Service(
         id="a",
@@ -100,8 +100,8 @@
     ],
 )
 def test_schema_1_converts_into_the_same_model_as_schema_2(kind, flat, nested):
-    first = parse_record_value(publish(kind, flat, schema_version=1))
-    second = parse_record_value(publish(kind, nested))
+    first = parse_record_value(make_record(kind, flat, schema_version=1))
+    second = parse_record_value(make_record(kind, nested))
 
     assert first.spec == second.spec
 
@@ -145,24 +145,24 @@
         ),
     ],
 )
-def test_a_wrong_field_is_refused_by_path_and_remedy(kind, spec, path, remedy):
-    problems = refuse(publish(kind, spec))
+def test_an_invalid_field_is_reported_with_path_and_remedy(kind, spec, path, remedy):
+    problems = get_problems(make_record(kind, spec))
 
     assert set(problems) == {path}
     assert remedy in problems[path].remedy
 
 
-def test_schema_1_faults_name_the_fields_of_schema_1():
+def test_problems_of_schema_1_name_the_fields_of_schema_1():
     spec = {"number": 1, "host": "x", "port": 443, "classes": [{"name": "x"}]}
     spec["classes"][0]["deadline_ms"] = -1
 
-    problems = refuse(publish("service", spec, schema_version=1))
+    problems = get_problems(make_record("service", spec, schema_version=1))
 
     assert set(problems) == {"spec.host", "spec.classes[0].deadline_ms"}
 
 
-def test_every_fault_is_reported_at_once():
-    problems = refuse(publish("service", {"number": "1", "other": 1}))
+def test_all_problems_are_reported_at_once():
+    problems = get_problems(make_record("service", {"number": "1", "other": 1}))
 
     assert set(problems) == {"spec.number", "spec.other", "spec.address"}
 
@@ -177,42 +177,42 @@
         ({"extra": 1}, "extra"),
     ],
 )
-def test_a_wrong_envelope_is_refused(change, path):
-    assert set(refuse({**publish("service", SERVICE), **change})) == {path}
+def test_an_invalid_envelope_is_refused(change, path):
+    assert set(get_problems({**make_record("service", SERVICE), **change})) == {path}
 
 
-def test_a_refused_secret_is_not_shown():
+def test_an_error_does_not_contain_an_invalid_secret():
     with pytest.raises(RecordError) as caught:
-        parse_record_value(publish("key", {"number": 1, "secret": "topsecret"}))
+        parse_record_value(make_record("key", {"number": 1, "secret": "topsecret"}))
 
     assert "topsecret" not in str(caught.value)
 
 
-def test_a_secret_is_not_shown_by_its_record():
-    record = parse_record_value(publish("key", {"number": 1, "secret": SECRET}))
+def test_the_repr_of_a_record_does_not_contain_its_secret():
+    record = parse_record_value(make_record("key", {"number": 1, "secret": SECRET}))
 
     assert SECRET not in repr(record)
 
 
-def test_a_deletion_is_a_tombstone():
-    record = parse_record_value(publish("key", None, deleted=True))
+def test_a_deleted_record_is_parsed_into_a_tombstone():
+    record = parse_record_value(make_record("key", None, deleted=True))
 
     assert record.spec is None
 
 
-def test_the_digest_depends_on_content_and_not_on_its_layout():
-    value = publish("key", {"number": 1, "secret": SECRET})
+def test_the_digest_depends_on_the_content_and_not_on_the_json_layout():
+    value = make_record("key", {"number": 1, "secret": SECRET})
     shuffled = dict(reversed(value.items()))
 
     first = parse_record(json.dumps(value))
     second = parse_record(json.dumps(shuffled, indent=3))
-    third = parse_record_value(publish("key", {"number": 2, "secret": SECRET}))
+    third = parse_record_value(make_record("key", {"number": 2, "secret": SECRET}))
 
     assert first.digest == second.digest != third.digest
 
 
-def test_the_document_of_a_record_gives_the_record_again():
-    record = parse_record_value(publish("upstream", UPSTREAM))
+def test_the_document_of_a_record_round_trips():
+    record = parse_record_value(make_record("upstream", UPSTREAM))
 
     assert parse_record(record.document) == record
 
@@ -225,18 +225,18 @@
         ("key", {"number": 1, "secret": SECRET}),
     ],
 )
-def test_the_effective_model_is_a_valid_spec_of_schema_2(kind, spec):
-    record = parse_record_value(publish(kind, spec))
-    shown = unstructure(record.spec)
-    del shown["id"]
+def test_an_unstructured_model_is_a_valid_spec_of_schema_2(kind, spec):
+    record = parse_record_value(make_record(kind, spec))
+    unstructured = unstructure(record.spec)
+    del unstructured["id"]
 
-    assert parse_record_value(publish(kind, shown)).spec == record.spec
+    assert parse_record_value(make_record(kind, unstructured)).spec == record.spec
 
 
-def test_a_value_that_json_cannot_hold_is_refused():
+def test_a_number_of_more_than_64_bits_is_refused():
     spec = {"number": 1, "secret": SECRET, "not_after": 2**70}
 
-    assert set(refuse(publish("key", spec))) == {"$"}
+    assert set(get_problems(make_record("key", spec))) == {"$"}
 
 
 JSON = st.recursive(
@@ -259,8 +259,8 @@
     schema_version=st.sampled_from([1, 2]),
     spec=JSON,
 )
-def test_no_content_raises_anything_but_a_record_error(kind, schema_version, spec):
-    value = publish(kind, spec, schema_version=schema_version)
+def test_arbitrary_json_raises_only_record_errors(kind, schema_version, spec):
+    value = make_record(kind, spec, schema_version=schema_version)
 
     try:
         parse_record_value(value)
@@ -270,6 +270,6 @@
 
 @settings(derandomize=True)
 @given(document=st.binary(max_size=200))
-def test_no_bytes_raise_anything_but_a_record_error(document):
+def test_arbitrary_bytes_raise_only_record_errors(document):
     with pytest.raises(RecordError):
         parse_record(document)
--- a/testing/records/test_settings.py
+++ b/testing/records/test_settings.py
@@ -19,7 +19,7 @@
 
 
 VALID = """
-// where the process runs
+// settings of an agent
 {
   "role": "agent",
   "inner": {"host": "10.0.0.1", "port": 7000},
@@ -28,7 +28,7 @@
 """
 
 
-def test_settings_are_json_with_comments(tmp_path):
+def test_settings_files_may_contain_comments(tmp_path):
     path = tmp_path / "settings.json"
     path.write_text(VALID)
 
@@ -53,7 +53,7 @@
         ('"role"', '"inner": 1, "role"', "$"),
     ],
 )
-def test_wrong_settings_are_refused_by_path(old, new, path):
+def test_an_invalid_setting_is_reported_with_its_path(old, new, path):
     with pytest.raises(SettingsError) as caught:
         parse_settings(VALID.replace(old, new, 1), Settings, name="a.json")
 
@@ -61,6 +61,6 @@
     assert str(caught.value).startswith("a.json: ")
 
 
-def test_a_missing_file_is_refused_with_its_name(tmp_path):
+def test_the_error_for_a_missing_file_names_it(tmp_path):
     with pytest.raises(SettingsError, match="nowhere.json"):
         load_settings(tmp_path / "nowhere.json", Settings)
