--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_inner.py
@@ -56,7 +56,7 @@
         self.answers_probes = True
         self.transport: asyncio.DatagramTransport | None = None
         self.handlers: dict[Kind, Callable[[Datagram, Endpoint], None]] = {
-            Kind.PLACED: self.handle_placed,
+            Kind.PLACEMENT: self.handle_placed,
             Kind.PROBE: self.handle_probe,
         }
 
--- a/packages/daisygauge-wire/src/daisygauge_wire/_connection_id.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_connection_id.py
@@ -1,8 +1,8 @@
 """QUIC connection IDs that name the agent which issued them.
 
-The layout follows the idea of QUIC-LB (draft-ietf-quic-load-balancers): the
-routing part is one encrypted AES block, so that outsiders can neither read nor
-choose addresses inside the fleet.
+The layout is based on QUIC-LB (draft-ietf-quic-load-balancers): the routing part
+is one encrypted AES block, so that outsiders can neither read nor choose addresses
+inside the fleet.
 
 ========  =====  ==================================================
 offset    bytes  content
@@ -43,11 +43,12 @@
 
 @frozen(kw_only=True)
 class Route:
-    """What a connection ID says about its connection.
+    """Routing information that a connection ID carries.
 
     :param agent: inner datagram address of the issuing agent.
     :param service: service number.
-    :param incarnation: start of the issuing agent's process.
+    :param incarnation: number derived from the start time of the issuing agent's
+        process.
     """
 
     agent: Endpoint
@@ -56,7 +57,7 @@
 
 
 def encode_connection_id(*, route: Route, key: DerivedKeys) -> bytes:
-    """Issue a connection ID for a route, unlike every earlier one."""
+    """Issue a connection ID for a route; a random nonce makes each ID different."""
     block = _ROUTE.pack(
         socket.inet_aton(route.agent.host),
         route.agent.port,
@@ -68,16 +69,16 @@
     return body + key.connection_id_tag(body)
 
 
-def open_connection_id(
+def decrypt_connection_id(
     connection_id: bytes, *, keys: Mapping[int, DerivedKeys]
 ) -> bytes | None:
-    """Check a connection ID and decrypt its routing part, building no model.
+    """Authenticate a connection ID and decrypt its routing part.
 
-    ``AGENT_PART`` and ``IDENTITY_PART`` are slices of the result, laid out as in
-    the inner datagram.
+    ``AGENT_PART``, ``IDENTITY_PART`` and ``SERVICE_PART`` are slices of the result,
+    which has the same layout as these fields of an inner datagram.
 
-    :param keys: the keys accepted now, by number.
-    :return: None for an ID that none of the keys has issued.
+    :param keys: accepted keys by number.
+    :return: the decrypted block, or None for an ID issued with none of the keys.
     """
     if len(connection_id) != CONNECTION_ID_BYTES:
         return None
@@ -95,11 +96,11 @@
 def decode_connection_id(
     connection_id: bytes, *, keys: KeyRing, now: float
 ) -> Route | None:
-    """Read the route out of a connection ID.
+    """Authenticate a connection ID and decode its route.
 
-    :return: None for an ID that no key in force has issued.
+    :return: None for an ID issued with none of the accepted keys.
     """
-    block = open_connection_id(connection_id, keys=keys.accepted(now=now))
+    block = decrypt_connection_id(connection_id, keys=keys.accepted(now=now))
     if block is None:
         return None
     host, port, service, incarnation, _ = _ROUTE.unpack(block)
@@ -110,8 +111,8 @@
     )
 
 
-def reset_token(connection_id: bytes, *, key: DerivedKeys) -> bytes:
+def derive_reset_token(connection_id: bytes, *, key: DerivedKeys) -> bytes:
     """Derive the stateless reset token of a connection ID (RFC 9000, 10.3.2)."""
     return hashlib.blake2b(
-        connection_id, key=key.reset_token, digest_size=RESET_TOKEN_BYTES
+        connection_id, key=key.reset_token_key, digest_size=RESET_TOKEN_BYTES
     ).digest()
