Name the emulator's exports in the terms of the field

Several names that other packages and tests use were figurative or did not say what the code does. Results of the benchmarks are evaluated (evaluate_targets, TargetResult.scenario) instead of judged, outcomes are reconciled with ledgers (reconcile, Reconciliation.consistent), processes are suspended and resumed, instances are registered and deregistered, callers are silenced, and StandInClient is the client of the stand-ins.

HTTP paths, JSON fields and the text of benchmark targets are unchanged: PUT /forget still answers "forgotten", results still have "page", and the ledger keeps its fields. The local names "judge", "verdict" and "compare" never left the process.

--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_policies.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_bench/_policies.py
@@ -6,7 +6,12 @@
 
 from attrs import asdict, evolve
 
-from daisygauge_emulator.bench import SEED, judge, run_policies, write_results
+from daisygauge_emulator.bench import (
+    SEED,
+    evaluate_targets,
+    run_policies,
+    write_results,
+)
 
 from ._experiment import Experiment, Options, Report, Target
 
@@ -17,12 +22,12 @@
     write_results(Path(options.results) / "policies", measurements=measurements)
     targets = tuple(
         Target(
-            name=f"{verdict.page}: {verdict.measure}",
-            measured=verdict.measured,
-            comparison=verdict.comparison,
-            target=verdict.target,
+            name=f"{result.scenario}: {result.measure}",
+            measured=result.measured,
+            comparison=result.comparison,
+            target=result.target,
         )
-        for verdict in judge(measurements)
+        for result in evaluate_targets(measurements)
     )
     return Report(
         experiment="policies",
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_accounting.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_accounting.py
@@ -41,7 +41,7 @@
 
 
 @define(kw_only=True)
-class Account:
+class Reconciliation:
     """The result of a comparison.
 
     :param not_run: refusals that said so.
@@ -71,7 +71,7 @@
         return self.requests == self.answered_whole + self.not_run + self.unknown
 
     @property
-    def truthful(self) -> bool:
+    def consistent(self) -> bool:
         """Whether nothing that callers were told is wrong."""
         return not (
             self.misdelivered
@@ -90,9 +90,9 @@
         )
 
 
-def compare(records: Iterable[Record], runs: Iterable[Run]) -> Account:
+def reconcile(records: Iterable[Record], runs: Iterable[Run]) -> Reconciliation:
     """Check every outcome against the ledgers of all upstreams."""
-    account = Account()
+    account = Reconciliation()
     runs_by_request: defaultdict[str, list[Run]] = defaultdict(list)
     for run in runs:
         runs_by_request[run.request_id].append(run)
@@ -104,7 +104,7 @@
     return account
 
 
-def _count_outcome(account: Account, record: Record) -> None:
+def _count_outcome(account: Reconciliation, record: Record) -> None:
     match record.outcome:
         case NotRun():
             account.not_run += 1
@@ -120,7 +120,7 @@
             account.note(record, "unexpected answer")
 
 
-def _check_runs(account: Account, record: Record, runs: list[Run]) -> None:
+def _check_runs(account: Reconciliation, record: Record, runs: list[Run]) -> None:
     foreign = [run for run in runs if run.service != record.service]
     account.misdelivered += len(foreign)
     for run in foreign:
@@ -138,7 +138,7 @@
         account.repeated_lookups += len(runs) - 1
 
 
-def _check_keys(account: Account, runs_by_request: dict[str, list[Run]]) -> None:
+def _check_keys(account: Reconciliation, runs_by_request: dict[str, list[Run]]) -> None:
     keys = Counter(
         (run.service, run.idempotency_key)
         for runs in runs_by_request.values()
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/__init__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/__init__.py
@@ -5,7 +5,7 @@
 from ._policies import POLICIES
 from ._report import write_results
 from ._run import Measurement
-from ._targets import Verdict, judge
+from ._targets import TargetResult, evaluate_targets
 
 __all__ = [
     "PAGES",
@@ -13,8 +13,8 @@
     "SEED",
     "Measurement",
     "Page",
-    "Verdict",
-    "judge",
+    "TargetResult",
+    "evaluate_targets",
     "run_policies",
     "write_results",
 ]
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_targets.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_targets.py
@@ -1,4 +1,4 @@
-"""The targets of issue 5, stated before any measurement."""
+"""The targets of issue 5, which were set before any measurement."""
 
 from __future__ import annotations
 
@@ -15,23 +15,29 @@
 MAX_P99_RATIO = 2.0
 MAX_EXTRA_RUNS = 0.10
 MAX_FAULT_LOSS = 0.03
-FAULT_PAGES = ("slow", "lying", "black-hole")
+FAULT_SCENARIOS = ("slow", "lying", "black-hole")
 
 
 @frozen(kw_only=True)
-class Verdict:
-    """One target beside what was measured."""
+class TargetResult:
+    """A target and the measured value.
 
-    page: str
+    :param scenario: id of the scenario, ``Measurement.page``.
+    :param comparison: ``<=`` or ``>=``, as in ``measured <= target``.
+    """
+
+    scenario: str
     measure: str
     comparison: str
     target: float
     measured: float
 
 
-def _at_most(page: str, measure: str, limit: float, measured: float) -> Verdict:
-    return Verdict(
-        page=page,
+def _at_most(
+    scenario: str, measure: str, limit: float, measured: float
+) -> TargetResult:
+    return TargetResult(
+        scenario=scenario,
         measure=measure,
         comparison="<=",
         target=limit,
@@ -39,9 +45,11 @@
     )
 
 
-def _at_least(page: str, measure: str, limit: float, measured: float) -> Verdict:
-    return Verdict(
-        page=page,
+def _at_least(
+    scenario: str, measure: str, limit: float, measured: float
+) -> TargetResult:
+    return TargetResult(
+        scenario=scenario,
         measure=measure,
         comparison=">=",
         target=limit,
@@ -49,33 +57,38 @@
     )
 
 
-def judge(measurements: Iterable[Measurement]) -> list[Verdict]:
-    """Compare our policies' measurements with every target they concern."""
+def evaluate_targets(measurements: Iterable[Measurement]) -> list[TargetResult]:
+    """Compare the measurements of our policies with their targets.
+
+    Targets of scenarios that did not run are left out.
+    """
     measurements = list(measurements)
     ours = {entry.page: entry for entry in measurements if entry.policy == OURS}
-    verdicts = []
-    for page in ("steady", "pinned"):
-        if page in ours:
-            imbalance = ours[page].summary.imbalance
-            verdicts.append(_at_most(page, "imbalance", MAX_IMBALANCE, imbalance))
+    results = []
+    for scenario in ("steady", "pinned"):
+        if scenario in ours:
+            imbalance = ours[scenario].summary.imbalance
+            results.append(_at_most(scenario, "imbalance", MAX_IMBALANCE, imbalance))
     if "steady" in ours:
         ratio = ours["steady"].lookup_p99_seconds / ours["steady"].ideal_p99_seconds
-        verdicts.append(_at_most("steady", "lookup p99 / ideal", MAX_P99_RATIO, ratio))
+        results.append(_at_most("steady", "lookup p99 / ideal", MAX_P99_RATIO, ratio))
     if "busy" in ours:
         share = ours["busy"].summary.worth_share
-        verdicts.append(_at_least("busy", "worth in time", MIN_WORTH_BUSY, share))
-    verdicts += _judge_overload(ours, measurements)
-    verdicts += _judge_faults(ours)
-    for page, entry in ours.items():
-        verdicts.append(_at_most(page, "extra runs", MAX_EXTRA_RUNS, entry.extra_runs))
+        results.append(_at_least("busy", "worth in time", MIN_WORTH_BUSY, share))
+    results += _evaluate_overload(ours, measurements)
+    results += _evaluate_faults(ours)
+    for scenario, entry in ours.items():
+        results.append(
+            _at_most(scenario, "extra runs", MAX_EXTRA_RUNS, entry.extra_runs)
+        )
         broken = entry.summary.broken_flows
-        verdicts.append(_at_most(page, "broken flows", 0, broken))
-    return verdicts
+        results.append(_at_most(scenario, "broken flows", 0, broken))
+    return results
 
 
-def _judge_overload(
+def _evaluate_overload(
     ours: dict[str, Measurement], measurements: list[Measurement]
-) -> list[Verdict]:
+) -> list[TargetResult]:
     if "overload" not in ours:
         return []
     carried = ours["overload"].carried_share
@@ -93,12 +106,12 @@
     ]
 
 
-def _judge_faults(ours: dict[str, Measurement]) -> list[Verdict]:
+def _evaluate_faults(ours: dict[str, Measurement]) -> list[TargetResult]:
     if "without" not in ours:
         return []
     limit = ours["without"].summary.worth_share * (1.0 - MAX_FAULT_LOSS)
     return [
-        _at_least(page, "worth in time", limit, ours[page].summary.worth_share)
-        for page in FAULT_PAGES
-        if page in ours
+        _at_least(scenario, "worth in time", limit, ours[scenario].summary.worth_share)
+        for scenario in FAULT_SCENARIOS
+        if scenario in ours
     ]
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/demo.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/demo.py
@@ -20,7 +20,7 @@
 from absl import app, flags
 from attrs import frozen
 
-from daisygauge_emulator._accounting import Account, compare
+from daisygauge_emulator._accounting import Reconciliation, reconcile
 from daisygauge_emulator._server import quiet_libraries
 from daisygauge_emulator._workload import ServiceWorkload
 from daisygauge_emulator.caller import Client, FeedReport, Unknown
@@ -48,7 +48,7 @@
     :param problems: planned stops that did not end well.
     """
 
-    account: Account
+    account: Reconciliation
     broken: list[str]
     problems: list[str]
     feeds: list[FeedReport]
@@ -57,7 +57,7 @@
     def passed(self) -> bool:
         """Whether the deployment kept every promise that the demo checks."""
         account = self.account
-        return account.truthful and account.complete and not self.broken
+        return account.consistent and account.complete and not self.broken
 
 
 class Progress:
@@ -185,7 +185,7 @@
         if isinstance(record.outcome, Unknown) and record.outcome.cut
     ]
     return DeploymentResult(
-        account=compare(records, runs),
+        account=reconcile(records, runs),
         broken=broken,
         problems=problems,
         feeds=[workload.feed.report for workload in workloads],
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/__init__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/__init__.py
@@ -13,7 +13,7 @@
 from ._factory import FleetOptions
 from ._fleet import Balancer, Fleet, Host
 from ._process import FleetError, ManagedProcess
-from ._stand_ins import StandIns
+from ._stand_ins import StandInClient
 
 __all__ = [
     "BRANNOCK",
@@ -29,7 +29,7 @@
     "Host",
     "ManagedProcess",
     "ServicePlan",
-    "StandIns",
+    "StandInClient",
     "create_certificates",
     "documents",
 ]
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_fleet.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_fleet.py
@@ -18,7 +18,7 @@
 from ._deployment import AddressPlan, Deployment, ServicePlan
 from ._factory import FleetOptions, ProcessFactory
 from ._process import ManagedProcess
-from ._stand_ins import StandIns
+from ._stand_ins import StandInClient
 
 DRAIN_TIMEOUT_SECONDS = 20.0
 
@@ -81,7 +81,7 @@
         self.processes: list[ManagedProcess] = []
         self.balancers: dict[str, Balancer] = {}
         self.hosts: dict[str, Host] = {}
-        self.stand_ins: StandIns | None = None
+        self.stand_ins: StandInClient | None = None
 
     async def __aenter__(self) -> Fleet:
         try:
@@ -104,12 +104,12 @@
 
         :raises FleetError: a process ended or did not become ready in time.
         """
-        self.stand_ins = StandIns(self.addresses)
+        self.stand_ins = StandInClient(self.addresses)
         await self.start_stand_ins()
         await self.publish_all()
         indices = range(self.deployment.balancers)
         await asyncio.gather(
-            *(self.start_host(plan, index) for plan, index in self.host_places()),
+            *(self.start_host(plan, index) for plan, index in self.numbered_hosts()),
             *(self.start_balancer(index) for index in indices),
         )
         balancers = [balancer.process for balancer in self.balancers.values()]
@@ -141,7 +141,7 @@
             ca_path=str(self.factory.certificates.ca),
         )
 
-    def host_places(self) -> list[tuple[ServicePlan, int]]:
+    def numbered_hosts(self) -> list[tuple[ServicePlan, int]]:
         """Return the service and the number of every host."""
         plans = [plan for plan in self.deployment.services for _ in range(plan.hosts)]
         return [(plan, index) for index, plan in enumerate(plans)]
@@ -176,7 +176,7 @@
         await self.stand_ins.publish(documents.key_record())
         for plan in self.deployment.services:
             await self.publish_service(plan, address=self.services[plan.id])
-        for plan, index in self.host_places():
+        for plan, index in self.numbered_hosts():
             await self.publish_upstream(plan, index)
 
     async def publish_service(
@@ -211,20 +211,20 @@
         agent = await self.launch(self.factory.agent(plan, id, index))
         host = Host(id=id, index=index, plan=plan, upstream=upstream, agent=agent)
         self.hosts[id] = host
-        await self.list_host(host, leaving=False)
+        await self.register_host(host, leaving=False)
         return host
 
     async def restart_agent(self, host: Host) -> None:
         """Start a new agent in the place of one that has ended."""
         process = self.factory.agent(host.plan, host.id, host.index)
         host.agent = await self.launch(process)
-        await self.list_host(host, leaving=False)
+        await self.register_host(host, leaving=False)
         await self.wait_ready(host.agent)
 
-    async def list_host(self, host: Host, *, leaving: bool) -> None:
+    async def register_host(self, host: Host, *, leaving: bool) -> None:
         """Put a host's agent on the instance list."""
         entry = self.factory.instance(host.agent, index=host.index, leaving=leaving)
-        await self.stand_ins.list_instance(entry)
+        await self.stand_ins.register_instance(entry)
 
     async def start_balancer(self, index: int) -> Balancer:
         """Start a balancer and list it."""
@@ -232,21 +232,21 @@
         process = await self.launch(self.factory.balancer(id, index))
         balancer = Balancer(id=id, index=index, process=process)
         self.balancers[id] = balancer
-        await self.list_balancer(balancer, leaving=False)
+        await self.register_balancer(balancer, leaving=False)
         return balancer
 
-    async def list_balancer(self, balancer: Balancer, *, leaving: bool) -> None:
+    async def register_balancer(self, balancer: Balancer, *, leaving: bool) -> None:
         """Put a balancer on the instance list."""
         entry = self.factory.instance(
             balancer.process, index=balancer.index, leaving=leaving
         )
-        await self.stand_ins.list_instance(entry)
+        await self.stand_ins.register_instance(entry)
 
     async def restart_balancer(self, balancer: Balancer) -> None:
         """Start a new process in the place of a balancer that has ended."""
         process = self.factory.balancer(balancer.id, balancer.index)
         balancer.process = await self.launch(process)
-        await self.list_balancer(balancer, leaving=False)
+        await self.register_balancer(balancer, leaving=False)
         await self.wait_ready(balancer.process)
 
     async def replace_balancer(self, balancer: Balancer) -> int:
@@ -255,7 +255,7 @@
         :return: exit code of the one that was drained.
         :raises FleetError: it did not end in time.
         """
-        await self.list_balancer(balancer, leaving=True)
+        await self.register_balancer(balancer, leaving=True)
         code = await balancer.process.terminate(timeout_seconds=DRAIN_TIMEOUT_SECONDS)
         await self.restart_balancer(balancer)
         return code
@@ -268,10 +268,10 @@
         :return: exit codes of its agent and its upstream.
         :raises FleetError: one of them did not end in time.
         """
-        await self.list_host(host, leaving=True)
+        await self.register_host(host, leaving=True)
         agent_code = await host.agent.terminate(timeout_seconds=timeout_seconds)
         upstream_code = await host.upstream.terminate(timeout_seconds=timeout_seconds)
-        await self.stand_ins.unlist_instance(host.id)
+        await self.stand_ins.deregister_instance(host.id)
         return agent_code, upstream_code
 
     def ledger(self, host: Host) -> list[Run]:
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_process.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_process.py
@@ -80,11 +80,11 @@
         self.send_signal(signal.SIGKILL)
         await self.wait()
 
-    def freeze(self) -> None:
+    def suspend(self) -> None:
         """Stop the process without ending it."""
         self.send_signal(signal.SIGSTOP)
 
-    def wake(self) -> None:
+    def resume(self) -> None:
         """Let a frozen process go on."""
         self.send_signal(signal.SIGCONT)
 
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_stand_ins.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_stand_ins.py
@@ -19,7 +19,7 @@
 READY_POLL_SECONDS = 0.05
 
 
-class StandIns:
+class StandInClient:
     """A client of the stand-ins' control paths."""
 
     def __init__(self, addresses: AddressPlan) -> None:
@@ -52,12 +52,12 @@
         path = f"records/{record['kind']}/{record['id']}"
         await self.put(f"{self.platform}/v1/kv/{path}", record)
 
-    async def list_instance(self, entry: Document) -> None:
+    async def register_instance(self, entry: Document) -> None:
         """Put an entry on the platform's instance list."""
         id = entry["Service"]["ID"]
         await self.put(f"{self.platform}/stand-in/instances/{id}", entry)
 
-    async def unlist_instance(self, id: str) -> None:
+    async def deregister_instance(self, id: str) -> None:
         """Take an instance off the platform's list."""
         url = f"{self.platform}/stand-in/instances/{id}"
         async with self.session.delete(url) as answer:
@@ -96,7 +96,7 @@
         """Return the fabric's live balancers, callers and counters."""
         return await self.get(f"{self.fabric}/state")
 
-    async def forget_callers(self, **which: Any) -> int:
+    async def silence_callers(self, **which: Any) -> int:
         """Let the fabric silence present callers; their number."""
         answer = await self.put(f"{self.fabric}/forget", which)
         return answer["forgotten"]
--- a/testing/emulator/test_accounting.py
+++ b/testing/emulator/test_accounting.py
@@ -1,6 +1,6 @@
 import pytest
 
-from daisygauge_emulator._accounting import Record, compare
+from daisygauge_emulator._accounting import Record, reconcile
 from daisygauge_emulator._ledger import Run
 from daisygauge_emulator.caller import Answered, Defect, NotRun, Request, Unknown
 
@@ -28,9 +28,9 @@
 
 
 def test_an_answer_with_one_run_is_truthful_and_complete():
-    account = compare([record(RIGHT)], [run()])
+    account = reconcile([record(RIGHT)], [run()])
 
-    assert account.truthful
+    assert account.consistent
     assert account.complete
     assert account.answered_whole == 1
 
@@ -45,10 +45,10 @@
     ],
 )
 def test_outcomes_that_ledgers_contradict_are_found(outcome, runs, finding):
-    account = compare([record(outcome)], runs)
+    account = reconcile([record(outcome)], runs)
 
     assert getattr(account, finding) == 1
-    assert not account.truthful
+    assert not account.consistent
 
 
 def test_an_answer_of_another_service_is_misdelivered():
@@ -56,14 +56,14 @@
         status=200, headers={}, defects=frozenset({Defect.WRONG_SERVICE})
     )
 
-    account = compare([record(foreign)], [run()])
+    account = reconcile([record(foreign)], [run()])
 
     assert account.misdelivered == 1
     assert not account.complete
 
 
 def test_an_unknown_outcome_may_have_run_or_not():
-    account = compare([record(Unknown(reason="deadline passed"))], [])
+    account = reconcile([record(Unknown(reason="deadline passed"))], [])
 
-    assert account.truthful
+    assert account.consistent
     assert account.complete
--- a/testing/emulator/test_documents.py
+++ b/testing/emulator/test_documents.py
@@ -41,7 +41,7 @@
 
 
 def test_addresses_of_one_fleet_differ(fleet):
-    hosts = [PLAN.upstream(index) for _, index in fleet.host_places()]
+    hosts = [PLAN.upstream(index) for _, index in fleet.numbered_hosts()]
     hosts += [PLAN.balancer(index) for index in range(fleet.deployment.balancers)]
     hosts += [address.host for address in fleet.services.values()]
     hosts += [PLAN.platform.host, PLAN.fabric.host]
--- a/testing/proof/scene.py
+++ b/testing/proof/scene.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from daisygauge_emulator._accounting import Record, compare
+from daisygauge_emulator._accounting import Record, reconcile
 from daisygauge_emulator._workload import ServiceWorkload
 from daisygauge_emulator.caller import Caller, Client, Feed, Request
 from daisygauge_emulator.fleet import KUISEB, AddressPlan, Fleet, FleetOptions
@@ -144,7 +144,7 @@
         return [*self.gone_runs, *present]
 
     def account(self):
-        return compare(self.all_records, self.runs())
+        return reconcile(self.all_records, self.runs())
 
     async def until(self, condition, *, seconds):
         """Wait for a condition; tell whether it came true in time."""
@@ -157,7 +157,7 @@
 
     async def close(self):
         for process in self.frozen:
-            process.wake()
+            process.resume()
         tasks = [*self.load, *self.pending.values(), *(f.task for f in self.feeds)]
         for task in tasks:
             task.cancel()
--- a/testing/proof/steps/fleet.py
+++ b/testing/proof/steps/fleet.py
@@ -35,12 +35,12 @@
 def freeze_balancer(context, number):
     process = find_balancer(context, number).process
     context.scene.frozen.append(process)
-    process.freeze()
+    process.suspend()
 
 
 @when("balancer {number:d} wakes")
 def wake_balancer(context, number):
-    find_balancer(context, number).process.wake()
+    find_balancer(context, number).process.resume()
 
 
 @when("every balancer is replaced in turn")
@@ -74,12 +74,12 @@
 def freeze_agent(context, number, service):
     process = find_host(context, number, service).agent
     context.scene.frozen.append(process)
-    process.freeze()
+    process.suspend()
 
 
 @when("the agent of host {number:d} of {service} wakes")
 def wake_agent(context, number, service):
-    find_host(context, number, service).agent.wake()
+    find_host(context, number, service).agent.resume()
 
 
 @when("the upstream of host {number:d} of {service} is killed")
@@ -122,5 +122,5 @@
 def start_drain(context, name):
     scene = context.scene
     host = scene.host_of(name)
-    context.run(scene.fleet.list_host(host, leaving=True))
+    context.run(scene.fleet.register_host(host, leaving=True))
     host.agent.send_signal(signal.SIGTERM)
--- a/testing/proof/steps/network.py
+++ b/testing/proof/steps/network.py
@@ -2,10 +2,10 @@
 
 from behave import when
 
-from daisygauge_emulator.fleet import StandIns
+from daisygauge_emulator.fleet import StandInClient
 
 
-def stand_ins(context) -> StandIns:
+def stand_ins(context) -> StandInClient:
     return context.scene.fleet.stand_ins
 
 
@@ -49,12 +49,12 @@
 
 @when("the fabric forgets all present callers of {service}")
 def forget(context, service):
-    context.run(stand_ins(context).forget_callers(service=service))
+    context.run(stand_ins(context).silence_callers(service=service))
 
 
 @when("the fabric forgets how to reach the present callers of {service}")
 def forget_out(context, service):
-    context.run(stand_ins(context).forget_callers(service=service, direction="out"))
+    context.run(stand_ins(context).silence_callers(service=service, direction="out"))
 
 
 @when("the platform goes down")
--- a/testing/proof/steps/promises.py
+++ b/testing/proof/steps/promises.py
@@ -36,7 +36,7 @@
     account = context.scene.account()
     assert account.requests > 0
     assert account.complete, account.notes
-    assert account.truthful, account.notes
+    assert account.consistent, account.notes
 
 
 @then("every begun request has a true outcome")
@@ -51,7 +51,7 @@
     account = context.scene.account()
     assert account.requests > 0
     assert account.answered_whole == account.requests, account
-    assert account.truthful, account.notes
+    assert account.consistent, account.notes
 
 
 @then("no request has an unknown outcome")
