Describe the emulator's callers in the terms of the field

Doc comments named actions like a person's, left subjects out or said less than the name. They now name the subject, the condition and the unit, and cover attributes that need an explanation. GoawayParser parses the control stream, Feed handles events and ends, and Caller removes exchanges and closes drained connections.

The local names "opening" and "moving" never left the process.

--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_content.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_content.py
@@ -1,4 +1,4 @@
-"""What upstreams answer, so that callers can check it without a second copy."""
+"""Deterministic content of answers and feeds, which callers can recompute."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 def answer_body(request_id: str, *, size: int) -> bytes:
-    """Return the body that answers a request, different for each request.
+    """Return the answer body of a request, derived from the request's id.
 
     :param size: length in bytes.
     """
@@ -17,12 +17,12 @@
 
 
 def digest(body: bytes) -> str:
-    """Return the hexadecimal SHA-256 digest that X-Digest carries."""
+    """Return the hexadecimal SHA-256 digest for the X-Digest header."""
     return hashlib.sha256(body).hexdigest()
 
 
 def feed_event(number: int, *, size: int) -> bytes:
-    """Return one event of a feed: its number, padding and a line end.
+    """Return one event of a feed: its number, padding and a newline.
 
     :param size: length in bytes, at least ``MIN_FEED_EVENT_BYTES``.
     """
@@ -30,9 +30,9 @@
     return f"{number:012d} ".encode() + padding + b"\n"
 
 
-def feed_number(line: bytes) -> int:
-    """Read the number of an event.
+def parse_feed_number(line: bytes) -> int:
+    """Parse the number of an event.
 
-    :raises ValueError: the line is no event.
+    :raises ValueError: the line is not an event.
     """
     return int(line[: FEED_HEADER_BYTES - 1])
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/__init__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP/3 callers for tests, the demo and experiments, on two libraries."""
+"""HTTP/3 callers for tests, the demo and experiments, based on two libraries."""
 
 from ._caller import Caller, Client
 from ._feed import Feed, FeedReport
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_aioquic.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_aioquic.py
@@ -1,4 +1,4 @@
-"""A connection of the caller on aioquic."""
+"""HTTP/3 connection of a caller, based on aioquic."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import NetworkAddress, QuicConnection
 
-from ._control_stream import GoawayFinder, is_server_unidirectional
+from ._control_stream import GoawayParser, is_server_unidirectional
 from ._exchange import REQUEST_CANCELLED, Exchange, Exchanges, Headers
 from ._protocol import SocketOwner, open_connection
 
@@ -22,23 +22,23 @@
 
 
 class AioquicConnection(SocketOwner, QuicConnectionProtocol):
-    """One HTTP/3 connection."""
+    """Adapter of an aioquic connection to the caller's interface."""
 
     def __init__(self, quic: QuicConnection) -> None:
         super().__init__(quic)
         self.exchanges = Exchanges()
-        self.goaway = GoawayFinder()
+        self.goaway = GoawayParser()
         self.http: H3Connection | None = None
 
     def datagram_received(self, data: bytes, addr: NetworkAddress) -> None:
-        """Take a datagram; the library does not know stateless resets."""
+        """Process a datagram; aioquic itself does not detect stateless resets."""
         if self.is_stateless_reset(data):
             self.abandon(STATELESS_RESET)
             return
         super().datagram_received(data, addr)
 
     def is_stateless_reset(self, data: bytes) -> bool:
-        """Compare the end of a datagram with the known tokens (RFC 9000, 10.3.1)."""
+        """Return whether a datagram ends with a known token (RFC 9000, 10.3.1)."""
         if len(data) < MIN_RESET_BYTES or data[0] & _LONG_HEADER:
             return False
         token = data[-RESET_TOKEN_BYTES:]
@@ -46,7 +46,7 @@
         return any(peer_id.stateless_reset_token == token for peer_id in peer_ids)
 
     def quic_event_received(self, event: events.QuicEvent) -> None:
-        """Translate an event of the library."""
+        """Forward an event of the QUIC library to the exchanges."""
         match event:
             case events.ProtocolNegotiated():
                 self.http = H3Connection(self._quic)
@@ -65,7 +65,7 @@
                 self.http_event_received(http_event)
 
     def http_event_received(self, event: H3Event) -> None:
-        """Hand an HTTP event to its exchange."""
+        """Forward an HTTP event to its exchange."""
         match event:
             case HeadersReceived():
                 self.exchanges.receive_headers(
@@ -92,16 +92,16 @@
         return exchange
 
     def cancel(self, exchange: Exchange) -> None:
-        """Stop an answer unless it has just ended."""
+        """Stop an answer unless it is already complete."""
         if self.exchanges.closed.is_set():
             return
-        # The library refuses to stop a stream that is complete.
+        # The library raises ValueError for a stream that is complete.
         with contextlib.suppress(ValueError):
             self._quic.stop_stream(exchange.stream_id, REQUEST_CANCELLED)
         self.transmit()
 
     def abandon(self, reason: str) -> None:
-        """Forget the connection without a word to the other side."""
+        """Discard the connection without sending anything to the peer."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_answer.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_answer.py
@@ -1,4 +1,4 @@
-"""Reading and checking of one answer."""
+"""Reads one answer and checks its content."""
 
 from __future__ import annotations
 
@@ -21,7 +21,10 @@
 
 
 class AnswerReader:
-    """Collects the events of one exchange into an outcome."""
+    """Reads the events of one exchange and derives the outcome.
+
+    :param service: id of the service that should answer.
+    """
 
     def __init__(self, *, service: str, request: Request) -> None:
         self.service = service
@@ -30,7 +33,7 @@
         self.body = bytearray()
 
     async def read(self, connection: Connection, exchange: Exchange) -> Outcome:
-        """Wait for the end of the answer."""
+        """Read events until the exchange ends and return the outcome."""
         while True:
             event = await exchange.events.get()
             match event:
@@ -58,7 +61,10 @@
                     )
 
     def classify(self, *, host: str | None) -> Outcome:
-        """Tell the three outcomes apart by the headers."""
+        """Return the outcome of a complete answer, based on its headers.
+
+        :param host: ``x-daisygauge-host`` of the connection, if received.
+        """
         outcome = self.headers.get(OUTCOME_HEADER)
         if outcome == "not-run":
             retry_after = self.headers.get("retry-after")
@@ -76,7 +82,7 @@
         )
 
     def find_defects(self) -> frozenset[Defect]:
-        """Compare an answer with what this request should get."""
+        """Return the differences between the answer and the expected one."""
         defects = set()
         if self.headers.get("x-service", self.service) != self.service:
             defects.add(Defect.WRONG_SERVICE)
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_caller.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_caller.py
@@ -1,4 +1,4 @@
-"""A caller of one service, with as many connections as GOAWAY demands."""
+"""A caller of one service, which opens another connection after GOAWAY."""
 
 from __future__ import annotations
 
@@ -15,11 +15,11 @@
 
 CONNECT_TIMEOUT_SECONDS = 5.0
 IDLE_TIMEOUT_SECONDS = 10.0
-LINGER_SECONDS = 0.1
+CLOSE_LINGER_SECONDS = 0.1
 
 
 class Client(enum.Enum):
-    """The library that a caller uses."""
+    """The HTTP/3 library of a caller."""
 
     AIOQUIC = "aioquic"
     QH3 = "qh3"
@@ -32,10 +32,10 @@
 
 
 class Caller:
-    """Sends requests to one service and repeats none by itself.
+    """Sends requests to one service without retries.
 
-    :ivar opened: connections opened so far.
-    :ivar lost: why connections ended that had not been announced by GOAWAY.
+    :ivar opened: number of connections opened.
+    :ivar lost: reasons of connections that ended without a preceding GOAWAY.
     """
 
     def __init__(
@@ -51,18 +51,18 @@
         self.idle_timeout_seconds = idle_timeout_seconds
         self.connect_timeout_seconds = connect_timeout_seconds
         self.connections: list[Connection] = []
-        self.opening = asyncio.Lock()
+        self.connect_lock = asyncio.Lock()
         self.opened = 0
         self.lost: list[str] = []
 
     async def connect(self) -> Connection:
-        """Return a connection for a new request, opened if there is none.
+        """Return a usable connection for a new request; open one if there is none.
 
         :raises ConnectionError: the handshake failed.
         :raises TimeoutError: the handshake took too long.
         """
-        async with self.opening:
-            self.drop_unused()
+        async with self.connect_lock:
+            self.close_drained_connections()
             for connection in self.connections:
                 if connection.exchanges.usable:
                     return connection
@@ -78,8 +78,8 @@
             self.connections.append(connection)
             return connection
 
-    def drop_unused(self) -> None:
-        """Close connections that are leaving and have nothing in flight."""
+    def close_drained_connections(self) -> None:
+        """Close unusable connections without requests in flight."""
         for connection in list(self.connections):
             exchanges = connection.exchanges
             if exchanges.usable or exchanges.open:
@@ -100,13 +100,16 @@
         exchange = connection.start(request.headers(self.target), request.body)
         return connection, exchange
 
-    def finish(self, connection: Connection, exchange: Exchange) -> None:
-        """Forget an exchange."""
+    def remove_exchange(self, connection: Connection, exchange: Exchange) -> None:
+        """Remove an exchange from its connection, which is closed if drained."""
         connection.exchanges.open.pop(exchange.stream_id, None)
-        self.drop_unused()
+        self.close_drained_connections()
 
     async def request(self, request: Request) -> Outcome:
-        """Send a request and wait for its outcome, up to its deadline."""
+        """Send a request and wait for its outcome.
+
+        The deadline applies to the connection setup and to the answer separately.
+        """
         try:
             async with asyncio.timeout(request.deadline_seconds):
                 connection, exchange = await self.start(request)
@@ -123,13 +126,13 @@
             connection.cancel(exchange)
             raise
         finally:
-            self.finish(connection, exchange)
+            self.remove_exchange(connection, exchange)
 
     async def close(self) -> None:
-        """End every connection."""
+        """Close every connection."""
         for connection in self.connections:
             connection.close()
-        await asyncio.sleep(LINGER_SECONDS)
+        await asyncio.sleep(CLOSE_LINGER_SECONDS)
         for connection in self.connections:
             connection.release()
         self.connections.clear()
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_control_stream.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_control_stream.py
@@ -1,4 +1,4 @@
-"""Finds GOAWAY on the HTTP/3 control stream, which aioquic does not report."""
+"""Parses GOAWAY frames on the HTTP/3 control stream, which aioquic ignores."""
 
 from __future__ import annotations
 
@@ -10,12 +10,15 @@
 
 
 def is_server_unidirectional(stream_id: int) -> bool:
-    """Tell whether a stream may be the server's control stream."""
+    """Return whether a stream may be the server's control stream."""
     return stream_id & 0x3 == _SERVER_UNIDIRECTIONAL
 
 
-class GoawayFinder:
-    """Reads frames off the server's control stream (RFC 9114, 6.2.1 and 7.2.6)."""
+class GoawayParser:
+    """Parses the server's control stream (RFC 9114, 6.2.1 and 7.2.6).
+
+    :ivar ignored: ids of unidirectional streams of other types.
+    """
 
     def __init__(self) -> None:
         self.buffers: dict[int, bytes] = {}
@@ -23,9 +26,9 @@
         self.ignored: set[int] = set()
 
     def feed(self, stream_id: int, data: bytes) -> list[int]:
-        """Take data of a unidirectional stream.
+        """Process data of a unidirectional stream.
 
-        :return: stream IDs that newly complete GOAWAY frames carry.
+        :return: stream IDs in the GOAWAY frames that this data completes.
         """
         if stream_id in self.ignored:
             return []
@@ -37,7 +40,7 @@
         return self.read_frames(stream_id)
 
     def read_type(self, stream_id: int) -> bool:
-        """Read the type of a stream; False unless it is the control stream."""
+        """Parse the type of a stream and return whether it is the control stream."""
         buffer = Buffer(data=self.buffers[stream_id])
         try:
             stream_type = buffer.pull_uint_var()
@@ -52,7 +55,7 @@
         return True
 
     def read_frames(self, stream_id: int) -> list[int]:
-        """Read the whole frames that have arrived."""
+        """Parse the complete frames that are buffered; return the IDs of GOAWAYs."""
         found = []
         while True:
             buffer = Buffer(data=self.buffers[stream_id])
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_exchange.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_exchange.py
@@ -1,4 +1,4 @@
-"""Requests in flight on one connection, whichever library carries it."""
+"""Requests in flight on one connection, independent of the library."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 REQUEST_REJECTED = 0x10B
-"""H3_REQUEST_REJECTED (RFC 9114, 8.1): the request has not been processed."""
+"""H3_REQUEST_REJECTED (RFC 9114, 8.1): the server has not processed the request."""
 REQUEST_CANCELLED = 0x10C
 """H3_REQUEST_CANCELLED (RFC 9114, 8.1)."""
 
@@ -16,14 +16,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class HeaderBlock:
-    """The headers of an answer."""
+    """The header section of an answer."""
 
     headers: Headers
 
 
 @dataclass(frozen=True, kw_only=True)
 class Data:
-    """A piece of an answer's body."""
+    """A part of an answer's body."""
 
     data: bytes
 
@@ -35,14 +35,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Reset:
-    """The other side ended the stream early."""
+    """The peer reset the stream."""
 
     error_code: int
 
 
 @dataclass(frozen=True, kw_only=True)
 class Closed:
-    """The connection ended before the answer did."""
+    """The connection ended before the answer was complete."""
 
     reason: str
 
@@ -51,7 +51,7 @@
 
 
 class Exchange:
-    """One request and the events of its answer."""
+    """A request in flight and the events of its answer."""
 
     def __init__(self, stream_id: int) -> None:
         self.stream_id = stream_id
@@ -59,10 +59,12 @@
 
 
 class Exchanges:
-    """The open exchanges of a connection and its end.
+    """The open exchanges of a connection and the connection's state.
 
-    :ivar leaving: set once the other side has sent GOAWAY.
-    :ivar closed: set once the connection has ended, for ``closed_reason``.
+    :ivar open: open exchanges by their stream ID.
+    :ivar leaving: set when the peer has sent GOAWAY.
+    :ivar closed: set when the connection has ended, see ``closed_reason``.
+    :ivar host: latest ``x-daisygauge-host``, None before the first.
     """
 
     def __init__(self) -> None:
@@ -78,19 +80,19 @@
         return not (self.leaving.is_set() or self.closed.is_set())
 
     def add(self, stream_id: int) -> Exchange:
-        """Follow the answer on a stream."""
+        """Create the exchange of a stream."""
         exchange = Exchange(stream_id)
         self.open[stream_id] = exchange
         return exchange
 
     def receive(self, stream_id: int, event: StreamEvent) -> None:
-        """Hand an event to its exchange."""
+        """Queue an event for its exchange; ignore events of unknown streams."""
         exchange = self.open.get(stream_id)
         if exchange is not None:
             exchange.events.put_nowait(event)
 
     def receive_headers(self, stream_id: int, headers: Headers, *, ended: bool) -> None:
-        """Take the headers of an answer."""
+        """Process the headers of an answer."""
         host = dict(headers).get(b"x-daisygauge-host")
         if host is not None:
             self.host = host.decode()
@@ -99,25 +101,25 @@
             self.receive(stream_id, End())
 
     def receive_data(self, stream_id: int, data: bytes, *, ended: bool) -> None:
-        """Take a piece of an answer's body."""
+        """Process a part of an answer's body."""
         if data:
             self.receive(stream_id, Data(data=data))
         if ended:
             self.receive(stream_id, End())
 
     def receive_reset(self, stream_id: int, error_code: int) -> None:
-        """Take the early end of an answer."""
+        """Process the reset of an answer's stream."""
         self.receive(stream_id, Reset(error_code=error_code))
 
     def receive_goaway(self, first_unprocessed: int) -> None:
-        """Reject the exchanges that GOAWAY excludes (RFC 9114, 5.2)."""
+        """Reject the exchanges that the server will not process (RFC 9114, 5.2)."""
         self.leaving.set()
         for stream_id in self.open:
             if stream_id >= first_unprocessed:
                 self.receive(stream_id, Reset(error_code=REQUEST_REJECTED))
 
     def close(self, reason: str) -> None:
-        """End every exchange with the connection."""
+        """Record the end of the connection and end every open exchange."""
         if self.closed.is_set():
             return
         self.closed_reason = reason
@@ -127,7 +129,7 @@
 
 
 class Connection(Protocol):
-    """What an adapter of a QUIC library offers."""
+    """Interface of the adapters of QUIC libraries."""
 
     exchanges: Exchanges
 
@@ -135,10 +137,10 @@
         """Send a request."""
 
     def cancel(self, exchange: Exchange) -> None:
-        """Tell the other side that the answer is not wanted any more."""
+        """Ask the peer to stop sending the answer."""
 
     def close(self) -> None:
-        """End the connection."""
+        """Close the connection."""
 
     def release(self) -> None:
         """Close the socket."""
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_feed.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_feed.py
@@ -1,4 +1,4 @@
-"""A feed that stays open for long and moves when its host leaves."""
+"""A long-lived feed that moves to another connection when its host leaves."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 from attrs import define, field
 
-from .._content import feed_number
+from .._content import parse_feed_number
 from ._caller import Caller
 from ._exchange import (
     REQUEST_REJECTED,
@@ -23,23 +23,26 @@
 )
 from ._request import Request
 
-POLL_SECONDS = 0.1
+GOAWAY_POLL_SECONDS = 0.1
 REOPEN_DELAY_SECONDS = 0.2
 
 
 @dataclass(frozen=True, kw_only=True)
 class Event:
-    """The next event of a feed."""
+    """An event of a feed.
+
+    :param number: number of the event in the feed.
+    """
 
     number: int
 
 
 @dataclass(frozen=True, kw_only=True)
 class Ended:
-    """A feed has ended.
+    """The end of a feed's stream.
 
-    :param whole: True when the upstream ended it after a whole event.
-    :param refused: True when it was said to be not run, so it never began.
+    :param whole: whether the upstream ended the stream after a complete event.
+    :param refused: whether the request did not run, so that no feed began.
     """
 
     whole: bool
@@ -49,11 +52,14 @@
 
 @define(kw_only=True)
 class FeedReport:
-    """What a caller saw of its feed.
-
-    :param breaks: reasons of each end or gap that no planned change explains.
-    :param moves: changes to another connection without a break.
-    :param longest_silence_seconds: longest time between two events.
+    """Statistics of a feed as its caller saw it.
+
+    :param events: number of events without duplicates.
+    :param breaks: reasons of unplanned ends and gaps.
+    :param moves: number of moves to another connection without a break.
+    :param longest_silence_seconds: longest time between two events, or from the
+        last event to the end.
+    :param hosts: ``x-daisygauge-host`` of each host that served the feed.
     """
 
     events: int = 0
@@ -64,7 +70,7 @@
 
 
 class FeedStream:
-    """One answer of a feed on one connection."""
+    """The answer to one request for a feed."""
 
     def __init__(self, connection: Connection, exchange: Exchange) -> None:
         self.connection = connection
@@ -72,7 +78,7 @@
         self.buffer = b""
 
     async def next(self) -> Event | Ended:
-        """Wait for the next whole event or the end."""
+        """Wait for the next complete event or for the end of the stream."""
         while b"\n" not in self.buffer:
             match await self.exchange.events.get():
                 case Data(data=data):
@@ -99,14 +105,18 @@
                 case Closed(reason=reason):
                     return Ended(whole=False, reason=f"connection closed: {reason}")
         line, self.buffer = self.buffer.split(b"\n", 1)
-        return Event(number=feed_number(line))
+        return Event(number=parse_feed_number(line))
 
 
 class Feed:
-    """Reads numbered events without a gap, across hosts that leave.
+    """Reads numbered events without gaps while hosts leave.
+
+    After GOAWAY the feed is opened on a new connection, starting at the next
+    number. The old stream is closed only after that.
 
-    After GOAWAY it opens the feed on a new connection from the next number on
-    and gives up the old one only then.
+    :param clock: returns the time in seconds.
+    :ivar expected: number of the next event.
+    :ivar opening: task that opens the feed on another connection.
     """
 
     def __init__(
@@ -122,10 +132,10 @@
         self.report = FeedReport()
         self.expected = 0
         self.last_event: float | None = None
-        self.moving: asyncio.Task[FeedStream | None] | None = None
+        self.opening: asyncio.Task[FeedStream | None] | None = None
 
     async def open(self) -> FeedStream | None:
-        """Open the feed from the next expected number on, or return None."""
+        """Open the feed at the next expected number; return None if that fails."""
         separator = "&" if "?" in self.path else "?"
         path = f"{self.path}{separator}from={self.expected}"
         try:
@@ -135,7 +145,7 @@
         return FeedStream(*started)
 
     async def run(self) -> None:
-        """Read the feed until cancelled."""
+        """Read the feed until cancelled; reopen it after each end."""
         stream = None
         try:
             while True:
@@ -143,36 +153,39 @@
                 if stream is None:
                     await asyncio.sleep(REOPEN_DELAY_SECONDS)
                     continue
-                stream = await self.step(stream)
+                stream = await self.read_next(stream)
         finally:
-            self.note_silence(now=self.clock())
-            if self.moving is not None:
-                self.moving.cancel()
+            self.record_silence(now=self.clock())
+            if self.opening is not None:
+                self.opening.cancel()
             if stream is not None:
-                self.leave(stream)
+                self.close_stream(stream)
 
-    async def step(self, stream: FeedStream) -> FeedStream | None:
-        """Take one event; return the stream to go on with, None to reopen."""
+    async def read_next(self, stream: FeedStream) -> FeedStream | None:
+        """Process one event or end and return the stream to read next.
+
+        :return: None if the feed has to be opened again.
+        """
         try:
-            async with asyncio.timeout(POLL_SECONDS):
+            async with asyncio.timeout(GOAWAY_POLL_SECONDS):
                 item = await stream.next()
         except TimeoutError:
-            return await self.move(stream)
+            return await self.move_if_leaving(stream)
         match item:
             case Event(number=number):
-                self.take(number, stream)
-                return await self.move(stream)
+                self.handle_event(number, stream)
+                return await self.move_if_leaving(stream)
             case Ended() as ended:
-                return await self.take_end(stream, ended)
+                return await self.handle_end(stream, ended)
 
-    def take(self, number: int, stream: FeedStream) -> None:
-        """Note an event; earlier ones come twice after a move."""
+    def handle_event(self, number: int, stream: FeedStream) -> None:
+        """Record an event; ignore duplicates, which occur after a move."""
         now = self.clock()
         if number > self.expected:
             self.report.breaks.append(f"gap from {self.expected} to {number}")
         if number < self.expected:
             return
-        self.note_silence(now=now)
+        self.record_silence(now=now)
         self.last_event = now
         self.expected = number + 1
         self.report.events += 1
@@ -180,8 +193,8 @@
         if host and host not in self.report.hosts:
             self.report.hosts.append(host)
 
-    def note_silence(self, *, now: float) -> None:
-        """Take in the time since the last event.
+    def record_silence(self, *, now: float) -> None:
+        """Update the longest silence with the time since the last event.
 
         :param now: time of ``clock`` in seconds.
         """
@@ -190,37 +203,40 @@
                 self.report.longest_silence_seconds, now - self.last_event
             )
 
-    async def take_end(self, stream: FeedStream, ended: Ended) -> FeedStream | None:
-        """Note the end of a stream and go on with the one being opened."""
+    async def handle_end(self, stream: FeedStream, ended: Ended) -> FeedStream | None:
+        """Record the end of a stream and return the one that is being opened."""
         if ended.whole:
             self.report.moves += 1
         elif not ended.refused:
             self.report.breaks.append(ended.reason)
-        self.leave(stream)
-        if self.moving is None:
+        self.close_stream(stream)
+        if self.opening is None:
             await asyncio.sleep(REOPEN_DELAY_SECONDS * (not ended.whole))
             return None
-        moved = await self.moving
-        self.moving = None
+        moved = await self.opening
+        self.opening = None
         return moved
 
-    async def move(self, stream: FeedStream) -> FeedStream:
-        """Change to a new connection once the host of this one leaves."""
-        if self.moving is None:
+    async def move_if_leaving(self, stream: FeedStream) -> FeedStream:
+        """Open the feed on a new connection if the host of this one leaves.
+
+        :return: the new stream once it is open, until then the given one.
+        """
+        if self.opening is None:
             if stream.connection.exchanges.leaving.is_set():
-                self.moving = asyncio.create_task(self.open())
+                self.opening = asyncio.create_task(self.open())
             return stream
-        if not self.moving.done():
+        if not self.opening.done():
             return stream
-        moved = self.moving.result()
-        self.moving = None
+        moved = self.opening.result()
+        self.opening = None
         if moved is None:
             return stream
         self.report.moves += 1
-        self.leave(stream)
+        self.close_stream(stream)
         return moved
 
-    def leave(self, stream: FeedStream) -> None:
-        """Give up a stream."""
+    def close_stream(self, stream: FeedStream) -> None:
+        """Cancel the answer and remove its exchange."""
         stream.connection.cancel(stream.exchange)
-        self.caller.finish(stream.connection, stream.exchange)
+        self.caller.remove_exchange(stream.connection, stream.exchange)
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_outcome.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_outcome.py
@@ -1,4 +1,4 @@
-"""What a caller knows about a request in the end."""
+"""Outcomes of a request as its caller knows them."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 
 class Defect(enum.Enum):
-    """What is wrong with an answer."""
+    """Differences between an answer and the expected one."""
 
     WRONG_SERVICE = "wrong service"
     WRONG_REQUEST = "answer to another request"
@@ -17,10 +17,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Answered:
-    """The whole answer arrived.
+    """The answer arrived completely.
 
     :param headers: header values by lower-case name.
-    :param defects: empty for a right answer.
+    :param defects: differences from the expected answer, empty if there are none.
     """
 
     status: int
@@ -31,7 +31,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class NotRun:
-    """The request did not run and will not run."""
+    """The request did not run and will not run.
+
+    :param retry_after_seconds: value of Retry-After, if the answer had one.
+    """
 
     reason: str
     retry_after_seconds: float | None = None
@@ -41,9 +44,9 @@
 class Unknown:
     """The request may have run, or may still run.
 
-    :param host: ``x-daisygauge-host`` of the connection, when it was seen;
-        a repeat has to name it.
-    :param cut: True when the stream or connection ended before the answer.
+    :param host: ``x-daisygauge-host`` of the connection, if received; a retry has
+        to send it.
+    :param cut: whether the stream or connection ended before the answer.
     """
 
     reason: str
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_protocol.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_protocol.py
@@ -1,6 +1,6 @@
-"""What the adapters of both QUIC libraries have in common.
+"""Common parts of the adapters of both QUIC libraries.
 
-The libraries share the interface of their asyncio protocols, but no class.
+The asyncio protocols of the libraries have the same interface, but no common class.
 """
 
 from __future__ import annotations
@@ -11,7 +11,10 @@
 
 
 class SocketOwner:
-    """Mixin of a connection that owns its socket; goes before the library's class."""
+    """Mixin of a connection with its own socket.
+
+    It must precede the library's class in the list of base classes.
+    """
 
     _transport: asyncio.DatagramTransport | None
     _connected_waiter: Any
@@ -22,13 +25,13 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Give up a handshake that nobody waits for any more."""
+        """Abort a handshake whose waiter was cancelled or has failed."""
         self._connected_waiter = None
         self.close()
         self.release()
 
     def transmit(self) -> None:
-        """Send what is due, unless the socket is closed already."""
+        """Send pending datagrams unless the socket is closed."""
         if self._transport is not None and not self._transport.is_closing():
             super().transmit()
 
@@ -39,7 +42,7 @@
 async def open_connection(
     create: Callable[[], Opened], *, host: str, port: int
 ) -> Opened:
-    """Open a connection on a socket of its own and wait for its handshake.
+    """Open a connection on its own socket and wait for its handshake.
 
     :raises ConnectionError: the handshake was refused.
     """
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_qh3.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_qh3.py
@@ -1,4 +1,4 @@
-"""A connection of the caller on qh3, an independent implementation."""
+"""HTTP/3 connection of a caller, based on qh3, an independent implementation."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class Qh3Connection(SocketOwner, QuicConnectionProtocol):
-    """One HTTP/3 connection."""
+    """Adapter of a qh3 connection to the caller's interface."""
 
     def __init__(self, quic: QuicConnection) -> None:
         super().__init__(quic)
@@ -30,7 +30,7 @@
         self.http: H3Connection | None = None
 
     def quic_event_received(self, event: events.QuicEvent) -> None:
-        """Translate an event of the library."""
+        """Forward an event of the QUIC library to the exchanges."""
         match event:
             case events.ProtocolNegotiated():
                 self.http = H3Connection(self._quic)
@@ -43,7 +43,7 @@
                 self.http_event_received(http_event)
 
     def http_event_received(self, event: H3Event) -> None:
-        """Hand an HTTP event to its exchange."""
+        """Forward an HTTP event to its exchange."""
         match event:
             case HeadersReceived():
                 self.exchanges.receive_headers(
@@ -74,10 +74,10 @@
         return exchange
 
     def cancel(self, exchange: Exchange) -> None:
-        """Stop an answer unless it has just ended."""
+        """Stop an answer unless it is already complete."""
         if self.exchanges.closed.is_set():
             return
-        # The library refuses to stop a stream that is complete.
+        # The library raises ValueError for a stream that is complete.
         with contextlib.suppress(ValueError):
             self._quic.stop_stream(exchange.stream_id, REQUEST_CANCELLED)
         self.transmit()
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_request.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_request.py
@@ -1,4 +1,4 @@
-"""What a caller sends, and where to."""
+"""Requests of a caller and the service that they are sent to."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 
 @frozen(kw_only=True)
 class Target:
-    """A service as callers see it.
+    """Address and identity of a service.
 
-    :param service: id that X-Service has to name.
-    :param server_name: name in the certificate.
-    :param ca_path: file with the certificate of the authority.
+    :param service: expected value of X-Service.
+    :param server_name: name in the server's certificate.
+    :param ca_path: file with the certificate of the certificate authority.
     """
 
     service: str
@@ -27,11 +27,13 @@
 
 @frozen(kw_only=True)
 class Request:
-    """One request.
+    """A request of a caller.
 
-    :param deadline_seconds: time after which the answer is of no use, or None.
-    :param first_host: ``x-daisygauge-host`` to which an earlier try of the same
-        idempotency key went.
+    :param path: path with query.
+    :param deadline_seconds: time after which the answer is useless, None for no
+        deadline.
+    :param first_host: ``x-daisygauge-host`` of an earlier attempt with the same
+        idempotency key.
     """
 
     path: str
@@ -43,7 +45,7 @@
     body: bytes = b""
 
     def headers(self, target: Target) -> Headers:
-        """Return the header block that is sent."""
+        """Return the header section for a target."""
         optional = {
             "idempotency-key": self.idempotency_key,
             "x-daisygauge-first": self.first_host,
--- a/testing/emulator/test_caller.py
+++ b/testing/emulator/test_caller.py
@@ -81,7 +81,7 @@
             case _:
                 self.send(stream, fields, body)
 
-    def leave(self):
+    def go_away(self):
         send_goaway(self.http, quic=self._quic, next_stream=1 << 20)
         self.transmit()
 
@@ -113,7 +113,7 @@
     await caller.close()
 
 
-async def test_a_right_answer_has_no_defects(caller):
+async def test_a_correct_answer_has_no_defects(caller):
     outcome = await caller.request(Request(path="/run"))
 
     assert isinstance(outcome, Answered)
@@ -124,7 +124,7 @@
     ("path", "defect"),
     [("/foreign", Defect.WRONG_SERVICE), ("/garbled", Defect.WRONG_BODY)],
 )
-async def test_a_wrong_answer_is_found(caller, path, defect):
+async def test_the_defect_of_a_wrong_answer_is_found(caller, path, defect):
     outcome = await caller.request(Request(path=path))
 
     assert outcome.defects == {defect}
@@ -140,20 +140,20 @@
     assert outcome.retry_after_seconds == retry_after_seconds
 
 
-async def test_a_cut_answer_is_unknown_and_names_the_host(caller):
+async def test_an_incomplete_answer_is_unknown_and_names_the_host(caller):
     outcome = await caller.request(Request(path="/cut"))
 
     assert isinstance(outcome, Unknown)
     assert outcome.host == "host;1"
 
 
-async def test_a_passed_deadline_is_unknown(caller):
+async def test_a_request_past_its_deadline_is_unknown(caller):
     outcome = await caller.request(Request(path="/silent", deadline_seconds=0.2))
 
     assert isinstance(outcome, Unknown)
 
 
-async def test_an_answer_that_has_just_ended_can_be_cancelled(caller):
+async def test_cancelling_a_complete_answer_keeps_the_connection_open(caller):
     connection, exchange = await caller.start(Request(path="/run"))
     while not isinstance(await exchange.events.get(), End):
         pass
@@ -163,7 +163,7 @@
     assert not connection.exchanges.closed.is_set()
 
 
-async def test_no_server_means_not_run(target):
+async def test_a_request_without_a_server_is_not_run(target):
     caller = Caller(target, connect_timeout_seconds=0.2)
     caller.target = Target(
         service="order-desk",
@@ -180,7 +180,7 @@
     first = await caller.request(Request(path="/run"))
     connection = caller.connections[0]
 
-    Server.connections[0].leave()
+    Server.connections[0].go_away()
     await connection.exchanges.leaving.wait()
     second = await caller.request(Request(path="/run"))
 
@@ -194,7 +194,7 @@
     while feed.report.events < 3:
         await asyncio.sleep(0.01)
 
-    Server.connections[0].leave()
+    Server.connections[0].go_away()
     while feed.report.events < 6:
         await asyncio.sleep(0.01)
     reading.cancel()
@@ -203,7 +203,7 @@
     assert (feed.report.moves, feed.expected) == (1, 6)
 
 
-async def test_a_feed_that_went_silent_counts_the_silence_up_to_its_end(caller):
+async def test_the_longest_silence_of_a_feed_includes_the_time_until_its_end(caller):
     now = 100.0
     feed = Feed(caller, path="/feed", clock=lambda: now)
     reading = asyncio.create_task(feed.run())
