Call the experiments of the benchmark scenarios

"Page" said nothing about an experiment with a load, hosts and faults. The classes, modules and parameters now say scenario; load results are LoadResult, and max_worth() is the upper bound of the worth. Doc comments state measures, units and defaults.

The results keep "page" as the name of a scenario: Measurement.page, the key "page" of the JSON files and the column of the printed table are unchanged, and the doc comments say so.

--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/__init__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/__init__.py
@@ -1,18 +1,18 @@
-"""Experiments with real daemons: the policies against baselines in one run."""
+"""Benchmarks of the policies against baselines on fleets of real daemons."""
 
 from ._compare import run_policies
-from ._pages import PAGES, SEED, Page
 from ._policies import POLICIES
 from ._report import write_results
 from ._run import Measurement
+from ._scenarios import SCENARIOS, SEED, Scenario
 from ._targets import TargetResult, evaluate_targets
 
 __all__ = [
-    "PAGES",
     "POLICIES",
+    "SCENARIOS",
     "SEED",
     "Measurement",
-    "Page",
+    "Scenario",
     "TargetResult",
     "evaluate_targets",
     "run_policies",
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_compare.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_compare.py
@@ -1,30 +1,32 @@
-"""Runs every policy on the same arrivals."""
+"""Runs every policy with the same arrivals."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
 from ..fleet import AddressPlan
-from ._pages import PAGES
 from ._policies import DEFAULT_POLICIES, OURS, POLICIES
 from ._report import format_measurements
-from ._run import Measurement, run_pages
+from ._run import Measurement, run_scenarios
+from ._scenarios import SCENARIOS
 
-PAGE_IDS = tuple(page.id for page in PAGES)
+SCENARIO_IDS = tuple(scenario.id for scenario in SCENARIOS)
 
 
 async def run_policies(
-    *, pages: Iterable[str] = PAGE_IDS, policies: Iterable[str] = DEFAULT_POLICIES
+    *,
+    scenarios: Iterable[str] = SCENARIO_IDS,
+    policies: Iterable[str] = DEFAULT_POLICIES,
 ) -> list[Measurement]:
-    """Run the named pages under each named policy, one fleet after another."""
+    """Run the named scenarios under each named policy, one fleet after another."""
     measurements = []
     for number, policy in enumerate(policies):
         chosen = [
-            page
-            for page in PAGES
-            if page.id in pages and (policy == OURS or not page.only_ours)
+            scenario
+            for scenario in SCENARIOS
+            if scenario.id in scenarios and (policy == OURS or not scenario.only_ours)
         ]
-        results = await run_pages(
+        results = await run_scenarios(
             chosen,
             policy=policy,
             fields=POLICIES[policy],
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_policies.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_policies.py
@@ -1,4 +1,4 @@
-"""The policies that are compared."""
+"""Our policies and the baselines that they are compared with."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 _FIFO = {"type": "fifo"}
 _NO_HAND_OFF = {"type": "none"}
 
-# Deals the packets of one handshake out to several hosts, so that opening the
-# connections of a page takes minutes; compared only when it is named.
+# Distributes the packets of one handshake over several hosts, so that opening the
+# connections of a scenario takes minutes. It runs only if it is requested by name.
 ROUND_ROBIN = "round-robin"
 
 POLICIES: dict[str, dict[str, Any]] = {
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_report.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_report.py
@@ -1,4 +1,4 @@
-"""Writes results and plots, and prints the tables."""
+"""Writes results and plots, and formats tables."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 
 from attrs import asdict
 
-from ._pages import PAGES
 from ._run import Measurement
+from ._scenarios import SCENARIOS
 
 COLUMNS = (
     "page",
@@ -25,7 +25,7 @@
 
 
 def format_measurements(measurements: list[Measurement]) -> str:
-    """Return one line for each page and policy."""
+    """Return a table with one line for each scenario and policy."""
     lines = ["{:<11}{:<16}".format(*COLUMNS) + "".join(f"{c:>12}" for c in COLUMNS[2:])]
     for entry in measurements:
         summary = entry.summary
@@ -47,23 +47,28 @@
 
 
 def write_results(directory: Path, *, measurements: list[Measurement]) -> None:
-    """Write one JSON file and one plot for each page."""
+    """Write one JSON file and one plot for each scenario.
+
+    In the files, scenarios are called pages.
+    """
     directory.mkdir(parents=True, exist_ok=True)
-    for page in PAGES:
-        entries = [entry for entry in measurements if entry.page == page.id]
+    for scenario in SCENARIOS:
+        entries = [entry for entry in measurements if entry.page == scenario.id]
         if entries:
             document = {
-                "page": asdict(page),
+                "page": asdict(scenario),
                 "results": [asdict(entry) for entry in entries],
             }
-            (directory / f"{page.id}.json").write_text(
+            (directory / f"{scenario.id}.json").write_text(
                 json.dumps(document, indent=2) + "\n"
             )
-            plot_page(directory / f"{page.id}.png", title=page.title, entries=entries)
+            plot_scenario(
+                directory / f"{scenario.id}.png", title=scenario.title, entries=entries
+            )
 
 
-def plot_page(path: Path, *, title: str, entries: list[Measurement]) -> None:
-    """Draw worth, imbalance and latency of each policy side by side."""
+def plot_scenario(path: Path, *, title: str, entries: list[Measurement]) -> None:
+    """Plot worth, imbalance and latency of each policy."""
     import matplotlib
 
     matplotlib.use("Agg")
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_run.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_run.py
@@ -1,4 +1,4 @@
-"""Runs pages against fleets of real daemons and measures them."""
+"""Runs scenarios against fleets of real daemons and measures them."""
 
 from __future__ import annotations
 
@@ -13,35 +13,38 @@
 from ..caller import Answered, Caller
 from ..fleet import KUISEB, AddressPlan, Fleet, FleetOptions
 from ..load import (
-    Result,
+    LoadResult,
     Summary,
-    carried_worth,
     draw_arrivals,
+    max_worth,
     open_callers,
     run_load,
     single_queue_latencies,
     summarize,
     summarize_latencies,
 )
-from ._pages import FLOWS, HOSTS, SLOTS, Page
+from ._scenarios import FLOWS, HOSTS, SLOTS, Scenario
 
 SERVICE = "order-desk"
 LOOKUP = "lookup"
 REVISIONS = itertools.count(2)
-OPENING_AT_ONCE = 14
-OPENING_TRIES = 20
+MAX_CONCURRENT_HANDSHAKES = 14
+MAX_HANDSHAKE_ATTEMPTS = 20
 SETTLE_SECONDS = 1.5
 
 
 @frozen(kw_only=True)
 class Measurement:
-    """One page under one policy.
-
-    :param lookup_p99_seconds: of lookups answered whole.
-    :param ideal_p99_seconds: of lookups in one queue before all slots.
-    :param carried_share: worth in time, as a share of what the slots could carry.
-    :param extra_runs: runs beyond the first, as a share of requests.
-    :param by_host: requests done by each host.
+    """Measures of one scenario under one policy.
+
+    :param page: id of the scenario; the results use this name.
+    :param lookup_p99_seconds: 99th percentile of correctly answered lookups.
+    :param ideal_p99_seconds: 99th percentile of lookups with a single queue for all
+        slots.
+    :param carried_share: worth answered in time as a share of ``max_worth()``.
+    :param extra_runs: second and later runs as a share of requests.
+    :param by_host: number of requests that each host answered.
+    :param not_run_reasons: number of requests without an answer by their reason.
     """
 
     page: str
@@ -56,52 +59,61 @@
     not_run_reasons: dict[str, int]
 
 
-async def run_pages(
-    pages: Sequence[Page],
+async def run_scenarios(
+    scenarios: Sequence[Scenario],
     *,
     policy: str,
     fields: dict[str, Any],
     addresses: AddressPlan,
 ) -> list[Measurement]:
-    """Run pages one after another on one fleet.
+    """Run scenarios sequentially on one fleet.
 
-    :param fields: policies of the service record.
+    :param policy: name of the policy.
+    :param fields: fields of the service record that select the policy.
     """
     plan = next(entry for entry in KUISEB.services if entry.id == SERVICE)
     deployment = evolve(KUISEB, services=(evolve(plan, hosts=HOSTS, slots=SLOTS),))
     options = FleetOptions(policies={SERVICE: fields}, log_level="error")
     async with Fleet(deployment, addresses=addresses, options=options) as fleet:
-        return [await run_page(page, policy=policy, fleet=fleet) for page in pages]
+        return [
+            await run_scenario(scenario, policy=policy, fleet=fleet)
+            for scenario in scenarios
+        ]
+
 
+async def run_scenario(scenario: Scenario, *, policy: str, fleet: Fleet) -> Measurement:
+    """Run one scenario and reset the faults that it injects.
 
-async def run_page(page: Page, *, policy: str, fleet: Fleet) -> Measurement:
-    """Run one page; the fleet is healthy before and after it."""
+    Hosts that the scenario stops stay down.
+    """
     hosts = fleet.hosts_of(SERVICE)
-    for host in hosts[: page.missing_hosts]:
+    for host in hosts[: scenario.missing_hosts]:
         await fleet.drain_host(host)
-    staying = hosts[page.missing_hosts :]
-    pinned = [host.id for host in staying[: page.pinned_hosts]]
+    staying = hosts[scenario.missing_hosts :]
+    pinned = [host.id for host in staying[: scenario.pinned_hosts]]
     if pinned:
-        # Passing would keep connections away from hosts that hold so many.
+        # Otherwise hosts with many connections pass new ones on to other hosts.
         await publish_placement(fleet, {"type": "rendezvous", "pass_margin": None})
-    callers = await open_patiently(fleet, hosts=pinned)
+    callers = await open_with_retries(fleet, hosts=pinned)
     if pinned:
         await publish_placement(fleet, {"type": "rendezvous"})
     address = fleet.addresses.upstream(hosts[0].index)
     try:
-        if page.behaviour:
-            await fleet.stand_ins.set_behaviour(address, **page.behaviour)
-        result = await run_load(draw_arrivals(page.plan()), callers=callers)
+        if scenario.behaviour:
+            await fleet.stand_ins.set_behaviour(address, **scenario.behaviour)
+        result = await run_load(draw_arrivals(scenario.plan()), callers=callers)
     finally:
-        if page.behaviour:
-            await fleet.stand_ins.set_behaviour(address, **_healthy(page.behaviour))
+        if scenario.behaviour:
+            await fleet.stand_ins.set_behaviour(
+                address, **_select_defaults(scenario.behaviour)
+            )
         await asyncio.gather(*(caller.close() for caller in callers))
     await asyncio.sleep(SETTLE_SECONDS)
     runs = Counter(run.request_id for host in hosts for run in fleet.ledger(host))
-    return measure(page, policy=policy, result=result, runs=runs, hosts=staying)
+    return measure(scenario, policy=policy, result=result, runs=runs, hosts=staying)
 
 
-def _healthy(behaviour: dict[str, Any]) -> dict[str, Any]:
+def _select_defaults(behaviour: dict[str, Any]) -> dict[str, Any]:
     defaults = {
         "slowness": 1.0,
         "black_hole": False,
@@ -113,7 +125,7 @@
 
 
 async def publish_placement(fleet: Fleet, placement: dict[str, Any]) -> None:
-    """Publish the service with another placement and wait until it is in force."""
+    """Publish the service with another placement and wait until it is applied."""
     plan = fleet.deployment.services[0]
     policies = fleet.factory.options.policies
     policies[SERVICE] = {**policies[SERVICE], "placement": placement}
@@ -123,40 +135,52 @@
     await asyncio.sleep(SETTLE_SECONDS)
 
 
-async def open_patiently(fleet: Fleet, *, hosts: list[str]) -> list[Caller]:
-    """Open every connection, trying again where a handshake fails.
+async def open_with_retries(fleet: Fleet, *, hosts: list[str]) -> list[Caller]:
+    """Open every connection and retry failed handshakes.
+
+    Handshakes fail with round robin, which distributes the packets of one handshake
+    over several hosts.
 
-    Round robin deals the packets of one handshake out to several hosts.
+    :raises ConnectionError: every attempt to open a connection failed.
     """
 
     async def open_one() -> Caller:
-        for _ in range(OPENING_TRIES):
+        for _ in range(MAX_HANDSHAKE_ATTEMPTS):
             try:
                 target = fleet.target(SERVICE)
                 return (await open_callers(target, count=1, hosts=hosts))[0]
             except (ConnectionError, TimeoutError):
                 continue
         raise ConnectionError(
-            f"no handshake in {OPENING_TRIES} tries; see the logs of the fleet"
+            f"no handshake in {MAX_HANDSHAKE_ATTEMPTS} tries; see the logs of the fleet"
         )
 
     callers = []
-    for start in range(0, FLOWS, OPENING_AT_ONCE):
-        batch = range(start, min(FLOWS, start + OPENING_AT_ONCE))
+    for start in range(0, FLOWS, MAX_CONCURRENT_HANDSHAKES):
+        batch = range(start, min(FLOWS, start + MAX_CONCURRENT_HANDSHAKES))
         callers += await asyncio.gather(*(open_one() for _ in batch))
     return callers
 
 
 def measure(
-    page: Page, *, policy: str, result: Result, runs: Counter[str], hosts: list[Any]
+    scenario: Scenario,
+    *,
+    policy: str,
+    result: LoadResult,
+    runs: Counter[str],
+    hosts: list[Any],
 ) -> Measurement:
-    """Compute every measure of one page from the same samples."""
+    """Compute all measures of one scenario.
+
+    :param runs: number of runs by the request's id.
+    :param hosts: hosts that should share the load.
+    """
     kept = [
         sample
         for sample in result.samples
-        if sample.arrival.at_seconds >= page.measured_from
+        if sample.arrival.at_seconds >= scenario.measured_from
     ]
-    counted = Result(started=result.started, samples=kept, lost=result.lost)
+    counted = LoadResult(started=result.started, samples=kept, lost=result.lost)
     arrivals = sorted(
         (sample.arrival for sample in result.samples),
         key=lambda arrival: arrival.at_seconds,
@@ -169,8 +193,8 @@
     )
     lookups = [sample for sample in kept if sample.arrival.kind.name == LOOKUP]
     done = sum(sample.arrival.kind.worth for sample in kept if sample.in_time)
-    seconds = page.plan().seconds - page.measured_from
-    possible = carried_worth(
+    seconds = scenario.plan().seconds - scenario.measured_from
+    possible = max_worth(
         [sample.arrival for sample in kept],
         slots=sum(slots.values()),
         seconds=seconds,
@@ -178,9 +202,9 @@
     first_tries = {sample.request_id for sample in result.samples}
     extra = sum(count - 1 for id, count in runs.items() if id in first_tries)
     return Measurement(
-        page=page.id,
+        page=scenario.id,
         policy=policy,
-        seed=page.plan().seed,
+        seed=scenario.plan().seed,
         summary=summarize(counted, slots=slots),
         lookup_p99_seconds=summarize_latencies(
             sample.latency_seconds for sample in lookups if sample.answered_whole
@@ -188,7 +212,8 @@
         ideal_p99_seconds=summarize_latencies(
             latency
             for arrival, latency in ideal
-            if arrival.kind.name == LOOKUP and arrival.at_seconds >= page.measured_from
+            if arrival.kind.name == LOOKUP
+            and arrival.at_seconds >= scenario.measured_from
         ).p99,
         carried_share=done / possible,
         extra_runs=extra / max(len(first_tries), 1),
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_pages.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_scenarios.py
@@ -1,4 +1,4 @@
-"""The experiments: load, hosts and what goes wrong during each."""
+"""Scenarios of the benchmark: load, hosts and injected faults."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 SLOTS = 2
 FLOWS = 56
 SEED = 5
-ONSET_SECONDS = 5.0
+MEASUREMENT_START_SECONDS = 5.0
 FAULT_LOAD = 0.7
 
 KINDS = (
@@ -36,14 +36,15 @@
 
 
 @frozen(kw_only=True)
-class Page:
-    """One experiment.
+class Scenario:
+    """A scenario of the benchmark.
 
-    :param phases: seconds and load, as a share of all hosts' capacity.
-    :param behaviour: how the first host deviates from the start on.
-    :param pinned_hosts: number of hosts that hold all connections; all when 0.
-    :param missing_hosts: hosts that are stopped before the load.
-    :param measured_from: seconds from which requests count.
+    :param phases: duration in seconds and load as a share of all hosts' capacity.
+    :param behaviour: faults of the first host during the whole load.
+    :param pinned_hosts: number of hosts that hold all connections, 0 for all hosts.
+    :param missing_hosts: number of hosts that are stopped before the load.
+    :param measured_from: seconds after the start from which requests are counted.
+    :param only_ours: whether only our own policies run, not the baselines.
     """
 
     id: str
@@ -56,7 +57,7 @@
     only_ours: bool = False
 
     def plan(self) -> LoadPlan:
-        """Return the load, the same for every policy."""
+        """Return the load, which is the same for every policy."""
         probe = LoadPlan(phases=(), kinds=KINDS, flows=FLOWS)
         capacity = HOSTS * SLOTS / probe.mean_work_seconds
         phases = tuple(
@@ -66,38 +67,38 @@
         return LoadPlan(phases=phases, kinds=KINDS, flows=FLOWS, seed=SEED)
 
 
-def _fault_page(id: str, title: str, **fields: Any) -> Page:
-    return Page(
+def _fault_scenario(id: str, title: str, **fields: Any) -> Scenario:
+    return Scenario(
         id=id,
         title=title,
         phases=((15.0, FAULT_LOAD),),
-        measured_from=ONSET_SECONDS,
+        measured_from=MEASUREMENT_START_SECONDS,
         only_ours=True,
         **fields,
     )
 
 
-PAGES = (
-    Page(id="steady", title="steady day, load 0.7", phases=((21.0, 0.7),)),
-    Page(id="busy", title="load 0.95", phases=((12.0, 0.95),)),
-    Page(id="overload", title="load 1.3", phases=((12.0, 1.3),)),
-    Page(
+SCENARIOS = (
+    Scenario(id="steady", title="steady day, load 0.7", phases=((21.0, 0.7),)),
+    Scenario(id="busy", title="load 0.95", phases=((12.0, 0.95),)),
+    Scenario(id="overload", title="load 1.3", phases=((12.0, 1.3),)),
+    Scenario(
         id="pinned",
         title="every connection on two hosts, load 0.7",
         phases=((21.0, 0.7),),
         pinned_hosts=2,
         only_ours=True,
     ),
-    _fault_page("slow", "one host 5 times as slow", behaviour={"slowness": 5.0}),
-    _fault_page(
+    _fault_scenario("slow", "one host 5 times as slow", behaviour={"slowness": 5.0}),
+    _fault_scenario(
         "lying",
         "one host reports idle and sheds",
         behaviour={"shed": True, "load": "idle", "health": "ok"},
     ),
-    _fault_page(
+    _fault_scenario(
         "black-hole",
         "one host accepts and never answers",
         behaviour={"black_hole": True, "health": "ok"},
     ),
-    _fault_page("without", "the same load without that host", missing_hosts=1),
+    _fault_scenario("without", "the same load without that host", missing_hosts=1),
 )
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/load/__init__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/load/__init__.py
@@ -1,4 +1,4 @@
-"""Load with open-loop arrivals, its measures and the physical limits."""
+"""Open-loop load, its measures and the limits of any balancing policy."""
 
 from ._arrivals import (
     Arrival,
@@ -9,7 +9,7 @@
     RequestKind,
     draw_arrivals,
 )
-from ._limits import carried_worth, single_queue_latencies
+from ._limits import max_worth, single_queue_latencies
 from ._measures import (
     Latency,
     Summary,
@@ -18,7 +18,7 @@
     summarize_latencies,
     worth_share,
 )
-from ._run import Result, Sample, open_callers, run_load
+from ._run import LoadResult, Sample, open_callers, run_load
 
 __all__ = [
     "Arrival",
@@ -28,10 +28,10 @@
     "LoadPlan",
     "Phase",
     "RequestKind",
-    "Result",
+    "LoadResult",
     "Sample",
     "Summary",
-    "carried_worth",
+    "max_worth",
     "draw_arrivals",
     "imbalance",
     "open_callers",
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/load/_arrivals.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/load/_arrivals.py
@@ -1,4 +1,4 @@
-"""Seeded arrivals, drawn before the run so that no answer delays them."""
+"""Random arrivals, drawn before the run so that answers cannot delay them."""
 
 from __future__ import annotations
 
@@ -10,19 +10,22 @@
 
 @frozen(kw_only=True)
 class ConstantWork:
-    """Every run takes the same time in its slot."""
+    """Every run occupies its slot for the same time.
+
+    :param seconds: time in the slot.
+    """
 
     seconds: float
 
     @property
     def mean_seconds(self) -> float:
-        """Mean time in the slot."""
+        """Mean time in the slot in seconds."""
         return self.seconds
 
 
 @frozen(kw_only=True)
 class ExponentialWork:
-    """Exponentially distributed time in the slot, up to a bound."""
+    """Exponentially distributed time in the slot, truncated at a maximum."""
 
     mean_seconds: float
     max_seconds: float = float("inf")
@@ -33,12 +36,13 @@
 
 @frozen(kw_only=True)
 class RequestKind:
-    """One kind of request in a load.
+    """A kind of request in a load.
 
-    :param share: share of all arrivals.
-    :param worth: value of one answer that is whole and in time.
-    :param deadline_seconds: time after which the answer is of no use.
-    :param keyed: True when requests carry an idempotency key.
+    :param share: relative share of all arrivals.
+    :param worth: value of an answer that is complete and in time.
+    :param deadline_seconds: time after which the answer is useless.
+    :param keyed: whether requests have an idempotency key.
+    :param size: length of the answer's body in bytes.
     """
 
     name: str
@@ -53,9 +57,9 @@
 
 @frozen(kw_only=True)
 class Phase:
-    """A time of one mean rate.
+    """A period with a constant mean rate.
 
-    :param rate: arrivals a second.
+    :param rate: arrivals per second.
     """
 
     seconds: float
@@ -64,10 +68,11 @@
 
 @frozen(kw_only=True)
 class LoadPlan:
-    """What arrives when.
+    """Phases, kinds of requests and connections of a load.
 
-    :param phases: follow one another.
-    :param flows: connections over which arrivals are dealt out at random.
+    :param phases: consecutive periods.
+    :param flows: number of connections, to which arrivals are assigned at random.
+    :param seed: seed of the arrivals.
     """
 
     phases: tuple[Phase, ...]
@@ -77,12 +82,12 @@
 
     @property
     def seconds(self) -> float:
-        """Length of all phases."""
+        """Total duration of all phases in seconds."""
         return sum(phase.seconds for phase in self.phases)
 
     @property
     def mean_work_seconds(self) -> float:
-        """Mean time in a slot over all kinds."""
+        """Mean time in a slot over all kinds, weighted by share, in seconds."""
         total = sum(kind.share for kind in self.kinds)
         work = sum(kind.share * kind.work.mean_seconds for kind in self.kinds)
         return work / total
@@ -90,11 +95,11 @@
 
 @frozen(kw_only=True)
 class Arrival:
-    """One request that will be sent, whatever became of earlier ones.
+    """A request that is sent at a given time, independent of earlier outcomes.
 
     :param at_seconds: time since the start of the load.
-    :param work_seconds: time that it needs in a slot.
-    :param flow: number of the connection that carries it.
+    :param work_seconds: time that the request needs in a slot.
+    :param flow: number of the connection on which the request is sent.
     """
 
     at_seconds: float
@@ -124,7 +129,7 @@
 
 
 def draw_arrivals(plan: LoadPlan) -> list[Arrival]:
-    """Draw Poisson arrivals; one plan always gives the same ones."""
+    """Draw Poisson arrivals; the same plan always yields the same arrivals."""
     generator = random.Random(plan.seed)
     weights = [kind.share for kind in plan.kinds]
     arrivals = []
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/load/_limits.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/load/_limits.py
@@ -1,4 +1,4 @@
-"""What no balancer could do better, for the same arrivals and work."""
+"""Theoretical limits of any balancing policy for the same arrivals and work."""
 
 from __future__ import annotations
 
@@ -9,9 +9,9 @@
 
 
 def single_queue_latencies(arrivals: Iterable[Arrival], *, slots: int) -> list[float]:
-    """Return the latencies of one queue in order of arrival before all slots.
+    """Return the latencies of a single first-in, first-out queue for all slots.
 
-    :param slots: slots of all hosts together.
+    :param slots: total number of slots of all hosts.
     :return: seconds from arrival to the end of the run, in order of arrival.
     """
     free_at = [0.0] * slots
@@ -24,13 +24,15 @@
     return latencies
 
 
-def carried_worth(arrivals: Iterable[Arrival], *, slots: int, seconds: float) -> float:
-    """Return an upper bound of the worth that the slots can carry.
+def max_worth(arrivals: Iterable[Arrival], *, slots: int, seconds: float) -> float:
+    """Return an upper bound of the worth that the slots can answer.
 
-    It fills the time of all slots with the requests of most worth for their
-    time and lets the last one count in part, as if all were there from the start.
+    The bound fills the time of all slots with the requests that have the most worth
+    per second of work, as if all had arrived at the start. The last request counts
+    in part.
 
-    :param seconds: time for which the slots work.
+    :param slots: total number of slots of all hosts.
+    :param seconds: time for which the slots are available.
     """
     left_seconds = slots * seconds
     worth = 0.0
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/load/_measures.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/load/_measures.py
@@ -1,4 +1,4 @@
-"""Measures of a load: latency, worth in time, imbalance and outcomes."""
+"""Measures of a load: latency, worth answered in time, imbalance and outcomes."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from hdrh.histogram import HdrHistogram
 
 from ..caller import NotRun, Unknown
-from ._run import Result, Sample
+from ._run import LoadResult, Sample
 
 MICROSECONDS = 1_000_000
 MAX_LATENCY_MICROSECONDS = 3_600 * MICROSECONDS
@@ -19,7 +19,7 @@
 
 @frozen(kw_only=True)
 class Latency:
-    """Percentiles of latencies, in seconds."""
+    """Percentiles of latencies in seconds."""
 
     count: int
     p50: float
@@ -33,13 +33,15 @@
 class Summary:
     """The measures of one load.
 
-    :param answered: answers that were whole and right.
-    :param in_time: those of them that met their deadline.
-    :param other: whole answers with another status or a defect.
-    :param worth_share: worth answered whole and in time, of all worth offered.
-    :param broken_flows: connections that ended without a GOAWAY.
-    :param max_lateness_seconds: how late the sender was at worst; large values
-        mean that the sender was overloaded and the run does not count.
+    :param answered: complete answers with status 200 and no defect.
+    :param in_time: number of them that met their deadline.
+    :param other: complete answers with another status or a defect.
+    :param worth_share: worth answered completely and in time, as a share of all
+        offered worth.
+    :param imbalance: see ``imbalance()``.
+    :param broken_flows: connections that ended without a preceding GOAWAY.
+    :param max_lateness_seconds: longest delay of the sender; a large value means
+        that the sender was overloaded and that the run is invalid.
     """
 
     requests: int
@@ -56,7 +58,7 @@
 
 
 def summarize_latencies(seconds: Iterable[float]) -> Latency:
-    """Return percentiles from an HDR histogram."""
+    """Return percentiles of latencies, computed with an HDR histogram."""
     histogram = HdrHistogram(1, MAX_LATENCY_MICROSECONDS, SIGNIFICANT_DIGITS)
     for value in seconds:
         histogram.record_value(max(1, round(value * MICROSECONDS)))
@@ -75,7 +77,7 @@
 
 
 def worth_share(samples: Iterable[Sample]) -> float:
-    """Return the worth answered whole and in time, as a share of all of it."""
+    """Return the worth answered completely and in time as a share of all worth."""
     offered = answered = 0.0
     for sample in samples:
         worth = sample.arrival.kind.worth
@@ -90,12 +92,12 @@
     slots: Mapping[str, int],
     window_seconds: float = WINDOW_SECONDS,
 ) -> float:
-    """Return the worst ratio of the busiest host to the mean, per slot.
+    """Return the largest ratio of the busiest host to the mean, per slot.
 
-    Requests done are counted for each whole window; a rest that is shorter
-    than a window is left out unless it is all there is.
+    Answered requests are counted for each complete window. The last, incomplete
+    window is ignored unless it is the only one.
 
-    :param slots: slots of each host that should share the load.
+    :param slots: number of slots of each host that should share the load.
     """
     done: defaultdict[int, Counter[str]] = defaultdict(Counter)
     for sample in samples:
@@ -103,19 +105,21 @@
             end = sample.arrival.at_seconds + sample.latency_seconds
             done[int(end // window_seconds)][sample.upstream] += 1
     whole = sorted(done)[:-1] or sorted(done)
-    return max((_spread(done[window], slots) for window in whole), default=1.0)
+    return max(
+        (_window_imbalance(done[window], slots) for window in whole), default=1.0
+    )
 
 
-def _spread(done: Counter[str], slots: Mapping[str, int]) -> float:
+def _window_imbalance(done: Counter[str], slots: Mapping[str, int]) -> float:
     per_slot = [done[host] / count for host, count in slots.items()]
     mean = sum(done.values()) / sum(slots.values())
     return max(per_slot) / mean if mean else 1.0
 
 
-def summarize(result: Result, *, slots: Mapping[str, int]) -> Summary:
+def summarize(result: LoadResult, *, slots: Mapping[str, int]) -> Summary:
     """Return all measures of a load.
 
-    :param slots: slots of each host that should share the load.
+    :param slots: number of slots of each host that should share the load.
     """
     samples: Sequence[Sample] = result.samples
     answered = [sample for sample in samples if sample.answered_whole]
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/load/_run.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/load/_run.py
@@ -1,4 +1,4 @@
-"""Sends a drawn load and notes what became of every request."""
+"""Sends a load and records the outcome of every request."""
 
 from __future__ import annotations
 
@@ -12,19 +12,19 @@
 from ..caller import Answered, Caller, Client, Outcome, Request, Target
 from ._arrivals import Arrival
 
-MAX_OPENING = 16
-MAX_TRIES_PER_FLOW = 50
+MAX_CONCURRENT_HANDSHAKES = 16
+MAX_ATTEMPTS_PER_FLOW = 50
 PROBE_PATH = "/run?work_ms=0&size=1"
 HTTP_OK = 200
 
 
 @frozen(kw_only=True)
 class Sample:
-    """One request that was sent.
+    """A request that was sent and its outcome.
 
-    :param latency_seconds: from the planned arrival to the outcome, so that a
-        late sender does not hide waiting (coordinated omission).
-    :param lateness_seconds: how much later than planned it was sent.
+    :param latency_seconds: time from the planned arrival to the outcome, so that a
+        late sender does not hide latency (coordinated omission).
+    :param lateness_seconds: time from the planned arrival to the sending.
     """
 
     arrival: Arrival
@@ -35,7 +35,7 @@
 
     @property
     def answered_whole(self) -> bool:
-        """Whether the right answer arrived whole."""
+        """Whether the answer arrived completely, with status 200 and no defect."""
         match self.outcome:
             case Answered(status=status, defects=defects):
                 return status == HTTP_OK and not defects
@@ -43,13 +43,13 @@
 
     @property
     def in_time(self) -> bool:
-        """Whether the right answer arrived whole and before its deadline."""
+        """Whether ``answered_whole`` holds and the answer met its deadline."""
         deadline = self.arrival.kind.deadline_seconds
         return self.answered_whole and self.latency_seconds <= deadline
 
     @property
     def upstream(self) -> str | None:
-        """Id of the host that ran it, if it was answered."""
+        """Id of the host that answered the request, None without an answer."""
         match self.outcome:
             case Answered(headers=headers):
                 return headers.get("x-upstream")
@@ -57,11 +57,11 @@
 
 
 @define(kw_only=True)
-class Result:
-    """Every sample of a load.
+class LoadResult:
+    """All samples of a load.
 
-    :param started: Unix time in seconds of the start of the load.
-    :param lost: why connections ended without a GOAWAY before it.
+    :param started: Unix time of the start of the load in seconds.
+    :param lost: reasons of connections that ended without a preceding GOAWAY.
     """
 
     started: float
@@ -70,7 +70,7 @@
 
 
 def make_request(arrival: Arrival) -> Request:
-    """Return the request of an arrival."""
+    """Return the request that is sent for an arrival."""
     kind = arrival.kind
     work_ms = arrival.work_seconds * 1_000
     return Request(
@@ -84,11 +84,12 @@
 async def open_flow(
     target: Target, *, client: Client, hosts: Collection[str]
 ) -> Caller:
-    """Open a connection, on one of some hosts if any are named.
+    """Open a connection; reconnect until it is on one of the given hosts.
 
-    :raises ConnectionError: none landed there after many tries.
+    :param hosts: ids of acceptable hosts, empty for any host.
+    :raises ConnectionError: no attempt reached one of the hosts.
     """
-    for _ in range(MAX_TRIES_PER_FLOW):
+    for _ in range(MAX_ATTEMPTS_PER_FLOW):
         caller = Caller(target, client=client)
         connection = await caller.connect()
         await caller.request(Request(path=PROBE_PATH))
@@ -97,7 +98,7 @@
             return caller
         await caller.close()
     raise ConnectionError(
-        f"no connection landed on {sorted(hosts)}; check that they take new flows"
+        f"no connection reached {sorted(hosts)}; check that they accept new flows"
     )
 
 
@@ -108,11 +109,12 @@
     client: Client = Client.QH3,
     hosts: Collection[str] = (),
 ) -> list[Caller]:
-    """Open connections before a load.
+    """Open the connections of a load.
 
-    :param hosts: ids of the only hosts that may carry them; all by default.
+    :param count: number of connections.
+    :param hosts: ids of acceptable hosts, empty for any host.
     """
-    opening = asyncio.Semaphore(MAX_OPENING)
+    opening = asyncio.Semaphore(MAX_CONCURRENT_HANDSHAKES)
 
     async def open_one() -> Caller:
         async with opening:
@@ -121,12 +123,14 @@
     return await asyncio.gather(*(open_one() for _ in range(count)))
 
 
-async def run_load(arrivals: Sequence[Arrival], *, callers: Sequence[Caller]) -> Result:
-    """Send every arrival at its time and wait for all outcomes.
+async def run_load(
+    arrivals: Sequence[Arrival], *, callers: Sequence[Caller]
+) -> LoadResult:
+    """Send every arrival at its planned time and wait for all outcomes.
 
-    :param callers: flow numbers of arrivals count modulo their number.
+    :param callers: callers by flow number, modulo the number of callers.
     """
-    result = Result(started=time.time())
+    result = LoadResult(started=time.time())
     started = time.monotonic()
 
     async def send(arrival: Arrival) -> None:
--- a/testing/emulator/test_load.py
+++ b/testing/emulator/test_load.py
@@ -8,9 +8,9 @@
     Phase,
     RequestKind,
     Sample,
-    carried_worth,
     draw_arrivals,
     imbalance,
+    max_worth,
     single_queue_latencies,
     summarize_latencies,
     worth_share,
@@ -36,7 +36,7 @@
     )
 
 
-def test_a_plan_always_draws_the_same_arrivals_at_about_its_rate():
+def test_a_plan_yields_the_same_arrivals_at_about_its_rate():
     plan = LoadPlan(phases=(Phase(seconds=10.0, rate=200.0),), kinds=(KIND,), flows=3)
 
     first, second = draw_arrivals(plan), draw_arrivals(plan)
@@ -57,16 +57,16 @@
     times=st.lists(st.floats(0, 10), min_size=1, max_size=30),
     slots=st.integers(1, 4),
 )
-def test_no_run_of_a_single_queue_is_shorter_than_its_work(times, slots):
+def test_no_latency_of_a_single_queue_is_shorter_than_the_work(times, slots):
     latencies = single_queue_latencies([arrival(at) for at in times], slots=slots)
 
     assert min(latencies) >= 1.0 - 1e-9
 
 
-def test_slots_carry_no_more_worth_than_their_time():
+def test_max_worth_is_limited_by_the_time_of_the_slots():
     arrivals = [arrival(0.0, work_seconds=1.0) for _ in range(10)]
 
-    assert carried_worth(arrivals, slots=1, seconds=2.5) == 2.5
+    assert max_worth(arrivals, slots=1, seconds=2.5) == 2.5
 
 
 def test_late_and_refused_answers_have_no_worth():
@@ -80,7 +80,7 @@
     assert worth_share(samples) == 0.5
 
 
-def test_imbalance_counts_hosts_that_did_nothing():
+def test_imbalance_includes_hosts_without_requests():
     samples = [sample(upstream="a")] * 6 + [sample(upstream="b")] * 2
 
     assert imbalance(samples, slots={"a": 1, "b": 1}) == 1.5
@@ -88,7 +88,7 @@
     assert imbalance(samples, slots={"a": 1, "b": 1, "c": 2}) == 3.0
 
 
-def test_percentiles_keep_three_digits():
+def test_percentiles_have_three_significant_digits():
     latency = summarize_latencies(number / 1_000 for number in range(1, 1_001))
 
     assert abs(latency.p99 - 0.99) < 0.001
