--- a/packages/daisygauge-emulator/src/daisygauge_emulator/__init__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for the platform, fabric, upstreams and callers."""
+"""Stand-ins for the platform, the fabric, upstreams and callers, for tests."""
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_accounting.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_accounting.py
@@ -1,4 +1,4 @@
-"""Compares what callers were told with what upstreams really ran."""
+"""Reconciles the outcomes that callers received with the runs of the upstreams."""
 
 from __future__ import annotations
 
@@ -12,14 +12,14 @@
 
 HTTP_OK = 200
 RUN_PATH = "/run"
-_FOREIGN = frozenset({Defect.WRONG_SERVICE, Defect.WRONG_REQUEST})
+_MISDELIVERY_DEFECTS = frozenset({Defect.WRONG_SERVICE, Defect.WRONG_REQUEST})
 
 
 @frozen(kw_only=True)
 class Record:
-    """One request of a caller and its outcome.
+    """A request that a caller sent and its outcome.
 
-    :param caller: name of the caller, for messages.
+    :param caller: name of the caller, used in messages.
     :param started: Unix time in seconds.
     :param ended: Unix time in seconds.
     """
@@ -33,7 +33,7 @@
 
     @property
     def answered_whole(self) -> bool:
-        """Whether the right answer arrived whole."""
+        """Whether the answer arrived completely, with status 200 and no defect."""
         match self.outcome:
             case Answered(status=status, defects=defects):
                 return status == HTTP_OK and not defects
@@ -42,15 +42,17 @@
 
 @define(kw_only=True)
 class Reconciliation:
-    """The result of a comparison.
+    """Counts of outcomes and of contradictions between outcomes and ledgers.
 
-    :param not_run: refusals that said so.
-    :param other_answers: whole answers with another status or a defect.
+    :param answered_whole: complete answers with status 200 and no defect.
+    :param not_run: requests whose outcome is ``NotRun``.
+    :param other_answers: complete answers with another status or a defect.
     :param misdelivered: answers and runs of another service or request.
-    :param duplicate_runs: second and later runs of requests that may run once.
-    :param false_not_run: requests that ran although the caller was told not.
-    :param unfounded_answers: answers of runs that no upstream has done.
-    :param repeated_lookups: second and later runs of idempotent requests.
+    :param duplicate_runs: second and later runs of one idempotency key.
+    :param false_not_run: requests that ran although their outcome is ``NotRun``.
+    :param unfounded_answers: complete answers without a finished run in any ledger.
+    :param repeated_lookups: second and later runs of requests without a key.
+    :param notes: descriptions of the problems found.
     """
 
     requests: int = 0
@@ -67,12 +69,12 @@
 
     @property
     def complete(self) -> bool:
-        """Whether every request has one of the three outcomes."""
+        """Whether every request was answered correctly, did not run or is unknown."""
         return self.requests == self.answered_whole + self.not_run + self.unknown
 
     @property
     def consistent(self) -> bool:
-        """Whether nothing that callers were told is wrong."""
+        """Whether no outcome contradicts the ledgers."""
         return not (
             self.misdelivered
             or self.duplicate_runs
@@ -80,8 +82,8 @@
             or self.unfounded_answers
         )
 
-    def note(self, record: Record, problem: str) -> None:
-        """Remember what is wrong with one request."""
+    def record_problem(self, record: Record, problem: str) -> None:
+        """Add a description of a problem with one request to the notes."""
         request = record.request
         self.notes.append(
             f"{problem}: {record.service} {record.caller} "
@@ -91,54 +93,61 @@
 
 
 def reconcile(records: Iterable[Record], runs: Iterable[Run]) -> Reconciliation:
-    """Check every outcome against the ledgers of all upstreams."""
-    account = Reconciliation()
+    """Check every outcome against the ledgers of all upstreams.
+
+    :param runs: runs of all upstreams, including stopped ones.
+    """
+    reconciliation = Reconciliation()
     runs_by_request: defaultdict[str, list[Run]] = defaultdict(list)
     for run in runs:
         runs_by_request[run.request_id].append(run)
     for record in records:
-        account.requests += 1
-        _count_outcome(account, record)
-        _check_runs(account, record, runs_by_request[record.request.request_id])
-    _check_keys(account, runs_by_request)
-    return account
+        reconciliation.requests += 1
+        _count_outcome(reconciliation, record)
+        _check_runs(reconciliation, record, runs_by_request[record.request.request_id])
+    _check_keys(reconciliation, runs_by_request)
+    return reconciliation
 
 
-def _count_outcome(account: Reconciliation, record: Record) -> None:
+def _count_outcome(reconciliation: Reconciliation, record: Record) -> None:
     match record.outcome:
         case NotRun():
-            account.not_run += 1
+            reconciliation.not_run += 1
         case Unknown():
-            account.unknown += 1
-            account.note(record, "unknown")
+            reconciliation.unknown += 1
+            reconciliation.record_problem(record, "unknown")
         case Answered(defects=defects):
             if record.answered_whole:
-                account.answered_whole += 1
+                reconciliation.answered_whole += 1
                 return
-            account.other_answers += 1
-            account.misdelivered += bool(defects & _FOREIGN)
-            account.note(record, "unexpected answer")
+            reconciliation.other_answers += 1
+            reconciliation.misdelivered += bool(defects & _MISDELIVERY_DEFECTS)
+            reconciliation.record_problem(record, "unexpected answer")
 
 
-def _check_runs(account: Reconciliation, record: Record, runs: list[Run]) -> None:
+def _check_runs(
+    reconciliation: Reconciliation, record: Record, runs: list[Run]
+) -> None:
     foreign = [run for run in runs if run.service != record.service]
-    account.misdelivered += len(foreign)
+    reconciliation.misdelivered += len(foreign)
     for run in foreign:
-        account.note(record, f"run by {run.upstream}")
+        reconciliation.record_problem(record, f"run by {run.upstream}")
     if isinstance(record.outcome, NotRun) and runs:
-        account.false_not_run += 1
-        account.note(record, "ran although refused")
+        reconciliation.false_not_run += 1
+        reconciliation.record_problem(record, "ran although refused")
     if not record.request.path.startswith(RUN_PATH):
         return
     done = [run for run in runs if run.outcome == "done"]
     if record.answered_whole and not done:
-        account.unfounded_answers += 1
-        account.note(record, "answered without a run")
+        reconciliation.unfounded_answers += 1
+        reconciliation.record_problem(record, "answered without a run")
     if len(runs) > 1 and record.request.idempotency_key is None:
-        account.repeated_lookups += len(runs) - 1
+        reconciliation.repeated_lookups += len(runs) - 1
 
 
-def _check_keys(account: Reconciliation, runs_by_request: dict[str, list[Run]]) -> None:
+def _check_keys(
+    reconciliation: Reconciliation, runs_by_request: dict[str, list[Run]]
+) -> None:
     keys = Counter(
         (run.service, run.idempotency_key)
         for runs in runs_by_request.values()
@@ -147,5 +156,5 @@
     )
     for (service, key), count in keys.items():
         if count > 1:
-            account.duplicate_runs += count - 1
-            account.notes.append(f"{service} ran the key {key} {count} times")
+            reconciliation.duplicate_runs += count - 1
+            reconciliation.notes.append(f"{service} ran the key {key} {count} times")
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_host.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_host.py
@@ -1,4 +1,4 @@
-"""The application of the upstream stand-in."""
+"""HTTP application of the upstream stand-in."""
 
 from __future__ import annotations
 
@@ -15,23 +15,24 @@
 from ._content import MIN_FEED_EVENT_BYTES, answer_body, digest, feed_event
 from ._ledger import Ledger
 
-COLD_FACTOR = 4.0
-REPORT_HISTORY = 4_096
+COLD_START_FACTOR = 4.0
+MAX_LOAD_REPORTS = 4_096
 RETRY_AFTER_SECONDS = 1
 DOWNLOAD_CHUNK_BYTES = 16_384
 
 
 @frozen(kw_only=True)
 class Behaviour:
-    """How a host deviates from a healthy one.
-
-    :param slowness: factor on the time of every run.
-    :param black_hole: requests are accepted and never answered.
-    :param shed: every run is refused with 503.
-    :param cut: answers end in the middle of their body.
-    :param health: ``true``, ``ok`` (always healthy) or ``failing``.
-    :param load: ``true`` or ``idle`` (always reports no load).
-    :param report_lag_seconds: age of what ``/load`` reports.
+    """Faults of a host that a test injects; the defaults are a healthy host.
+
+    :param slowness: factor by which every run takes longer.
+    :param black_hole: whether requests are accepted and never answered.
+    :param shed: whether every run is refused with status 503.
+    :param cut: whether the connection is aborted after half of the body.
+    :param health: ``true`` reports the real state, ``ok`` is always healthy and
+        ``failing`` never.
+    :param load: ``true`` reports the real load, ``idle`` always none.
+    :param report_lag_seconds: age of the load that ``/load`` reports.
     """
 
     slowness: float = 1.0
@@ -44,7 +45,13 @@
 
 
 class Host:
-    """An application with a few slots and a queue before them."""
+    """An upstream host with a fixed number of slots and a bounded queue.
+
+    :param slots: requests that run at the same time.
+    :param queue_limit: waiting requests above which new ones get status 503.
+    :param cold_start_seconds: time after the start in which runs take longer.
+    :param started: Unix time in seconds.
+    """
 
     def __init__(
         self,
@@ -70,7 +77,9 @@
         self.waiting = 0
         self.active = 0
         self.leaving = False
-        self.reports: deque[tuple[float, int, int]] = deque(maxlen=REPORT_HISTORY)
+        self.load_reports: deque[tuple[float, int, int]] = deque(
+            maxlen=MAX_LOAD_REPORTS
+        )
 
     def application(self) -> web.Application:
         """Build the HTTP application."""
@@ -89,28 +98,38 @@
         return application
 
     def work_factor(self, *, now: float) -> float:
-        """Return the factor on the time of a run that starts now."""
+        """Return the factor by which a run that starts now takes longer.
+
+        It falls linearly from ``COLD_START_FACTOR`` to 1 during the cold start.
+
+        :param now: Unix time in seconds.
+        """
         age = now - self.started
         if age >= self.cold_start_seconds:
             return self.behaviour.slowness
-        cold = COLD_FACTOR - (COLD_FACTOR - 1) * age / self.cold_start_seconds
+        cold = (
+            COLD_START_FACTOR - (COLD_START_FACTOR - 1) * age / self.cold_start_seconds
+        )
         return self.behaviour.slowness * cold
 
     def answer_headers(self, request: web.Request) -> dict[str, str]:
-        """Return the headers that name this host and the request."""
+        """Return the headers that identify the service, this host and the request."""
         return {
             "X-Service": self.service,
             "X-Upstream": self.id,
             "X-Request-Id": request.headers.get("X-Request-Id", ""),
         }
 
-    def report(self) -> None:
-        """Remember the present load for lagging reports."""
-        self.reports.append((time.time(), self.running, self.waiting))
+    def record_load(self) -> None:
+        """Record the current load, which ``/load`` may report with a lag."""
+        self.load_reports.append((time.time(), self.running, self.waiting))
 
     @asynccontextmanager
-    async def track(self) -> AsyncIterator[None]:
-        """Count a request that a drain has to wait for."""
+    async def track_request(self) -> AsyncIterator[None]:
+        """Count a request as active, so that a drain waits for it.
+
+        With the fault ``black_hole`` the request hangs here.
+        """
         self.active += 1
         try:
             if self.behaviour.black_hole:
@@ -120,45 +139,49 @@
             self.active -= 1
 
     @asynccontextmanager
-    async def slot(self) -> AsyncIterator[None]:
-        """Wait for a slot and hold it."""
+    async def hold_slot(self) -> AsyncIterator[None]:
+        """Wait for a free slot and hold it for the duration of the block."""
         self.waiting += 1
-        self.report()
+        self.record_load()
         try:
             await self.free_slots.acquire()
         finally:
             self.waiting -= 1
         self.running += 1
-        self.report()
+        self.record_load()
         try:
             yield
         finally:
             self.running -= 1
             self.free_slots.release()
-            self.report()
+            self.record_load()
 
-    def shed(self, request: web.Request) -> web.Response:
-        """Refuse a request that has not run."""
+    def refuse(self, request: web.Request) -> web.Response:
+        """Return status 503 with Retry-After for a request that has not run."""
         headers = self.answer_headers(request)
         headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
         return web.Response(status=503, text="overloaded\n", headers=headers)
 
     async def run(self, request: web.Request) -> web.StreamResponse:
-        """Do ``work_ms`` of work in a slot, then answer ``size`` bytes."""
+        """Run for ``work_ms`` milliseconds in a slot, then send ``size`` bytes.
+
+        The request is refused when the queue is full or its deadline passed while
+        it waited.
+        """
         deadline_ms = float(request.headers.get("X-Deadline-Ms", "inf"))
         deadline = time.time() + deadline_ms / 1_000
         await request.read()
-        async with self.track():
+        async with self.track_request():
             if self.behaviour.shed or self.waiting > self.queue_limit:
-                return self.shed(request)
-            async with self.slot():
+                return self.refuse(request)
+            async with self.hold_slot():
                 if time.time() >= deadline:
-                    return self.shed(request)
-                await self.work(request)
+                    return self.refuse(request)
+                await self.execute(request)
             return await self.answer(request)
 
-    async def work(self, request: web.Request) -> None:
-        """Spend the time of one run and enter it in the ledger."""
+    async def execute(self, request: web.Request) -> None:
+        """Sleep for the duration of one run and record it in the ledger."""
         work_seconds = float(request.query.get("work_ms", 5)) / 1_000
         now = time.time()
         run = self.ledger.start(
@@ -178,7 +201,10 @@
     async def answer(
         self, request: web.Request, *, rate: float = float("inf")
     ) -> web.StreamResponse:
-        """Send the whole body, at ``rate`` bytes a second at most."""
+        """Send the body of a request's answer.
+
+        :param rate: maximum rate in bytes per second.
+        """
         request_id = request.headers.get("X-Request-Id", "")
         body = answer_body(request_id, size=int(request.query.get("size", 100)))
         headers = self.answer_headers(request)
@@ -198,21 +224,21 @@
         return response
 
     async def download(self, request: web.Request) -> web.StreamResponse:
-        """Send ``size`` bytes at ``rate`` bytes a second, without a slot."""
-        async with self.track():
+        """Send ``size`` bytes at ``rate`` bytes per second without using a slot."""
+        async with self.track_request():
             return await self.answer(
                 request, rate=float(request.query.get("rate", "inf"))
             )
 
     async def feed(self, request: web.Request) -> web.StreamResponse:
-        """Send numbered events from ``from`` on until the caller goes away.
+        """Send numbered events, starting at ``from``, until the caller disconnects.
 
-        A leaving host ends its feeds after a whole event.
+        A leaving host ends its feeds after a complete event.
         """
         interval_seconds = float(request.query.get("interval_ms", 100)) / 1_000
         size = max(int(request.query.get("size", 64)), MIN_FEED_EVENT_BYTES)
         number = int(request.query.get("from", 0))
-        async with self.track():
+        async with self.track_request():
             response = web.StreamResponse(headers=self.answer_headers(request))
             await response.prepare(request)
             while not self.leaving:
@@ -223,16 +249,16 @@
             return response
 
     async def health(self, request: web.Request) -> web.Response:
-        """Answer 200 while healthy and not leaving, unless told to lie."""
+        """Answer 200 unless the host is leaving; the fault ``health`` overrides it."""
         if self.behaviour.black_hole and self.behaviour.health == "true":
             await asyncio.Event().wait()
         healthy = {"true": not self.leaving, "ok": True, "failing": False}
         return web.Response(status=200 if healthy[self.behaviour.health] else 503)
 
     async def load(self, request: web.Request) -> web.Response:
-        """Report the load, of some time ago or untruly when told so."""
+        """Report the load, subject to ``report_lag_seconds`` and the fault ``load``."""
         seen_until = time.time() - self.behaviour.report_lag_seconds
-        known = [report for report in self.reports if report[0] <= seen_until]
+        known = [report for report in self.load_reports if report[0] <= seen_until]
         _, running, waiting = known[-1] if known else (0.0, 0, 0)
         if self.behaviour.load == "idle":
             running = waiting = 0
@@ -241,11 +267,11 @@
         )
 
     async def read_ledger(self, request: web.Request) -> web.Response:
-        """Serve every run so far."""
+        """Serve every run since the start."""
         return web.json_response([asdict(run) for run in self.ledger.runs])
 
     async def put_behaviour(self, request: web.Request) -> web.Response:
-        """Change the parts of the behaviour that the body names."""
+        """Replace the fields of the behaviour that the body contains."""
         try:
             self.behaviour = evolve(self.behaviour, **json.loads(await request.read()))
         except TypeError as error:
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_ledger.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_ledger.py
@@ -1,4 +1,4 @@
-"""What an upstream really ran, to compare with what callers were told."""
+"""Ledger of the runs of an upstream, to reconcile with the callers' outcomes."""
 
 from __future__ import annotations
 
@@ -14,7 +14,8 @@
     """One run of a request in a slot.
 
     :param started: Unix time in seconds.
-    :param ended: Unix time in seconds, None while it runs.
+    :param number: number of the run within its process, from 0.
+    :param ended: Unix time in seconds, None while the request runs.
     :param outcome: ``running``, ``done`` or ``cancelled``.
     """
 
@@ -30,16 +31,17 @@
 
 @define(kw_only=True)
 class Ledger:
-    """Every run of one host, in order of its start.
+    """All runs of one host in the order of their start.
 
-    :param file: takes a line at each start and end, so that it outlives a kill.
+    :param file: receives a line at each start and end of a run, so that the runs
+        are still known after the process was killed.
     """
 
     file: IO[str] | None = None
     runs: list[Run] = field(factory=list)
 
     def write(self, run: Run) -> None:
-        """Append the present state of a run to the file."""
+        """Append the current state of a run to the file."""
         if self.file is not None:
             self.file.write(json.dumps(asdict(run)) + "\n")
             self.file.flush()
@@ -53,7 +55,7 @@
         upstream: str,
         now: float,
     ) -> Run:
-        """Add a run that takes its slot now.
+        """Record the start of a run.
 
         :param now: Unix time in seconds.
         """
@@ -70,8 +72,9 @@
         return run
 
     def end(self, run: Run, *, outcome: str, now: float) -> None:
-        """Note how a run ended.
+        """Record the end of a run.
 
+        :param outcome: ``done`` or ``cancelled``.
         :param now: Unix time in seconds.
         """
         run.ended = now
@@ -80,7 +83,10 @@
 
 
 def read_ledger(path: Path) -> list[Run]:
-    """Read the runs that a host has written, whether it is up or not."""
+    """Read the runs from a ledger file, whose host may still be running.
+
+    An incomplete last line is ignored. The last line of a run is its state.
+    """
     if not path.exists():
         return []
     lines = path.read_text().splitlines(keepends=True)
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_server.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_server.py
@@ -1,4 +1,4 @@
-"""What the HTTP stand-ins share: serving an application until a signal."""
+"""Functions that the HTTP stand-ins share: startup, signals and logging."""
 
 from __future__ import annotations
 
@@ -14,13 +14,13 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
-def quiet_libraries() -> None:
-    """Keep the QUIC library's progress messages off the standard error."""
+def limit_library_logging() -> None:
+    """Suppress messages of the QUIC library below the level WARNING."""
     logging.getLogger("quic").setLevel(logging.WARNING)
 
 
-def stop_event() -> asyncio.Event:
-    """Return an event that SIGTERM and SIGINT set."""
+def create_stop_event() -> asyncio.Event:
+    """Return an event that is set on SIGTERM and SIGINT."""
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     for number in STOP_SIGNALS:
@@ -31,7 +31,7 @@
 async def start_server(
     application: web.Application, *, host: str, port: int
 ) -> web.AppRunner:
-    """Serve an application; a handler is cancelled when its client is gone.
+    """Start an HTTP server; a handler is cancelled when its client disconnects.
 
     :raises OSError: the address is in use or not local.
     """
@@ -44,7 +44,7 @@
 def run_main(serve: Callable[[], Awaitable[None]]) -> None:
     """Parse the command line and run a stand-in until it is stopped.
 
-    ``--help`` prints the doc comment of the module that was started.
+    ``--help`` prints the docstring of the module that was started.
     """
 
     def main(argv: list[str]) -> None:
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_spray.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_spray.py
@@ -1,4 +1,4 @@
-"""Passing of datagrams between callers and balancers, with faults."""
+"""Forwards datagrams between callers and balancers and injects faults."""
 
 from __future__ import annotations
 
@@ -11,28 +11,28 @@
 from attrs import define, field, frozen
 
 MAX_DATAGRAM_BYTES = 65_535
-DATAGRAMS_PER_WAKE = 64
+MAX_DATAGRAMS_PER_READ = 64
 RECEIVE_BUFFER_BYTES = 4 << 20
-IDLE_CALLER_SECONDS = 300.0
+CALLER_IDLE_TIMEOUT_SECONDS = 300.0
 
 Address = tuple[str, int]
 
 
 class Direction(enum.Enum):
-    """Which datagrams a fault concerns, as seen from the balancers."""
+    """Datagrams that a fault affects, as seen from the balancers."""
 
     IN = "in"
     OUT = "out"
     BOTH = "both"
 
-    def covers(self, other: Direction) -> bool:
-        """Tell whether this direction includes another."""
+    def includes(self, other: Direction) -> bool:
+        """Return whether this direction includes another."""
         return self in (other, Direction.BOTH)
 
 
 @frozen(kw_only=True)
 class ServiceAddress:
-    """A service address that callers use."""
+    """The address on which callers reach a service."""
 
     id: str
     host: str
@@ -41,10 +41,10 @@
 
 @frozen(kw_only=True)
 class Balancer:
-    """A balancer that datagrams are sprayed to.
+    """A balancer that receives datagrams of callers.
 
-    :param host: address to which it has bound the services' ports.
-    :param ready_url: URL that answers 200 while it wants traffic.
+    :param host: address on which the balancer has bound the services' ports.
+    :param ready_url: URL that answers 200 while the balancer accepts traffic.
     """
 
     id: str
@@ -54,16 +54,18 @@
 
 @frozen(kw_only=True)
 class Faults:
-    """Faults of the way between callers and balancers.
-
-    :param loss: share of datagrams lost.
-    :param duplicate: share of datagrams sent twice.
-    :param reorder: share of datagrams held back by ``reorder_ms``.
-    :param delay_ms: delay of every datagram.
-    :param jitter_ms: further delay, uniformly drawn.
-    :param cuts: direction in which a balancer is cut off, by its id.
-    :param groups: partition of the balancers' ids; callers are dealt out to the
-        groups in turn.
+    """Network faults between callers and balancers.
+
+    :param loss: share of datagrams that are lost.
+    :param duplicate: share of datagrams that are sent twice.
+    :param reorder: share of datagrams that are delayed by ``reorder_ms``.
+    :param reorder_ms: additional delay of reordered datagrams in milliseconds.
+    :param delay_ms: delay of every datagram in milliseconds.
+    :param jitter_ms: maximum of an additional, uniformly distributed delay in
+        milliseconds.
+    :param cuts: direction in which datagrams of a balancer are lost, by its id.
+    :param groups: partition of the balancers' ids; callers are assigned to the
+        groups round-robin.
     """
 
     loss: float = 0.0
@@ -78,7 +80,12 @@
 
 @define(kw_only=True)
 class Counters:
-    """Datagrams so far."""
+    """Number of datagrams since the start.
+
+    :param without_balancer: dropped because no balancer was live.
+    :param lost: dropped by the faults ``loss`` and ``cuts``.
+    :param silenced: dropped because their caller was silenced.
+    """
 
     towards_balancers: int = 0
     towards_callers: int = 0
@@ -90,16 +97,19 @@
 
 @define(kw_only=True, eq=False)
 class Mapping:
-    """One caller of one service and its socket towards the balancers.
+    """A caller of a service and its socket towards the balancers.
 
-    :param silent: directions in which this caller's datagrams are dropped.
+    :param number: number of the mapping, which selects the group of balancers.
+    :param silenced_direction: direction in which the caller's datagrams are
+        dropped.
+    :param last_used: time of the event loop in seconds.
     """
 
     number: int
     service: ServiceAddress
     caller: Address
     socket: socket.socket
-    silent: Direction | None = None
+    silenced_direction: Direction | None = None
     last_used: float = 0.0
 
 
@@ -119,9 +129,9 @@
     return opened
 
 
-def receive_all(source: socket.socket) -> Iterable[tuple[bytes, Address]]:
-    """Yield what a socket holds, up to ``DATAGRAMS_PER_WAKE`` datagrams."""
-    for _ in range(DATAGRAMS_PER_WAKE):
+def receive_datagrams(source: socket.socket) -> Iterable[tuple[bytes, Address]]:
+    """Yield pending datagrams, ``MAX_DATAGRAMS_PER_READ`` at most."""
+    for _ in range(MAX_DATAGRAMS_PER_READ):
         try:
             yield source.recvfrom(MAX_DATAGRAM_BYTES)
         except (BlockingIOError, ConnectionRefusedError):
@@ -129,7 +139,11 @@
 
 
 class Sprayer:
-    """The sockets of the fabric and the choice of a balancer per datagram."""
+    """Forwards each datagram of a caller to a random live balancer.
+
+    :param source_host: IPv4 address of the sockets towards the balancers.
+    :param seed: seed of the choice of balancers and of the faults.
+    """
 
     def __init__(self, *, source_host: str, seed: int) -> None:
         self.loop = asyncio.get_running_loop()
@@ -139,76 +153,81 @@
         self.service_sockets: dict[str, socket.socket] = {}
         self.balancers: dict[str, Balancer] = {}
         self.live: set[str] = set()
-        self.targets: list[list[Balancer]] = [[]]
+        self.live_groups: list[list[Balancer]] = [[]]
         self.ids_by_host: dict[str, str] = {}
         self.mappings: dict[tuple[str, Address], Mapping] = {}
-        self.opened = 0
+        self.mappings_opened = 0
         self.faults: Faults | None = None
         self.counters = Counters()
 
     def set_services(self, services: list[ServiceAddress]) -> None:
-        """Bind the addresses that are new; the others stay."""
+        """Bind the addresses of new services; known services stay bound."""
         for service in services:
             if service.id in self.services:
                 continue
             opened = open_socket((service.host, service.port))
             self.services[service.id] = service
             self.service_sockets[service.id] = opened
-            self.loop.add_reader(opened, self.read_callers, service, opened)
+            self.loop.add_reader(opened, self.forward_to_balancers, service, opened)
 
     def set_balancers(self, balancers: list[Balancer]) -> None:
-        """Replace the balancers; one that is known stays live."""
+        """Replace the balancers; an unchanged balancer keeps its readiness."""
         known = self.balancers
         self.balancers = {balancer.id: balancer for balancer in balancers}
         self.live = {
             id for id in self.live if known.get(id) == self.balancers.get(id, "")
         }
         self.ids_by_host = {balancer.host: balancer.id for balancer in balancers}
-        self.update_targets()
+        self.update_live_groups()
 
     def set_live(self, id: str, *, live: bool) -> None:
-        """Use a balancer or withdraw it."""
+        """Add a balancer to the live ones or withdraw it."""
         if live == (id in self.live) or id not in self.balancers:
             return
         if live:
             self.live.add(id)
         else:
             self.live.discard(id)
-        self.update_targets()
+        self.update_live_groups()
 
     def set_faults(self, faults: Faults) -> None:
         """Replace all faults."""
         self.faults = None if faults == Faults() else faults
-        self.update_targets()
+        self.update_live_groups()
 
-    def update_targets(self) -> None:
+    def update_live_groups(self) -> None:
         """Recompute the live balancers of each group."""
         groups = self.faults.groups if self.faults else []
         wanted = groups or [sorted(self.balancers)]
-        self.targets = [
+        self.live_groups = [
             [self.balancers[id] for id in group if id in self.live] for group in wanted
         ]
 
-    def mapping_for(self, service: ServiceAddress, caller: Address) -> Mapping:
-        """Return the caller's mapping, opened at its first datagram."""
+    def get_or_open_mapping(self, service: ServiceAddress, caller: Address) -> Mapping:
+        """Return the caller's mapping; open it for the first datagram."""
         key = (service.id, caller)
         mapping = self.mappings.get(key)
         if mapping is None:
             opened = open_socket((self.source_host, 0))
             mapping = Mapping(
-                number=self.opened, service=service, caller=caller, socket=opened
+                number=self.mappings_opened,
+                service=service,
+                caller=caller,
+                socket=opened,
             )
-            self.opened += 1
+            self.mappings_opened += 1
             self.mappings[key] = mapping
-            self.loop.add_reader(opened, self.read_balancers, mapping)
+            self.loop.add_reader(opened, self.forward_to_caller, mapping)
         mapping.last_used = self.loop.time()
         return mapping
 
-    def read_callers(self, service: ServiceAddress, source: socket.socket) -> None:
-        """Pass what callers have sent to a random live balancer each."""
-        for data, caller in receive_all(source):
-            mapping = self.mapping_for(service, caller)
-            targets = self.targets[mapping.number % len(self.targets)]
+    def forward_to_balancers(
+        self, service: ServiceAddress, source: socket.socket
+    ) -> None:
+        """Forward each pending datagram of callers to a random live balancer."""
+        for data, caller in receive_datagrams(source):
+            mapping = self.get_or_open_mapping(service, caller)
+            targets = self.live_groups[mapping.number % len(self.live_groups)]
             if not targets:
                 self.counters.without_balancer += 1
                 continue
@@ -219,10 +238,10 @@
                 mapping, Direction.IN, target.id, mapping.socket, data, address
             )
 
-    def read_balancers(self, mapping: Mapping) -> None:
-        """Pass what balancers have sent to the caller."""
+    def forward_to_caller(self, mapping: Mapping) -> None:
+        """Forward pending datagrams of balancers to the caller."""
         outer = self.service_sockets[mapping.service.id]
-        for data, source in receive_all(mapping.socket):
+        for data, source in receive_datagrams(mapping.socket):
             balancer = self.ids_by_host.get(source[0], "")
             self.counters.towards_callers += 1
             self.deliver(mapping, Direction.OUT, balancer, outer, data, mapping.caller)
@@ -236,21 +255,28 @@
         data: bytes,
         address: Address,
     ) -> None:
-        """Send one datagram, subject to faults."""
-        if mapping.silent is not None and mapping.silent.covers(direction):
+        """Send one datagram unless its caller is silenced or its balancer cut off.
+
+        :param balancer: id of the balancer, empty if unknown.
+        :param outer: socket that sends the datagram.
+        """
+        if (
+            mapping.silenced_direction is not None
+            and mapping.silenced_direction.includes(direction)
+        ):
             self.counters.silenced += 1
             return
         if self.faults is None:
             self.send(outer, data, address)
             return
         cut = self.faults.cuts.get(balancer)
-        if cut is not None and cut.covers(direction):
+        if cut is not None and cut.includes(direction):
             self.counters.lost += 1
             return
-        self.deliver_late(self.faults, lambda: self.send(outer, data, address))
+        self.deliver_with_faults(self.faults, lambda: self.send(outer, data, address))
 
-    def deliver_late(self, faults: Faults, send: Callable[[], None]) -> None:
-        """Lose, double, delay or reorder one datagram."""
+    def deliver_with_faults(self, faults: Faults, send: Callable[[], None]) -> None:
+        """Lose, duplicate, delay or reorder one datagram at random."""
         draw = self.random.random
         if draw() < faults.loss:
             self.counters.lost += 1
@@ -266,19 +292,19 @@
                 send()
 
     def send(self, outer: socket.socket, data: bytes, address: Address) -> None:
-        """Send one datagram now; a full buffer loses it."""
+        """Send one datagram now; a send error is counted and loses it."""
         try:
             outer.sendto(data, address)
         except OSError:
             self.counters.send_errors += 1
 
-    def forget(
+    def silence_callers(
         self, *, service: str | None, caller: str | None, direction: Direction
     ) -> int:
-        """Silence present callers for good; new ones are not concerned.
+        """Drop all later datagrams of the current callers; new callers still work.
 
-        :param service: a service's id, or None for all services.
-        :param caller: ``host:port`` of one caller, or None for all.
+        :param service: id of a service, None for all services.
+        :param caller: ``host:port`` of a caller, None for all callers.
         :return: number of callers silenced.
         """
         found = [
@@ -288,18 +314,18 @@
             and caller in (None, "{}:{}".format(*mapping.caller))
         ]
         for mapping in found:
-            mapping.silent = direction
+            mapping.silenced_direction = direction
         return len(found)
 
-    def drop_idle_callers(self, *, now: float) -> None:
-        """Close the sockets of callers that have been quiet for long.
+    def close_idle_mappings(self, *, now: float) -> None:
+        """Close mappings that were not used for ``CALLER_IDLE_TIMEOUT_SECONDS``.
 
         :param now: time of the event loop in seconds.
         """
         idle = [
             key
             for key, mapping in self.mappings.items()
-            if mapping.last_used + IDLE_CALLER_SECONDS < now
+            if mapping.last_used + CALLER_IDLE_TIMEOUT_SECONDS < now
         ]
         for key in idle:
             opened = self.mappings.pop(key).socket
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_workload.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_workload.py
@@ -1,4 +1,4 @@
-"""The steady mix of requests that the demo's callers send."""
+"""Steady mix of requests that the callers of the demo send."""
 
 from __future__ import annotations
 
@@ -16,14 +16,14 @@
 LOOKUP_PATH = "/run?work_ms=5&size=400"
 ENTRY_PATH = "/run?work_ms=10&size=100"
 DOWNLOAD_PATH = "/download?size=40000"
-SHARES = {"lookup": 0.7, "entry": 0.2, "download": 0.1}
+REQUEST_SHARES = {"lookup": 0.7, "entry": 0.2, "download": 0.1}
 MEAN_PAUSE_SECONDS = 0.12
 
 
 def draw_request(generator: random.Random) -> Request:
-    """Draw one request of the mix; entries carry an idempotency key."""
-    kinds = list(SHARES)
-    match generator.choices(kinds, weights=SHARES.values())[0]:
+    """Draw one request of the mix; requests of kind entry have an idempotency key."""
+    kinds = list(REQUEST_SHARES)
+    match generator.choices(kinds, weights=REQUEST_SHARES.values())[0]:
         case "lookup":
             return Request(path=LOOKUP_PATH)
         case "entry":
@@ -35,9 +35,10 @@
 
 @define(kw_only=True, eq=False)
 class ServiceWorkload:
-    """Callers of one service, with one long feed among them.
+    """Callers of one service and one long-lived feed.
 
-    :ivar records: every request so far with its outcome.
+    :ivar records: every finished request with its outcome.
+    :ivar stopping: set to stop sending requests.
     """
 
     target: Target
@@ -52,7 +53,11 @@
     def create(
         cls, target: Target, *, callers: int, seed: int, clients: list[Client]
     ) -> ServiceWorkload:
-        """Prepare callers that use the given libraries in turn."""
+        """Create callers and the feed without connecting.
+
+        :param callers: number of callers without that of the feed.
+        :param clients: libraries, assigned to the callers round-robin.
+        """
         feed_caller = Caller(target)
         return cls(
             target=target,
@@ -66,18 +71,24 @@
         )
 
     async def run(self) -> None:
-        """Send requests until ``stopping`` is set; all outcomes are awaited."""
+        """Send requests until ``stopping`` is set, then wait for pending outcomes."""
         feed = asyncio.create_task(self.feed.run())
         try:
             await asyncio.gather(
-                *(self.call(c, number) for number, c in enumerate(self.callers))
+                *(
+                    self.send_requests(c, number)
+                    for number, c in enumerate(self.callers)
+                )
             )
         finally:
             feed.cancel()
             await asyncio.gather(feed, return_exceptions=True)
 
-    async def call(self, caller: Caller, number: int) -> None:
-        """Send the requests of one caller, one after another."""
+    async def send_requests(self, caller: Caller, number: int) -> None:
+        """Send requests of one caller sequentially until ``stopping`` is set.
+
+        :param number: number of the caller, part of its seed and name.
+        """
         generator = random.Random(f"{self.seed}/{self.target.service}/{number}")
         while not self.stopping.is_set():
             await asyncio.sleep(generator.expovariate(1 / MEAN_PAUSE_SECONDS))
@@ -97,11 +108,11 @@
 
     @property
     def lost_connections(self) -> list[str]:
-        """Why connections ended without a GOAWAY before it."""
+        """Reasons of connections that ended without a preceding GOAWAY."""
         callers = [*self.callers, self.feed_caller]
         return [reason for caller in callers for reason in caller.lost]
 
     async def close(self) -> None:
-        """End every connection."""
+        """Close every connection."""
         callers = [*self.callers, self.feed_caller]
         await asyncio.gather(*(caller.close() for caller in callers))
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/demo.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/demo.py
@@ -1,9 +1,9 @@
-"""Runs the whole path on loopback under failures and checks every outcome.
+"""Runs fleets on loopback under failures and checks the outcome of every request.
 
 Two services of each deployment get several hundred requests and one long feed
 each. Meanwhile one balancer is killed, another is replaced and one upstream is
-drained. The last line is JSON; the exit code is 0 only if no flow broke, nothing
-was misdelivered or run twice, and every request is accounted for.
+drained. The last line is JSON. The exit code is 0 only if no flow broke, no request
+was misdelivered or run twice, and every request has an outcome.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 from attrs import frozen
 
 from daisygauge_emulator._accounting import Reconciliation, reconcile
-from daisygauge_emulator._server import quiet_libraries
+from daisygauge_emulator._server import limit_library_logging
 from daisygauge_emulator._workload import ServiceWorkload
 from daisygauge_emulator.caller import Client, FeedReport, Unknown
 from daisygauge_emulator.fleet import (
@@ -37,15 +37,15 @@
 CLIENTS = [Client.AIOQUIC, Client.AIOQUIC, Client.QH3]
 WARM_UP_SECONDS = 2.0
 STEP_SECONDS = 2.0
-REPORTED_NOTES = 10
+MAX_PRINTED_FINDINGS = 10
 
 
 @frozen(kw_only=True)
 class DeploymentResult:
-    """What the run of one deployment showed.
+    """Result of the demo for one deployment.
 
-    :param broken: why flows ended that should have lasted.
-    :param problems: planned stops that did not end well.
+    :param broken: reasons of flows that ended without a planned change.
+    :param problems: planned stops that timed out or had an exit code other than 0.
     """
 
     account: Reconciliation
@@ -55,94 +55,100 @@
 
     @property
     def passed(self) -> bool:
-        """Whether the deployment kept every promise that the demo checks."""
+        """Whether outcomes are complete and consistent and no flow broke."""
         account = self.account
         return account.consistent and account.complete and not self.broken
 
 
 class Progress:
-    """Prints what happens with the time since the start."""
+    """Prints messages with the time since the start."""
 
     def __init__(self) -> None:
         self.started = time.monotonic()
 
     @property
     def seconds(self) -> float:
-        """Time since the start."""
+        """Seconds since the start."""
         return time.monotonic() - self.started
 
-    def say(self, text: str) -> None:
+    def print(self, text: str) -> None:
         """Print one line."""
         print(f"[{self.seconds:5.1f} s] {text}", flush=True)
 
 
 def find_feed_host(fleet: Fleet, workload: ServiceWorkload) -> Host:
-    """Return the host that carries a service's feed, which is the hardest to drain."""
+    """Return the host of a service's feed, the hardest host to drain."""
     hosts = fleet.hosts_of(workload.target.service)
     seen = workload.feed.report.hosts
     id = seen[-1].split(";")[0] if seen else ""
     return fleet.hosts.get(id, hosts[0])
 
 
-async def disturb(
+async def inject_failures(
     fleet: Fleet, workloads: list[ServiceWorkload], progress: Progress
 ) -> list[str]:
-    """Kill and replace balancers and drain a host.
+    """Kill one balancer, replace another and drain a host.
 
-    :return: planned stops that did not end well.
+    :return: planned stops that timed out or had an exit code other than 0.
     """
     killed, replaced = list(fleet.balancers.values())[:2]
     await asyncio.sleep(WARM_UP_SECONDS)
-    progress.say(f"SIGKILL to {killed.id}")
+    progress.print(f"SIGKILL to {killed.id}")
     await killed.process.kill()
     await asyncio.sleep(STEP_SECONDS)
-    progress.say(f"starting {killed.id} again")
+    progress.print(f"starting {killed.id} again")
     await fleet.restart_balancer(killed)
     await fleet.stand_ins.wait_live(set(fleet.balancers))
-    problems = await stop_balancer(fleet, replaced, progress)
+    problems = await replace_balancer(fleet, replaced, progress)
     await fleet.stand_ins.wait_live(set(fleet.balancers))
     await asyncio.sleep(STEP_SECONDS)
     host = find_feed_host(fleet, workloads[0])
-    problems += await stop_host(fleet, host, progress)
+    problems += await drain_host(fleet, host, progress)
     await asyncio.sleep(STEP_SECONDS)
     return problems
 
 
-async def stop_balancer(
+async def replace_balancer(
     fleet: Fleet, balancer: Balancer, progress: Progress
 ) -> list[str]:
-    """Replace a balancer under load; what did not end well."""
-    progress.say(f"replacing {balancer.id}")
+    """Replace a balancer under load.
+
+    :return: a description of the problem if the balancer did not stop cleanly.
+    """
+    progress.print(f"replacing {balancer.id}")
     try:
         code = await fleet.replace_balancer(balancer)
     except FleetError as error:
         return [str(error)]
-    progress.say(f"replaced {balancer.id}, exit code {code}")
+    progress.print(f"replaced {balancer.id}, exit code {code}")
     return [f"{balancer.id} drained with exit code {code}"] if code else []
 
 
-async def stop_host(fleet: Fleet, host: Host, progress: Progress) -> list[str]:
-    """Drain a host under load; what did not end well."""
-    progress.say(f"draining {host.id}, which carries the feed")
+async def drain_host(fleet: Fleet, host: Host, progress: Progress) -> list[str]:
+    """Drain a host under load.
+
+    :return: a description of the problem if the host did not stop cleanly.
+    """
+    progress.print(f"draining {host.id}, which serves the feed")
     try:
         codes = await fleet.drain_host(host)
     except FleetError as error:
         return [str(error)]
-    progress.say(f"drained {host.id}, exit codes {codes}")
+    progress.print(f"drained {host.id}, exit codes {codes}")
     return [f"{host.id} drained with exit codes {codes}"] if any(codes) else []
 
 
 async def run_deployment(
     deployment_id: str, *, number: int, progress: Progress
 ) -> DeploymentResult:
-    """Run the path of one deployment and return its result."""
+    """Start the fleet of one deployment and run its workload under failures."""
     deployment = DEPLOYMENTS[deployment_id].resized(hosts=DEMO_HOSTS)
     addresses = AddressPlan.for_this_process(number=number)
     if flags.FLAGS.block:
         addresses = AddressPlan(block=f"{flags.FLAGS.block}.{number + 1}")
-    progress.say(f"starting {deployment_id} at {addresses.block}.0")
+    progress.print(f"starting {deployment_id} at {addresses.block}.0")
     async with Fleet(deployment, addresses=addresses) as fleet:
-        progress.say(f"{deployment_id} is ready: {len(fleet.processes)} processes")
+        progress.print(f"{deployment_id} is ready: {len(fleet.processes)} processes")
         workloads = [
             ServiceWorkload.create(
                 fleet.target(plan.id),
@@ -154,16 +160,16 @@
         ]
         running = asyncio.gather(*(workload.run() for workload in workloads))
         try:
-            problems = await disturb(fleet, workloads, progress)
+            problems = await inject_failures(fleet, workloads, progress)
         finally:
             for workload in workloads:
                 workload.stopping.set()
             await running
         await asyncio.gather(*(workload.close() for workload in workloads))
-        progress.say(f"{deployment_id}: comparing outcomes with the ledgers")
+        progress.print(f"{deployment_id}: reconciling outcomes with the ledgers")
         result = summarize(fleet, workloads, problems)
     if result.passed and not result.problems:
-        # Logs and test keys are of use only when something went wrong.
+        # Logs and test keys are needed only to examine a failure.
         shutil.rmtree(fleet.directory)
     return result
 
@@ -171,7 +177,7 @@
 def summarize(
     fleet: Fleet, workloads: list[ServiceWorkload], problems: list[str]
 ) -> DeploymentResult:
-    """Compare a deployment's outcomes with its ledgers."""
+    """Reconcile a deployment's outcomes with its ledgers."""
     records = [record for workload in workloads for record in workload.records]
     runs = [run for host in fleet.hosts.values() for run in fleet.ledger(host)]
     broken = [
@@ -192,8 +198,8 @@
     )
 
 
-def closing_line(results: list[DeploymentResult], *, seconds: float) -> dict[str, Any]:
-    """Return the totals that close the demo."""
+def total_results(results: list[DeploymentResult], *, seconds: float) -> dict[str, Any]:
+    """Return the totals over all deployments for the last line."""
     accounts = [result.account for result in results]
     feeds = [feed for result in results for feed in result.feeds]
 
@@ -226,16 +232,16 @@
 
 
 def print_findings(result: DeploymentResult, progress: Progress) -> None:
-    """Print the first few things that went wrong."""
+    """Print the first ``MAX_PRINTED_FINDINGS`` problems."""
     findings = result.broken + result.problems + result.account.notes
-    for finding in findings[:REPORTED_NOTES]:
-        progress.say(finding)
-    if len(findings) > REPORTED_NOTES:
-        progress.say(f"and {len(findings) - REPORTED_NOTES} more")
+    for finding in findings[:MAX_PRINTED_FINDINGS]:
+        progress.print(finding)
+    if len(findings) > MAX_PRINTED_FINDINGS:
+        progress.print(f"and {len(findings) - MAX_PRINTED_FINDINGS} more")
 
 
 async def run_demo() -> bool:
-    """Run every deployment at the same time; True if all of it passed."""
+    """Run all deployments concurrently and return whether all passed."""
     task = asyncio.current_task()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     progress = Progress()
@@ -247,32 +253,32 @@
     )
     for result in results:
         print_findings(result, progress)
-    print(json.dumps(closing_line(results, seconds=progress.seconds)), flush=True)
+    print(json.dumps(total_results(results, seconds=progress.seconds)), flush=True)
     return all(result.passed and not result.problems for result in results)
 
 
 def define_flags() -> None:
-    """Define the command line."""
+    """Define the command-line flags."""
     flags.DEFINE_list(
-        "deployments", sorted(DEPLOYMENTS), "Deployments to run at the same time."
+        "deployments", sorted(DEPLOYMENTS), "Deployments to run concurrently."
     )
-    flags.DEFINE_integer("callers", 6, "Callers of each service.", 1)
+    flags.DEFINE_integer("callers", 6, "Number of callers of each service.", 1)
     flags.DEFINE_integer("seed", 1, "Seed of the requests.")
     flags.DEFINE_string(
-        "block", None, "First two numbers of the addresses, such as 127.20."
+        "block", None, "First two octets of the addresses, such as 127.20."
     )
     flags.register_validator(
         "deployments",
         lambda names: bool(names) and set(names) <= set(DEPLOYMENTS),
-        message=f"name some of {', '.join(sorted(DEPLOYMENTS))}",
+        message=f"choose from {', '.join(sorted(DEPLOYMENTS))}",
     )
 
 
 def main(argv: list[str]) -> None:
-    """Run the demo and exit with its verdict."""
+    """Run the demo and exit with 0 if it passed, else with 1."""
     if len(argv) > 1:
         raise app.UsageError(f"unexpected argument {argv[1]!r}; use --name=value")
-    quiet_libraries()
+    limit_library_logging()
     try:
         passed = uvloop.run(run_demo())
     except FleetError as error:
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/__main__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/__main__.py
@@ -1,9 +1,9 @@
-"""Starts a fleet of one deployment and keeps it up until Ctrl-C.
+"""Starts a fleet of one deployment and runs it until Ctrl-C.
 
-Prints as JSON, and writes to the file named by ``FLEET_FILE`` in the
-environment, where each service answers, the certificate of the authority and
-every process, so that any client can be tried against it and any process
-killed by hand.
+The description of the fleet is printed as JSON and written to the file that the
+environment variable ``FLEET_FILE`` names. It contains the address of each service,
+the certificate of the certificate authority and every process, so that any client
+can be tested against the fleet and any process can be killed by hand.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 
 from absl import flags
 
-from daisygauge_emulator._server import run_main, stop_event
+from daisygauge_emulator._server import create_stop_event, run_main
 from daisygauge_emulator.fleet import (
     DEPLOYMENTS,
     AddressPlan,
@@ -28,7 +28,7 @@
 
 
 def describe_process(process: ManagedProcess) -> dict[str, Any]:
-    """Return what is needed to find a process and its metrics."""
+    """Return the identity, address and log file of a process."""
     return {
         "name": process.role,
         "id": process.id,
@@ -67,15 +67,15 @@
 
 
 def choose_addresses() -> AddressPlan:
-    """Return the block named on the command line, or a free one."""
+    """Return the block given on the command line, or a free one."""
     if flags.FLAGS.block:
         return AddressPlan(block=flags.FLAGS.block)
     return AddressPlan.for_this_process()
 
 
 async def serve() -> None:
-    """Keep the fleet up until a signal."""
-    stopped = stop_event()
+    """Run the fleet until SIGTERM or SIGINT."""
+    stopped = create_stop_event()
     deployment = DEPLOYMENTS[flags.FLAGS.deployment]
     directory = Path(flags.FLAGS.directory) if flags.FLAGS.directory else None
     options = FleetOptions(directory=directory)
@@ -90,15 +90,17 @@
 
 
 def define_flags() -> None:
-    """Define the command line."""
+    """Define the command-line flags."""
     flags.DEFINE_enum(
         "deployment", "kuiseb", sorted(DEPLOYMENTS), "Deployment to start."
     )
     flags.DEFINE_string(
-        "block", None, "First three numbers of its addresses, such as 127.20.1."
+        "block", None, "First three octets of the addresses, such as 127.20.1."
     )
     flags.DEFINE_string(
-        "directory", None, "Directory for settings, keys and logs; a new one if unset."
+        "directory",
+        None,
+        "Directory for settings, keys and logs; a temporary one if unset.",
     )
 
 
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_certificates.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_certificates.py
@@ -1,4 +1,4 @@
-"""A certificate authority and certificates that live as long as a fleet."""
+"""A certificate authority and a server certificate for the lifetime of a fleet."""
 
 from __future__ import annotations
 
@@ -18,9 +18,10 @@
 
 @frozen(kw_only=True)
 class Certificates:
-    """Files of one authority and a server certificate for several services.
+    """Files of a certificate authority and of a server certificate.
 
     :param ca: certificate of the authority.
+    :param certificate: server certificate for all services.
     """
 
     ca: Path
@@ -61,7 +62,7 @@
 def create_certificates(
     directory: Path, *, server_names: list[str], addresses: list[str]
 ) -> Certificates:
-    """Write an authority and one certificate for all names and addresses.
+    """Create an authority and one certificate for all names and addresses.
 
     :param addresses: IPv4 addresses that callers may verify instead of a name.
     """
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_deployment.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_deployment.py
@@ -1,4 +1,4 @@
-"""Sizes and request classes of the two deployments, and loopback addresses."""
+"""Services and request classes of the two deployments, and loopback addresses."""
 
 from __future__ import annotations
 
@@ -16,11 +16,11 @@
 UPSTREAM_PORT = 8080
 PLATFORM_PORT = 8500
 FABRIC_PORT = 8501
-CLAIM_HOST = 1
-CLAIM_PORT = 8499
-FIRST_SERVICE = 10
-FIRST_BALANCER = 20
-FIRST_HOST = 100
+LOCK_OCTET = 1
+LOCK_PORT = 8499
+FIRST_SERVICE_OCTET = 10
+FIRST_BALANCER_OCTET = 20
+FIRST_HOST_OCTET = 100
 _FIRST_FREE_NETWORK = 128
 _FREE_NETWORKS = 100
 _NETWORKS_PER_BLOCK = 250
@@ -29,10 +29,11 @@
 
 @frozen(kw_only=True)
 class ServicePlan:
-    """One service of a deployment.
+    """A service of a deployment.
 
-    :param hosts: upstream hosts, each with an agent.
-    :param slots: requests that a host runs at once.
+    :param number: number of the service in its record.
+    :param hosts: number of upstream hosts, each with an agent.
+    :param slots: number of requests that a host runs at the same time.
     """
 
     id: str
@@ -44,9 +45,9 @@
 
 @frozen(kw_only=True)
 class Deployment:
-    """One user's deployment.
+    """Region, services and size of a deployment.
 
-    :param balancers: entry instances behind the fabric.
+    :param balancers: number of balancers behind the fabric.
     """
 
     id: str
@@ -58,9 +59,10 @@
     def resized(
         self, *, hosts: dict[str, int] | None = None, balancers: int | None = None
     ) -> Deployment:
-        """Return the deployment with other sizes.
+        """Return the deployment with a different number of hosts or balancers.
 
-        :param hosts: hosts of each service by its id; others stay.
+        :param hosts: number of hosts by the service's id; others stay unchanged.
+        :param balancers: number of balancers, None to keep it.
         """
         hosts = hosts or {}
         services = tuple(
@@ -121,18 +123,21 @@
 DEPLOYMENTS = {deployment.id: deployment for deployment in (KUISEB, BRANNOCK)}
 
 
-_claims: list[socket.socket] = []
+_block_locks: list[socket.socket] = []
 
 
-def _claim(block: str) -> bool:
-    """Bind a port of a block, which excludes other processes until this one ends."""
-    claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+def _lock_block(block: str) -> bool:
+    """Reserve a block until this process ends by binding a port in it.
+
+    :return: False if another process or an earlier call has reserved the block.
+    """
+    lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     try:
-        claim.bind((f"{block}.{CLAIM_HOST}", CLAIM_PORT))
+        lock.bind((f"{block}.{LOCK_OCTET}", LOCK_PORT))
     except OSError:
-        claim.close()
+        lock.close()
         return False
-    _claims.append(claim)
+    _block_locks.append(lock)
     return True
 
 
@@ -140,50 +145,56 @@
 class AddressPlan:
     """Loopback addresses of one fleet.
 
-    :param block: first three numbers of its addresses, such as ``127.20.1``.
+    :param block: first three octets of the addresses, such as ``127.20.1``.
     """
 
     block: str
 
     @classmethod
     def for_this_process(cls, *, number: int = 0) -> AddressPlan:
-        """Return a block that no other fleet uses while this process lives.
+        """Reserve a block that no other fleet uses until this process ends.
 
-        :param number: where the search starts, for the fleets of one process.
-        :raises RuntimeError: every block is taken.
+        :param number: offset at which the search starts, which differs between the
+            fleets of one process.
+        :raises RuntimeError: every block is reserved.
         """
         blocks = _FREE_NETWORKS * _NETWORKS_PER_BLOCK
         start = os.getpid() * _FLEETS_PER_PROCESS + number
         for step in range(blocks):
-            place = (start + step) % blocks
-            network = _FIRST_FREE_NETWORK + place // _NETWORKS_PER_BLOCK
-            block = f"127.{network}.{place % _NETWORKS_PER_BLOCK}"
-            if _claim(block):
+            offset = (start + step) % blocks
+            network = _FIRST_FREE_NETWORK + offset // _NETWORKS_PER_BLOCK
+            block = f"127.{network}.{offset % _NETWORKS_PER_BLOCK}"
+            if _lock_block(block):
                 return cls(block=block)
-        raise RuntimeError("every address block is taken; end fleets not needed")
+        raise RuntimeError("every address block is in use; stop unused fleets")
 
     def host(self, number: int) -> str:
-        """Return an address of the block."""
+        """Return an address of the block.
+
+        :param number: last octet.
+        """
         return f"{self.block}.{number}"
 
     @property
     def platform(self) -> Endpoint:
-        """Address of the platform stand-in."""
+        """Address and port of the platform stand-in."""
         return Endpoint(host=self.host(2), port=PLATFORM_PORT)
 
     @property
     def fabric(self) -> Endpoint:
-        """Address of the fabric's control port."""
+        """Address and port of the fabric's control port."""
         return Endpoint(host=self.host(3), port=FABRIC_PORT)
 
     def service(self, index: int) -> Endpoint:
-        """Address that callers of a service use."""
-        return Endpoint(host=self.host(FIRST_SERVICE + index), port=OUTER_PORT + index)
+        """Return the address on which callers reach a service."""
+        return Endpoint(
+            host=self.host(FIRST_SERVICE_OCTET + index), port=OUTER_PORT + index
+        )
 
     def balancer(self, index: int) -> str:
-        """Address of a balancer."""
-        return self.host(FIRST_BALANCER + index)
+        """Return the address of a balancer."""
+        return self.host(FIRST_BALANCER_OCTET + index)
 
     def upstream(self, index: int) -> str:
-        """Address of an upstream host and its agent."""
-        return self.host(FIRST_HOST + index)
+        """Return the address of an upstream host and its agent."""
+        return self.host(FIRST_HOST_OCTET + index)
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_documents.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_documents.py
@@ -25,7 +25,7 @@
 
 
 def record(*, kind: str, id: str, revision: int, spec: Document) -> Document:
-    """Return a record as operators publish it."""
+    """Return a record in the format that operators publish."""
     return {
         "kind": kind,
         "id": id,
@@ -47,7 +47,8 @@
 ) -> Document:
     """Return the record of a service.
 
-    :param policies: ``placement``, ``queue``, ``hand_off`` and other fields.
+    :param policies: additional fields of the spec, such as ``placement``, ``queue``
+        and ``hand_off``.
     """
     spec = {
         "number": plan.number,
@@ -103,7 +104,7 @@
     platform: Endpoint,
     log_level: str,
 ) -> Document:
-    """Return the settings that both roles share."""
+    """Return the settings that agents and balancers have in common."""
     return {
         "role": role,
         "id": id,
@@ -121,7 +122,7 @@
 def agent_settings(
     shared: Document, *, service: str, certificates: Certificates
 ) -> Document:
-    """Return the settings of an agent beside the upstream on its own host."""
+    """Return the settings of an agent on the same host as its upstream."""
     return {
         **shared,
         "service": service,
@@ -144,7 +145,7 @@
 
 
 def write_settings(path: Path, settings: Document) -> None:
-    """Write a settings file with a comment on its origin."""
+    """Write a settings file with a comment that names its origin."""
     path.write_text(
         "// Written for an emulated fleet; see docs/CLI.md for every field.\n"
         + json.dumps(settings, indent=2)
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_factory.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_factory.py
@@ -21,10 +21,15 @@
 
 @define(kw_only=True)
 class FleetOptions:
-    """Options of a fleet beside its deployment.
-
-    :param directory: run directory; a new temporary one by default.
-    :param policies: fields of each service's record by the service's id.
+    """Options of a fleet that its deployment does not define.
+
+    :param directory: directory for settings, keys and logs; a new temporary one by
+        default.
+    :param seed: seed of the fabric.
+    :param queue_limit: waiting requests of an upstream above which it answers 503.
+    :param cold_start_seconds: time after an upstream's start in which runs take
+        longer.
+    :param policies: additional fields of service records by the service's id.
     """
 
     directory: Path | None = None
@@ -37,7 +42,7 @@
 
 @define(kw_only=True)
 class ProcessFactory:
-    """Describes processes; it starts none."""
+    """Creates ``ManagedProcess`` objects without starting the processes."""
 
     deployment: Deployment
     addresses: AddressPlan
@@ -46,14 +51,17 @@
     certificates: Certificates
 
     def failure_domain(self, index: int) -> str:
-        """Deal instances out to the failure domains in turn."""
+        """Return the failure domain of an instance, assigned round-robin."""
         domains = self.deployment.failure_domains
         return domains[index % len(domains)]
 
     def stand_in(
         self, *, id: str, role: str, host: str, **options: object
     ) -> ManagedProcess:
-        """Describe a stand-in."""
+        """Return the process of a stand-in.
+
+        :param options: values of its command-line flags.
+        """
         return ManagedProcess(
             id=id,
             role=role,
@@ -63,14 +71,14 @@
         )
 
     def platform(self) -> ManagedProcess:
-        """Describe the platform."""
+        """Return the process of the platform."""
         address = self.addresses.platform
         return self.stand_in(
             id="platform", role="platform", host=address.host, port=address.port
         )
 
     def fabric(self) -> ManagedProcess:
-        """Describe the fabric."""
+        """Return the process of the fabric."""
         address = self.addresses.fabric
         return self.stand_in(
             id="fabric",
@@ -82,11 +90,11 @@
         )
 
     def ledger_path(self, host_id: str) -> Path:
-        """Return the file that an upstream's ledger goes to."""
+        """Return the path of an upstream's ledger file."""
         return self.directory / f"{host_id}.ledger"
 
     def upstream(self, plan: ServicePlan, id: str, index: int) -> ManagedProcess:
-        """Describe an upstream."""
+        """Return the process of an upstream."""
         process = self.stand_in(
             id=f"{id}-upstream",
             role="upstream",
@@ -104,7 +112,7 @@
     def daemon(
         self, *, id: str, role: str, host: str, settings: documents.Document
     ) -> ManagedProcess:
-        """Write the settings of a daemon and describe its process."""
+        """Write the settings file of a daemon and return its process."""
         path = self.directory / f"{id}.json"
         documents.write_settings(path, settings)
         return ManagedProcess(
@@ -119,7 +127,7 @@
     def shared_settings(
         self, *, id: str, role: str, host: str, index: int
     ) -> documents.Document:
-        """Return what the settings of both roles have in common."""
+        """Return the settings that agents and balancers have in common."""
         return documents.daemon_settings(
             id=id,
             role=role,
@@ -131,7 +139,7 @@
         )
 
     def agent(self, plan: ServicePlan, id: str, index: int) -> ManagedProcess:
-        """Describe the agent beside an upstream."""
+        """Return the process of the agent of an upstream."""
         host = self.addresses.upstream(index)
         shared = self.shared_settings(id=id, role="agent", host=host, index=index)
         settings = documents.agent_settings(
@@ -140,7 +148,7 @@
         return self.daemon(id=id, role="agent", host=host, settings=settings)
 
     def balancer(self, id: str, index: int) -> ManagedProcess:
-        """Describe a balancer."""
+        """Return the process of a balancer."""
         host = self.addresses.balancer(index)
         shared = self.shared_settings(id=id, role="balancer", host=host, index=index)
         settings = documents.balancer_settings(shared)
@@ -149,7 +157,7 @@
     def instance(
         self, process: ManagedProcess, *, index: int, leaving: bool
     ) -> documents.Document:
-        """Describe a daemon for the platform's instance list."""
+        """Return the entry of a daemon for the platform's instance list."""
         return documents.instance_entry(
             id=process.id,
             role=process.role,
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_fleet.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_fleet.py
@@ -1,4 +1,4 @@
-"""Starts one deployment as processes and does to them what tests need."""
+"""Runs a deployment as processes, which tests can stop, replace and drain."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 @define(kw_only=True, eq=False)
 class Host:
-    """An upstream and the agent beside it; replacements keep the address."""
+    """An upstream and the agent on the same host; replacements keep the address."""
 
     id: str
     index: int
@@ -44,11 +44,13 @@
 
 
 class Fleet:
-    """One deployment as processes on loopback addresses.
+    """A deployment that runs as processes on loopback addresses.
 
+    :ivar services: address of each service by its id.
+    :ivar processes: every process started, including those that have ended.
     :ivar stand_ins: client of the platform, the fabric and the upstreams.
-    :ivar hosts: every host by its id, drained ones included.
-    :ivar balancers: every balancer by its id.
+    :ivar hosts: hosts by id, including drained ones.
+    :ivar balancers: balancers by id.
     """
 
     def __init__(
@@ -100,7 +102,7 @@
         await self.stop()
 
     async def start(self) -> None:
-        """Start everything and wait until it is ready.
+        """Start all processes and wait until they are ready.
 
         :raises FleetError: a process ended or did not become ready in time.
         """
@@ -119,7 +121,7 @@
         await self.stand_ins.wait_live(set(self.balancers))
 
     async def stop(self) -> None:
-        """End every process that this fleet has started."""
+        """Kill every process that this fleet has started."""
         await asyncio.gather(
             *(process.kill() for process in self.processes if process.running)
         )
@@ -127,11 +129,11 @@
             await self.stand_ins.close()
 
     def server_name(self, service: str) -> str:
-        """Return the name in the certificate of a service."""
+        """Return the name of a service in the server certificate."""
         return f"{service}.{self.deployment.id}.test"
 
     def target(self, service: str) -> Target:
-        """Return what a caller needs to reach a service."""
+        """Return the target that callers of a service connect to."""
         address = self.services[service]
         return Target(
             service=service,
@@ -142,7 +144,7 @@
         )
 
     def numbered_hosts(self) -> list[tuple[ServicePlan, int]]:
-        """Return the service and the number of every host."""
+        """Return the service and the number of every host of the deployment."""
         plans = [plan for plan in self.deployment.services for _ in range(plan.hosts)]
         return [(plan, index) for index, plan in enumerate(plans)]
 
@@ -152,7 +154,7 @@
         return sorted(found, key=lambda host: host.index)
 
     async def launch(self, process: ManagedProcess) -> ManagedProcess:
-        """Start a process and remember it for the clean-up."""
+        """Start a process and add it to those that ``stop()`` kills."""
         self.processes.append(process)
         await process.start()
         return process
@@ -162,7 +164,7 @@
         await self.stand_ins.wait_url(process.ready_url, process)
 
     async def start_stand_ins(self) -> None:
-        """Start the platform and the fabric and wait for both."""
+        """Start the platform and the fabric and wait until both are ready."""
         platform = await self.launch(self.factory.platform())
         fabric = await self.launch(self.factory.fabric())
         stand_ins = self.stand_ins
@@ -172,7 +174,7 @@
         await stand_ins.set_services(self.services)
 
     async def publish_all(self) -> None:
-        """Publish the first key and every service and upstream."""
+        """Publish the first key, all services and all upstreams."""
         await self.stand_ins.publish(documents.key_record())
         for plan in self.deployment.services:
             await self.publish_service(plan, address=self.services[plan.id])
@@ -182,7 +184,7 @@
     async def publish_service(
         self, plan: ServicePlan, *, address: Endpoint, revision: int = 1
     ) -> None:
-        """Publish the record of a service with the policies of the options."""
+        """Publish the record of a service with the policies of ``FleetOptions``."""
         policies = self.factory.options.policies.get(plan.id, {})
         await self.stand_ins.publish(
             documents.service_record(
@@ -205,7 +207,7 @@
         )
 
     async def start_host(self, plan: ServicePlan, index: int) -> Host:
-        """Start an upstream and its agent and list them."""
+        """Start an upstream and its agent and register the agent."""
         id = f"{plan.id}-{index}"
         upstream = await self.launch(self.factory.upstream(plan, id, index))
         agent = await self.launch(self.factory.agent(plan, id, index))
@@ -215,19 +217,19 @@
         return host
 
     async def restart_agent(self, host: Host) -> None:
-        """Start a new agent in the place of one that has ended."""
+        """Start a new agent for a host whose agent has ended."""
         process = self.factory.agent(host.plan, host.id, host.index)
         host.agent = await self.launch(process)
         await self.register_host(host, leaving=False)
         await self.wait_ready(host.agent)
 
     async def register_host(self, host: Host, *, leaving: bool) -> None:
-        """Put a host's agent on the instance list."""
+        """Add a host's agent to the instance list or update its entry."""
         entry = self.factory.instance(host.agent, index=host.index, leaving=leaving)
         await self.stand_ins.register_instance(entry)
 
     async def start_balancer(self, index: int) -> Balancer:
-        """Start a balancer and list it."""
+        """Start and register a balancer."""
         id = f"{self.deployment.id}-balancer-{index}"
         process = await self.launch(self.factory.balancer(id, index))
         balancer = Balancer(id=id, index=index, process=process)
@@ -236,24 +238,24 @@
         return balancer
 
     async def register_balancer(self, balancer: Balancer, *, leaving: bool) -> None:
-        """Put a balancer on the instance list."""
+        """Add a balancer to the instance list or update its entry."""
         entry = self.factory.instance(
             balancer.process, index=balancer.index, leaving=leaving
         )
         await self.stand_ins.register_instance(entry)
 
     async def restart_balancer(self, balancer: Balancer) -> None:
-        """Start a new process in the place of a balancer that has ended."""
+        """Start a new process for a balancer whose process has ended."""
         process = self.factory.balancer(balancer.id, balancer.index)
         balancer.process = await self.launch(process)
         await self.register_balancer(balancer, leaving=False)
         await self.wait_ready(balancer.process)
 
     async def replace_balancer(self, balancer: Balancer) -> int:
-        """Drain a balancer and start another in its place.
+        """Drain a balancer and start a new process for it.
 
-        :return: exit code of the one that was drained.
-        :raises FleetError: it did not end in time.
+        :return: exit code of the drained process.
+        :raises FleetError: the process did not end in time.
         """
         await self.register_balancer(balancer, leaving=True)
         code = await balancer.process.terminate(timeout_seconds=DRAIN_TIMEOUT_SECONDS)
@@ -263,10 +265,10 @@
     async def drain_host(
         self, host: Host, *, timeout_seconds: float = DRAIN_TIMEOUT_SECONDS
     ) -> tuple[int, int]:
-        """Take a host out of service.
+        """Drain a host's agent, stop its upstream and deregister the host.
 
         :return: exit codes of its agent and its upstream.
-        :raises FleetError: one of them did not end in time.
+        :raises FleetError: one of the processes did not end in time.
         """
         await self.register_host(host, leaving=True)
         agent_code = await host.agent.terminate(timeout_seconds=timeout_seconds)
@@ -275,5 +277,5 @@
         return agent_code, upstream_code
 
     def ledger(self, host: Host) -> list[Run]:
-        """Read every run of a host, whether it is still up or not."""
+        """Return all runs of a host, which may have ended."""
         return read_ledger(self.factory.ledger_path(host.id))
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_process.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_process.py
@@ -1,4 +1,4 @@
-"""A process that a fleet has started."""
+"""Processes of a fleet."""
 
 from __future__ import annotations
 
@@ -12,11 +12,11 @@
 
 
 class FleetError(RuntimeError):
-    """A process of the fleet did not do what it should; the message has its log."""
+    """A process failed; the message contains the end of its log."""
 
 
 class ManagedProcess:
-    """Starts, signals and ends one process; its output goes to a file.
+    """Starts, signals and stops one process, whose output goes to a file.
 
     :ivar role: ``platform``, ``fabric``, ``upstream``, ``agent`` or ``balancer``.
     :ivar metrics_port: port of metrics and readiness, None for stand-ins.
@@ -47,16 +47,16 @@
 
     @property
     def running(self) -> bool:
-        """Whether the process has started and not ended."""
+        """Whether the process has started and not yet ended."""
         return self.process is not None and self.process.returncode is None
 
     @property
     def ready_url(self) -> str:
-        """URL that answers 200 while the process wants traffic."""
+        """URL that answers 200 while the process accepts traffic."""
         return f"http://{self.host}:{self.metrics_port}/ready"
 
     async def start(self) -> None:
-        """Start the process in a session of its own, so that it misses Ctrl-C."""
+        """Start the process in its own session, so that Ctrl-C does not reach it."""
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *self.command,
@@ -72,26 +72,26 @@
             self.process.send_signal(number)
 
     async def wait(self) -> int:
-        """Wait for the end and return the exit code."""
+        """Wait until the process ends and return its exit code."""
         return await self.process.wait()
 
     async def kill(self) -> None:
-        """End the process at once."""
+        """Kill the process and wait until it has ended."""
         self.send_signal(signal.SIGKILL)
         await self.wait()
 
     def suspend(self) -> None:
-        """Stop the process without ending it."""
+        """Suspend the process with SIGSTOP."""
         self.send_signal(signal.SIGSTOP)
 
     def resume(self) -> None:
-        """Let a frozen process go on."""
+        """Resume a suspended process with SIGCONT."""
         self.send_signal(signal.SIGCONT)
 
     async def terminate(self, *, timeout_seconds: float) -> int:
-        """Ask the process to drain and wait for its exit code.
+        """Send SIGTERM, wait for the drain and return the exit code.
 
-        :raises FleetError: it still runs after ``timeout_seconds``.
+        :raises FleetError: the process still runs after ``timeout_seconds``.
         """
         self.send_signal(signal.SIGTERM)
         try:
@@ -104,7 +104,7 @@
             ) from None
 
     def log_tail(self, lines: int = 8) -> str:
-        """Return the end of the process's output."""
+        """Return the last lines of the process's output."""
         if not self.log_path.exists():
             return ""
         return "\n".join(
@@ -113,6 +113,9 @@
 
 
 def stand_in_command(name: str, **options: object) -> list[str]:
-    """Return the command line of a stand-in."""
+    """Return the command line of a stand-in.
+
+    :param options: values of its command-line flags.
+    """
     arguments = [f"--{option}={value}" for option, value in options.items()]
     return [sys.executable, "-m", f"daisygauge_emulator.{name}", *arguments]
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_stand_ins.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/fleet/_stand_ins.py
@@ -1,4 +1,4 @@
-"""What operators and tests do to the platform, the fabric and upstreams."""
+"""HTTP client of the platform, the fabric and the upstreams of a fleet."""
 
 from __future__ import annotations
 
@@ -20,7 +20,11 @@
 
 
 class StandInClient:
-    """A client of the stand-ins' control paths."""
+    """Client of the stand-ins' control paths.
+
+    :ivar platform: base URL of the platform.
+    :ivar fabric: base URL of the fabric.
+    """
 
     def __init__(self, addresses: AddressPlan) -> None:
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_SECONDS)
@@ -29,13 +33,13 @@
         self.fabric = f"http://{addresses.fabric}"
 
     async def close(self) -> None:
-        """Close the client."""
+        """Close the HTTP session."""
         await self.session.close()
 
     async def put(self, url: str, document: Any) -> Any:
-        """PUT a JSON document to a stand-in.
+        """PUT a JSON document to a stand-in and return the JSON answer.
 
-        :raises FleetError: the stand-in refused it.
+        :raises FleetError: the status is not 200.
         """
         async with self.session.put(url, json=document) as answer:
             if answer.status != 200:
@@ -48,17 +52,17 @@
             return await answer.json()
 
     async def publish(self, record: Document) -> None:
-        """Publish a record on the platform, as an operator."""
+        """Publish a record on the platform."""
         path = f"records/{record['kind']}/{record['id']}"
         await self.put(f"{self.platform}/v1/kv/{path}", record)
 
     async def register_instance(self, entry: Document) -> None:
-        """Put an entry on the platform's instance list."""
+        """Add or replace an entry of the platform's instance list."""
         id = entry["Service"]["ID"]
         await self.put(f"{self.platform}/stand-in/instances/{id}", entry)
 
     async def deregister_instance(self, id: str) -> None:
-        """Take an instance off the platform's list."""
+        """Remove an instance from the platform's instance list."""
         url = f"{self.platform}/stand-in/instances/{id}"
         async with self.session.delete(url) as answer:
             await answer.read()
@@ -73,7 +77,7 @@
         return statistics["reads"]
 
     async def set_services(self, services: dict[str, Endpoint]) -> None:
-        """Tell the fabric its service addresses."""
+        """Add service addresses to the fabric."""
         body = [
             {"id": id, "host": address.host, "port": address.port}
             for id, address in services.items()
@@ -81,7 +85,7 @@
         await self.put(f"{self.fabric}/services", body)
 
     async def set_balancers(self, processes: list[ManagedProcess]) -> None:
-        """Tell the fabric which balancers there are."""
+        """Replace the fabric's list of balancers."""
         body = [
             {"id": process.id, "host": process.host, "ready_url": process.ready_url}
             for process in processes
@@ -89,7 +93,7 @@
         await self.put(f"{self.fabric}/balancers", body)
 
     async def set_fabric_faults(self, **faults: Any) -> None:
-        """Replace the fabric's faults; none given ends them."""
+        """Replace the fabric's faults; no argument clears all of them."""
         await self.put(f"{self.fabric}/faults", faults)
 
     async def fabric_state(self) -> Document:
@@ -97,19 +101,26 @@
         return await self.get(f"{self.fabric}/state")
 
     async def silence_callers(self, **which: Any) -> int:
-        """Let the fabric silence present callers; their number."""
+        """Drop all datagrams of the current callers in the fabric.
+
+        :param which: ``service``, ``caller`` and ``direction``, all optional.
+        :return: number of callers silenced.
+        """
         answer = await self.put(f"{self.fabric}/forget", which)
         return answer["forgotten"]
 
     async def set_behaviour(self, host: str, **behaviour: Any) -> None:
-        """Change how the upstream on an address behaves."""
+        """Replace some faults of the upstream on a host.
+
+        :param host: address of the host.
+        """
         url = f"http://{host}:{UPSTREAM_PORT}/stand-in/behaviour"
         await self.put(url, behaviour)
 
     async def wait_url(self, url: str, process: ManagedProcess) -> None:
         """Wait until a URL answers 200.
 
-        :raises FleetError: the process ended first, or it took too long.
+        :raises FleetError: the process ended, or the timeout passed.
         """
         deadline = time.monotonic() + READY_TIMEOUT_SECONDS
         while time.monotonic() < deadline:
@@ -126,7 +137,7 @@
         )
 
     async def is_ok(self, url: str) -> bool:
-        """Tell whether a URL answers 200 now."""
+        """Return whether a URL answers 200."""
         try:
             async with self.session.get(url) as answer:
                 return answer.status == 200
@@ -134,9 +145,9 @@
             return False
 
     async def wait_live(self, ids: set[str]) -> None:
-        """Wait until the fabric uses exactly these balancers.
+        """Wait until exactly these balancers are live in the fabric.
 
-        :raises FleetError: it took too long.
+        :raises FleetError: the timeout passed.
         """
         deadline = time.monotonic() + READY_TIMEOUT_SECONDS
         live: set[str] = set()
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/load/__main__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/load/__main__.py
@@ -1,8 +1,8 @@
 """Sends a load to a running fleet and prints its measures as JSON.
 
-Start the fleet with ``FLEET_FILE=fleet.json make fleet`` and name that file.
-Arrivals are open-loop: they do not wait for earlier answers, and latency counts
-from the planned arrival.
+Start the fleet with ``FLEET_FILE=fleet.json make fleet`` and pass that file as
+``--fleet``. Arrivals are open-loop: they do not wait for earlier answers, and
+latency is measured from the planned arrival.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from absl import app, flags
 from attrs import asdict
 
-from daisygauge_emulator._server import quiet_libraries
+from daisygauge_emulator._server import limit_library_logging
 from daisygauge_emulator.caller import Client, Target
 from daisygauge_emulator.load import (
     ExponentialWork,
@@ -33,7 +33,7 @@
 
 
 def read_target(description: dict[str, Any], service: str) -> Target:
-    """Find a service in the description of a fleet."""
+    """Return the target of a service from the description of a fleet."""
     found = [entry for entry in description["services"] if entry["id"] == service]
     if not found:
         known = ", ".join(entry["id"] for entry in description["services"])
@@ -48,7 +48,7 @@
 
 
 async def load() -> None:
-    """Run the load that the command line describes."""
+    """Run the load that the flags describe and print its measures."""
     values = flags.FLAGS
     description = json.loads(Path(values.fleet).read_text())
     target = read_target(description, values.service)
@@ -83,24 +83,29 @@
 
 
 def define_flags() -> None:
-    """Define the command line."""
+    """Define the command-line flags."""
     flags.DEFINE_string("fleet", None, "File written by make fleet.", required=True)
     flags.DEFINE_string("service", None, "Id of the service.", required=True)
-    flags.DEFINE_float("load", 0.7, "Offered load as a share of all slots.", 0)
-    flags.DEFINE_float("work_ms", 20.0, "Mean time of a run in its slot.", 0.1)
-    flags.DEFINE_float("seconds", 20.0, "Length of the load.", 1)
+    flags.DEFINE_float(
+        "load", 0.7, "Offered load as a share of the capacity of all slots.", 0
+    )
+    flags.DEFINE_float("work_ms", 20.0, "Mean duration of a run in milliseconds.", 0.1)
+    flags.DEFINE_float("seconds", 20.0, "Duration of the load in seconds.", 1)
     flags.DEFINE_integer("flows", 20, "Connections.", 1)
     flags.DEFINE_integer("seed", 1, "Seed of the arrivals.")
     flags.DEFINE_enum(
-        "client", "qh3", [client.value for client in Client], "Library of the callers."
+        "client",
+        "qh3",
+        [client.value for client in Client],
+        "HTTP/3 library of the callers.",
     )
 
 
 def main(argv: list[str]) -> None:
-    """Send the load."""
+    """Parse the command line and run the load."""
     if len(argv) > 1:
         raise app.UsageError(f"unexpected argument {argv[1]!r}; use --name=value")
-    quiet_libraries()
+    limit_library_logging()
     uvloop.run(load())
 
 
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/platform.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/platform.py
@@ -1,8 +1,8 @@
-"""Stand-in for the platform: records and instances that can only be read.
+"""Stand-in for the platform, which stores records and the instance list.
 
-The system uses the Consul-shaped ``/v1`` paths, with blocking queries. Operators
-and tests change the content by PUT and DELETE on ``/v1/kv/records`` and
-``/stand-in``.
+Daemons only read, on paths under ``/v1`` that follow the Consul API, with blocking
+queries. Operators and tests change the content by PUT and DELETE on
+``/v1/kv/records`` and ``/stand-in``.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 from aiohttp import web
 from attrs import define, evolve, field
 
-from daisygauge_emulator._server import run_main, start_server, stop_event
+from daisygauge_emulator._server import create_stop_event, run_main, start_server
 
 DEFAULT_WAIT_SECONDS = 30.0
 MAX_WAIT_SECONDS = 600.0
@@ -28,21 +28,21 @@
 
 
 def parse_wait(text: str) -> float:
-    """Read a Consul duration such as ``500ms``, ``30s`` or ``1m``.
+    """Parse a Consul duration such as ``500ms``, ``30s`` or ``1m``.
 
     :return: seconds, at most ``MAX_WAIT_SECONDS``.
-    :raises ValueError: the text is no duration.
+    :raises ValueError: the text is not a duration.
     """
     match = _WAIT.fullmatch(text)
     if match is None:
-        raise ValueError(f"{text!r} is no duration; write for example 30s")
+        raise ValueError(f"{text!r} is not a duration; use a value such as 30s")
     seconds = float(match["amount"]) * _UNIT_SECONDS[match["unit"]]
     return min(seconds, MAX_WAIT_SECONDS)
 
 
 @define(kw_only=True)
 class Table:
-    """Entries by key, with the index of the last change."""
+    """Entries by key and the index of the last change, as in Consul."""
 
     entries: dict[str, dict] = field(factory=dict)
     index: int = 1
@@ -53,18 +53,18 @@
         self.entries = {**self.entries, key: {**entry, "ModifyIndex": self.index}}
 
     def delete(self, key: str) -> None:
-        """Remove an entry if it is there."""
+        """Remove an entry if it exists; the index grows either way."""
         self.index += 1
         self.entries = {k: v for k, v in self.entries.items() if k != key}
 
 
 @define(kw_only=True)
 class Faults:
-    """What is wrong with the platform at the moment.
+    """Faults of the platform that a test injects.
 
-    :param down: reads are cut without an answer.
-    :param stale: reads see the content of the moment at which this was set.
-    :param list_lag_seconds: delay until a change of the instance list is seen.
+    :param down: whether connections of readers are aborted without an answer.
+    :param stale: whether reads return the content as of when this fault was set.
+    :param list_lag_seconds: delay until a change of the instance list is visible.
     """
 
     down: bool = False
@@ -73,11 +73,15 @@
 
 
 class Platform:
-    """The content of the stand-in and its HTTP handlers."""
+    """Content of the stand-in and its HTTP handlers.
+
+    :ivar snapshots: tables that readers see during the fault ``stale``.
+    :ivar reads: number of reads since the start.
+    """
 
     def __init__(self) -> None:
         self.tables = {"records": Table(), "instances": Table()}
-        self.frozen: dict[str, Table] = {}
+        self.snapshots: dict[str, Table] = {}
         self.faults = Faults()
         self.reads = 0
         self.changed = asyncio.Condition()
@@ -99,17 +103,20 @@
         )
         return application
 
-    def visible(self, name: str) -> Table:
-        """Return the table that readers see now."""
-        return self.frozen[name] if self.faults.stale else self.tables[name]
+    def visible_table(self, name: str) -> Table:
+        """Return the table that readers see, a snapshot during the fault ``stale``."""
+        return self.snapshots[name] if self.faults.stale else self.tables[name]
 
     async def notify(self) -> None:
-        """Wake every blocking query."""
+        """Wake every blocking query to check its index again."""
         async with self.changed:
             self.changed.notify_all()
 
     async def wait_for_change(self, request: web.Request, name: str) -> None:
-        """Block while the index is not above the one in the query."""
+        """Wait until the table's index exceeds that of the query or its wait ends.
+
+        :raises ValueError: the query has no valid index or wait.
+        """
         index = int(request.query.get("index", 0))
         wait = request.query.get("wait")
         seconds = parse_wait(wait) if wait else DEFAULT_WAIT_SECONDS
@@ -117,7 +124,7 @@
             return
 
         def is_done() -> bool:
-            return self.faults.down or self.visible(name).index > index
+            return self.faults.down or self.visible_table(name).index > index
 
         try:
             async with asyncio.timeout(seconds), self.changed:
@@ -125,8 +132,8 @@
         except TimeoutError:
             pass
 
-    async def read(self, request: web.Request, name: str) -> Table | None:
-        """Count and serve one read; None while the platform is down."""
+    async def read_table(self, request: web.Request, name: str) -> Table | None:
+        """Count a read and return its table, or None while the platform is down."""
         self.reads += 1
         if not self.faults.down:
             try:
@@ -137,12 +144,12 @@
             if request.transport is not None:
                 request.transport.abort()
             return None
-        return self.visible(name)
+        return self.visible_table(name)
 
     async def read_records(self, request: web.Request) -> web.Response:
-        """Serve one key, or with ``recurse`` all keys below a prefix."""
+        """Serve one key, or with ``recurse`` all keys with a prefix."""
         prefix = request.match_info["key"]
-        table = await self.read(request, "records")
+        table = await self.read_table(request, "records")
         if table is None:
             return web.Response(status=503)
         recurse = "recurse" in request.query
@@ -157,8 +164,8 @@
         return web.json_response(found, headers=headers)
 
     async def read_instances(self, request: web.Request) -> web.Response:
-        """Serve the lagging instance list."""
-        table = await self.read(request, "instances")
+        """Serve the instance list, whose changes may lag."""
+        table = await self.read_table(request, "instances")
         if table is None:
             return web.Response(status=503)
         entries = [
@@ -168,7 +175,7 @@
         return web.json_response(entries, headers={"X-Consul-Index": str(table.index)})
 
     async def put_record(self, request: web.Request) -> web.Response:
-        """Publish a record, as operators do."""
+        """Store a record that an operator publishes."""
         key = request.match_info["key"]
         value = base64.b64encode(await request.read()).decode()
         self.tables["records"].put(key, {"Key": key, "Value": value})
@@ -176,36 +183,36 @@
         return web.json_response(True)
 
     async def delete_record(self, request: web.Request) -> web.Response:
-        """Remove a record's key."""
+        """Delete a record."""
         self.tables["records"].delete(request.match_info["key"])
         await self.notify()
         return web.json_response(True)
 
     async def put_instance(self, request: web.Request) -> web.Response:
-        """Add or change an entry of the instance list, after the list's lag."""
+        """Add or replace an entry of the instance list after the list's lag."""
         entry = json.loads(await request.read())
         instance = request.match_info["id"]
-        self.schedule(lambda: self.tables["instances"].put(instance, entry))
+        self.schedule_change(lambda: self.tables["instances"].put(instance, entry))
         return web.json_response(True)
 
     async def delete_instance(self, request: web.Request) -> web.Response:
-        """Remove an entry of the instance list, after the list's lag."""
+        """Remove an entry of the instance list after the list's lag."""
         instance = request.match_info["id"]
-        self.schedule(lambda: self.tables["instances"].delete(instance))
+        self.schedule_change(lambda: self.tables["instances"].delete(instance))
         return web.json_response(True)
 
-    def schedule(self, change: Callable[[], None]) -> None:
-        """Apply a change of the instance list once its lag has passed."""
+    def schedule_change(self, change: Callable[[], None]) -> None:
+        """Apply a change of the instance list after ``list_lag_seconds``."""
 
         def apply() -> None:
             change()
-            self.waker = asyncio.create_task(self.notify())
+            self.notify_task = asyncio.create_task(self.notify())
 
         loop = asyncio.get_running_loop()
         loop.call_later(self.faults.list_lag_seconds, apply)
 
     async def put_faults(self, request: web.Request) -> web.Response:
-        """Change the faults that the body names; the others stay."""
+        """Replace the faults that the body contains; the others stay."""
         changes = json.loads(await request.read())
         try:
             faults = evolve(self.faults, **changes)
@@ -214,20 +221,20 @@
                 text=f"{error}; known: down, stale, list_lag_seconds"
             ) from error
         if faults.stale and not self.faults.stale:
-            self.frozen = {name: evolve(t) for name, t in self.tables.items()}
+            self.snapshots = {name: evolve(t) for name, t in self.tables.items()}
         self.faults = faults
         await self.notify()
         return web.json_response(True)
 
     async def read_statistics(self, request: web.Request) -> web.Response:
-        """Serve the number of reads so far; a waiting watch counts as one."""
+        """Serve the number of reads and the indices; a blocking query is one read."""
         indices = {name: table.index for name, table in self.tables.items()}
         return web.json_response({"reads": self.reads, "indices": indices})
 
 
 async def serve() -> None:
-    """Serve the platform until a signal."""
-    stopped = stop_event()
+    """Serve the platform until SIGTERM or SIGINT."""
+    stopped = create_stop_event()
     platform = Platform()
     runner = await start_server(
         platform.application(), host=flags.FLAGS.host, port=flags.FLAGS.port
@@ -239,7 +246,7 @@
 
 
 def define_flags() -> None:
-    """Define the command line."""
+    """Define the command-line flags."""
     flags.DEFINE_string("host", "127.0.0.1", "IPv4 address to listen on.")
     flags.DEFINE_integer("port", 8500, "TCP port to listen on.", 0, 65535)
 
--- a/testing/emulator/test_accounting.py
+++ b/testing/emulator/test_accounting.py
@@ -5,7 +5,7 @@
 from daisygauge_emulator.caller import Answered, Defect, NotRun, Request, Unknown
 
 ENTRY = Request(path="/run", method="POST", request_id="r1", idempotency_key="k1")
-RIGHT = Answered(status=200, headers={})
+CORRECT_ANSWER = Answered(status=200, headers={})
 
 
 def record(outcome):
@@ -27,28 +27,28 @@
     )
 
 
-def test_an_answer_with_one_run_is_truthful_and_complete():
-    account = reconcile([record(RIGHT)], [run()])
+def test_an_answer_with_one_run_is_consistent_and_complete():
+    reconciliation = reconcile([record(CORRECT_ANSWER)], [run()])
 
-    assert account.consistent
-    assert account.complete
-    assert account.answered_whole == 1
+    assert reconciliation.consistent
+    assert reconciliation.complete
+    assert reconciliation.answered_whole == 1
 
 
 @pytest.mark.parametrize(
-    ("outcome", "runs", "finding"),
+    ("outcome", "runs", "counter"),
     [
-        (RIGHT, [run(), run(number=1)], "duplicate_runs"),
-        (RIGHT, [], "unfounded_answers"),
-        (RIGHT, [run(), run(service="pattern-library")], "misdelivered"),
+        (CORRECT_ANSWER, [run(), run(number=1)], "duplicate_runs"),
+        (CORRECT_ANSWER, [], "unfounded_answers"),
+        (CORRECT_ANSWER, [run(), run(service="pattern-library")], "misdelivered"),
         (NotRun(reason="full"), [run()], "false_not_run"),
     ],
 )
-def test_outcomes_that_ledgers_contradict_are_found(outcome, runs, finding):
-    account = reconcile([record(outcome)], runs)
+def test_outcomes_that_contradict_the_ledgers_are_counted(outcome, runs, counter):
+    reconciliation = reconcile([record(outcome)], runs)
 
-    assert getattr(account, finding) == 1
-    assert not account.consistent
+    assert getattr(reconciliation, counter) == 1
+    assert not reconciliation.consistent
 
 
 def test_an_answer_of_another_service_is_misdelivered():
@@ -56,14 +56,14 @@
         status=200, headers={}, defects=frozenset({Defect.WRONG_SERVICE})
     )
 
-    account = reconcile([record(foreign)], [run()])
+    reconciliation = reconcile([record(foreign)], [run()])
 
-    assert account.misdelivered == 1
-    assert not account.complete
+    assert reconciliation.misdelivered == 1
+    assert not reconciliation.complete
 
 
 def test_an_unknown_outcome_may_have_run_or_not():
-    account = reconcile([record(Unknown(reason="deadline passed"))], [])
+    reconciliation = reconcile([record(Unknown(reason="deadline passed"))], [])
 
-    assert account.consistent
-    assert account.complete
+    assert reconciliation.consistent
+    assert reconciliation.complete
--- a/testing/emulator/test_documents.py
+++ b/testing/emulator/test_documents.py
@@ -12,13 +12,13 @@
 )
 from daisygauge_records import parse_record
 
-PLAN = AddressPlan(block="127.20.1")
+ADDRESSES = AddressPlan(block="127.20.1")
 
 
 @pytest.fixture(params=[KUISEB, BRANNOCK], ids=lambda deployment: deployment.id)
 def fleet(request, tmp_path):
     options = FleetOptions(directory=tmp_path)
-    return Fleet(request.param, addresses=PLAN, options=options)
+    return Fleet(request.param, addresses=ADDRESSES, options=options)
 
 
 def test_the_records_of_both_deployments_are_valid(fleet):
@@ -40,10 +40,10 @@
     assert [record.kind for record in parsed].count("service") == len(plans)
 
 
-def test_addresses_of_one_fleet_differ(fleet):
-    hosts = [PLAN.upstream(index) for _, index in fleet.numbered_hosts()]
-    hosts += [PLAN.balancer(index) for index in range(fleet.deployment.balancers)]
+def test_addresses_of_one_fleet_are_unique(fleet):
+    hosts = [ADDRESSES.upstream(index) for _, index in fleet.numbered_hosts()]
+    hosts += [ADDRESSES.balancer(index) for index in range(fleet.deployment.balancers)]
     hosts += [address.host for address in fleet.services.values()]
-    hosts += [PLAN.platform.host, PLAN.fabric.host]
+    hosts += [ADDRESSES.platform.host, ADDRESSES.fabric.host]
 
     assert len(hosts) == len(set(hosts))
--- a/testing/emulator/test_fabric.py
+++ b/testing/emulator/test_fabric.py
@@ -39,7 +39,7 @@
 
 
 @pytest.fixture
-async def path():
+async def fabric():
     port = free_port()
     balancers = {id: await listen(host, port) for id, host in HOSTS.items()}
     caller = await listen("127.0.0.1", 0)
@@ -56,21 +56,22 @@
         receiver.transport.close()
 
 
-async def settle(sprayer, *, datagrams):
-    """Wait until the sprayer has passed datagrams on and their receivers have them."""
+async def wait_until_forwarded(sprayer, *, datagrams):
+    """Wait until datagrams are forwarded and their receivers have read them."""
     while sprayer.counters.towards_balancers < datagrams:
         await asyncio.sleep(0.001)
-    # What was sent waits in the receivers' buffers; each turn of the loop reads one.
+    # Forwarded datagrams are in the receivers' socket buffers. Each iteration of the
+    # event loop reads one datagram.
     for _ in range(4 * datagrams + 10):
         await asyncio.sleep(0)
 
 
-async def test_datagrams_of_one_caller_reach_all_balancers_from_one_address(path):
-    sprayer, balancers, caller, service = path
+async def test_datagrams_of_one_caller_reach_all_balancers_from_one_address(fabric):
+    sprayer, balancers, caller, service = fabric
 
     for number in range(40):
         caller.transport.sendto(bytes([number]), service)
-    await settle(sprayer, datagrams=40)
+    await wait_until_forwarded(sprayer, datagrams=40)
 
     sources = {addr for r in balancers.values() for _, addr in r.received}
     counts = Counter({id: len(r.received) for id, r in balancers.items()})
@@ -79,65 +80,65 @@
     assert min(counts.values()) > 0
 
 
-async def test_replies_come_from_the_service_address(path):
-    sprayer, balancers, caller, service = path
+async def test_replies_come_from_the_service_address(fabric):
+    sprayer, balancers, caller, service = fabric
     caller.transport.sendto(b"ask", service)
-    await settle(sprayer, datagrams=1)
+    await wait_until_forwarded(sprayer, datagrams=1)
 
-    asked = next(r for r in balancers.values() if r.received)
-    asked.transport.sendto(b"answer", asked.received[0][1])
+    receiver = next(r for r in balancers.values() if r.received)
+    receiver.transport.sendto(b"answer", receiver.received[0][1])
     while not caller.received:
         await asyncio.sleep(0.001)
 
     assert caller.received == [(b"answer", service)]
 
 
-async def test_a_withdrawn_balancer_gets_nothing(path):
-    sprayer, balancers, caller, service = path
+async def test_a_withdrawn_balancer_receives_nothing(fabric):
+    sprayer, balancers, caller, service = fabric
 
     sprayer.set_live("a", live=False)
     for _ in range(10):
         caller.transport.sendto(b"x", service)
-    await settle(sprayer, datagrams=10)
+    await wait_until_forwarded(sprayer, datagrams=10)
 
     assert len(balancers["a"].received) == 0
     assert len(balancers["b"].received) == 10
 
 
-async def test_forgotten_callers_are_silent_while_new_ones_work(path):
-    sprayer, balancers, caller, service = path
+async def test_datagrams_of_silenced_callers_are_dropped_while_new_callers_work(fabric):
+    sprayer, balancers, caller, service = fabric
     caller.transport.sendto(b"old", service)
-    await settle(sprayer, datagrams=1)
+    await wait_until_forwarded(sprayer, datagrams=1)
 
-    forgotten = sprayer.forget(service="s", caller=None, direction=Direction.IN)
+    silenced = sprayer.silence_callers(service="s", caller=None, direction=Direction.IN)
     caller.transport.sendto(b"old", service)
     other = await listen("127.0.0.1", 0)
     other.transport.sendto(b"new", service)
-    await settle(sprayer, datagrams=3)
+    await wait_until_forwarded(sprayer, datagrams=3)
     other.transport.close()
 
     received = [data for r in balancers.values() for data, _ in r.received]
-    assert forgotten == 1
+    assert silenced == 1
     assert sorted(received) == [b"new", b"old"]
 
 
-async def test_a_cut_balancer_loses_what_is_sent_to_it(path):
-    sprayer, balancers, caller, service = path
+async def test_datagrams_to_a_cut_balancer_are_lost(fabric):
+    sprayer, balancers, caller, service = fabric
 
     sprayer.set_faults(Faults(cuts={"a": Direction.IN}))
     for _ in range(20):
         caller.transport.sendto(b"x", service)
-    await settle(sprayer, datagrams=20)
+    await wait_until_forwarded(sprayer, datagrams=20)
 
     assert balancers["a"].received == []
     assert len(balancers["b"].received) + sprayer.counters.lost == 20
 
 
-async def test_doubled_datagrams_arrive_twice(path):
-    sprayer, balancers, caller, service = path
+async def test_duplicated_datagrams_arrive_twice(fabric):
+    sprayer, balancers, caller, service = fabric
 
     sprayer.set_faults(Faults(duplicate=1.0))
     caller.transport.sendto(b"x", service)
-    await settle(sprayer, datagrams=1)
+    await wait_until_forwarded(sprayer, datagrams=1)
 
     assert sum(len(r.received) for r in balancers.values()) == 2
--- a/testing/emulator/test_platform.py
+++ b/testing/emulator/test_platform.py
@@ -20,7 +20,7 @@
     return int(answer.headers["X-Consul-Index"])
 
 
-async def test_no_records_are_answered_404_with_an_index(client):
+async def test_a_query_without_records_returns_404_with_an_index(client):
     answer = await client.get(RECORDS, params={"recurse": "true"})
 
     assert answer.status == 404
@@ -39,7 +39,7 @@
     assert int(answer.headers["X-Consul-Index"]) > index
 
 
-async def test_a_blocking_query_without_a_change_ends_with_its_wait(client):
+async def test_a_blocking_query_without_a_change_returns_after_its_wait(client):
     await client.put(f"{RECORDS}/key/a", data=b"{}")
     index = await read_index(client)
 
@@ -60,7 +60,7 @@
     assert (hidden.status, seen.status) == (404, 200)
 
 
-async def test_an_unknown_fault_is_refused_with_the_known_ones(client):
+async def test_an_unknown_fault_is_rejected_with_a_list_of_known_faults(client):
     answer = await client.put("/stand-in/faults", data=json.dumps({"slow": True}))
 
     assert answer.status == 400
@@ -70,5 +70,5 @@
 @pytest.mark.parametrize(
     ("text", "seconds"), [("500ms", 0.5), ("30s", 30.0), ("1m", 60.0)]
 )
-def test_consul_durations_are_read(text, seconds):
+def test_consul_durations_are_parsed(text, seconds):
     assert parse_wait(text) == seconds
--- a/testing/emulator/test_upstream.py
+++ b/testing/emulator/test_upstream.py
@@ -45,7 +45,7 @@
     assert answer.headers["X-Service"] == "order-desk"
 
 
-async def test_runs_are_shed_above_the_queue_limit_and_stay_off_the_ledger(
+async def test_requests_above_the_queue_limit_are_shed_and_not_in_the_ledger(
     client, ledger_path
 ):
     tasks = [
@@ -63,7 +63,7 @@
     assert {run.outcome for run in runs} == {"done"}
 
 
-async def test_a_dropped_connection_cancels_its_run(client, ledger_path):
+async def test_a_closed_connection_cancels_its_run(client, ledger_path):
     with pytest.raises(TimeoutError):
         async with asyncio.timeout(0.1):
             await client.get("/run?work_ms=60000")
@@ -73,9 +73,9 @@
     assert read_ledger(ledger_path)[0].outcome == "cancelled"
 
 
-async def test_a_lying_host_reports_no_load(client, host):
+async def test_a_host_with_the_fault_idle_reports_no_load(client, host):
     host.running = 1
-    host.report()
+    host.record_load()
     behaviour = json.dumps({"load": "idle"})
 
     honest = await (await client.get("/load")).json()
@@ -85,7 +85,7 @@
     assert (honest["running"], lying["running"]) == (1, 0)
 
 
-async def test_a_leaving_host_ends_its_feeds_after_a_whole_event(client, host):
+async def test_a_leaving_host_ends_its_feeds_after_a_complete_event(client, host):
     answer = await client.get("/feed?interval_ms=1&from=7")
 
     first = await answer.content.readline()
