Name complete lines, streams and windows as such

"whole", "staying" and "first_tries" were vague. The variables now say entries, complete, windows, remaining and request_ids; none of them leaves the process.

--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_ledger.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_ledger.py
@@ -90,6 +90,6 @@
     if not path.exists():
         return []
     lines = path.read_text().splitlines(keepends=True)
-    whole = (json.loads(line) for line in lines if line.endswith("\n"))
-    runs = {(line["started"], line["number"]): Run(**line) for line in whole}
+    entries = (json.loads(line) for line in lines if line.endswith("\n"))
+    runs = {(entry["started"], entry["number"]): Run(**entry) for entry in entries}
     return list(runs.values())
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_run.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_run.py
@@ -89,8 +89,8 @@
     hosts = fleet.hosts_of(SERVICE)
     for host in hosts[: scenario.missing_hosts]:
         await fleet.drain_host(host)
-    staying = hosts[scenario.missing_hosts :]
-    pinned = [host.id for host in staying[: scenario.pinned_hosts]]
+    remaining = hosts[scenario.missing_hosts :]
+    pinned = [host.id for host in remaining[: scenario.pinned_hosts]]
     if pinned:
         # Otherwise hosts with many connections pass new ones on to other hosts.
         await publish_placement(fleet, {"type": "rendezvous", "pass_margin": None})
@@ -110,7 +110,7 @@
         await asyncio.gather(*(caller.close() for caller in callers))
     await asyncio.sleep(SETTLE_SECONDS)
     runs = Counter(run.request_id for host in hosts for run in fleet.ledger(host))
-    return measure(scenario, policy=policy, result=result, runs=runs, hosts=staying)
+    return measure(scenario, policy=policy, result=result, runs=runs, hosts=remaining)
 
 
 def _select_defaults(behaviour: dict[str, Any]) -> dict[str, Any]:
@@ -152,7 +152,7 @@
             except (ConnectionError, TimeoutError):
                 continue
         raise ConnectionError(
-            f"no handshake in {MAX_HANDSHAKE_ATTEMPTS} tries; see the logs of the fleet"
+            f"no handshake in {MAX_HANDSHAKE_ATTEMPTS} attempts; see the fleet's logs"
         )
 
     callers = []
@@ -199,8 +199,8 @@
         slots=sum(slots.values()),
         seconds=seconds,
     )
-    first_tries = {sample.request_id for sample in result.samples}
-    extra = sum(count - 1 for id, count in runs.items() if id in first_tries)
+    request_ids = {sample.request_id for sample in result.samples}
+    extra = sum(count - 1 for id, count in runs.items() if id in request_ids)
     return Measurement(
         page=scenario.id,
         policy=policy,
@@ -216,7 +216,7 @@
             and arrival.at_seconds >= scenario.measured_from
         ).p99,
         carried_share=done / possible,
-        extra_runs=extra / max(len(first_tries), 1),
+        extra_runs=extra / max(len(request_ids), 1),
         by_host=dict(
             Counter(sample.upstream for sample in kept if sample.answered_whole)
         ),
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_feed.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/caller/_feed.py
@@ -41,11 +41,11 @@
 class Ended:
     """The end of a feed's stream.
 
-    :param whole: whether the upstream ended the stream after a complete event.
+    :param complete: whether the upstream ended the stream after a complete event.
     :param refused: whether the request did not run, so that no feed began.
     """
 
-    whole: bool
+    complete: bool
     reason: str
     refused: bool = False
 
@@ -89,21 +89,21 @@
                     if status != b"200":
                         outcome = fields.get(b"x-daisygauge-outcome")
                         return Ended(
-                            whole=False,
+                            complete=False,
                             reason=f"status {status.decode()}",
                             refused=outcome == b"not-run",
                         )
                 case End():
-                    whole = not self.buffer
-                    return Ended(whole=whole, reason="ended by the upstream")
+                    complete = not self.buffer
+                    return Ended(complete=complete, reason="ended by the upstream")
                 case Reset(error_code=code):
                     return Ended(
-                        whole=False,
+                        complete=False,
                         reason=f"stream reset {code:#x}",
                         refused=code == REQUEST_REJECTED,
                     )
                 case Closed(reason=reason):
-                    return Ended(whole=False, reason=f"connection closed: {reason}")
+                    return Ended(complete=False, reason=f"connection closed: {reason}")
         line, self.buffer = self.buffer.split(b"\n", 1)
         return Event(number=parse_feed_number(line))
 
@@ -205,13 +205,13 @@
 
     async def handle_end(self, stream: FeedStream, ended: Ended) -> FeedStream | None:
         """Record the end of a stream and return the one that is being opened."""
-        if ended.whole:
+        if ended.complete:
             self.report.moves += 1
         elif not ended.refused:
             self.report.breaks.append(ended.reason)
         self.close_stream(stream)
         if self.opening is None:
-            await asyncio.sleep(REOPEN_DELAY_SECONDS * (not ended.whole))
+            await asyncio.sleep(REOPEN_DELAY_SECONDS * (not ended.complete))
             return None
         moved = await self.opening
         self.opening = None
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/load/_measures.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/load/_measures.py
@@ -104,9 +104,10 @@
         if sample.answered_whole and sample.upstream in slots:
             end = sample.arrival.at_seconds + sample.latency_seconds
             done[int(end // window_seconds)][sample.upstream] += 1
-    whole = sorted(done)[:-1] or sorted(done)
+    windows = sorted(done)[:-1] or sorted(done)
     return max(
-        (_window_imbalance(done[window], slots) for window in whole), default=1.0
+        (_window_imbalance(done[window], slots) for window in windows),
+        default=1.0,
     )
 
 
