Keep why a datagram is lost and which log messages are suppressed

A full socket buffer is the usual send error, and the suppressed messages of the QUIC library are its progress messages on stderr.

--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_content.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_content.py
@@ -9,7 +9,7 @@
 
 
 def answer_body(request_id: str, *, size: int) -> bytes:
-    """Return the answer body of a request, derived from the request's id.
+    """Return the answer body of a request, which differs for each request id.
 
     :param size: length in bytes.
     """
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_server.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_server.py
@@ -15,7 +15,7 @@
 
 
 def limit_library_logging() -> None:
-    """Suppress messages of the QUIC library below the level WARNING."""
+    """Keep the QUIC library's progress messages, below WARNING, off stderr."""
     logging.getLogger("quic").setLevel(logging.WARNING)
 
 
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/_spray.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/_spray.py
@@ -292,7 +292,7 @@
                 send()
 
     def send(self, outer: socket.socket, data: bytes, address: Address) -> None:
-        """Send one datagram now; a send error is counted and loses it."""
+        """Send one datagram now; it is lost on an error such as a full buffer."""
         try:
             outer.sendto(data, address)
         except OSError:
--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_run.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/_run.py
@@ -170,7 +170,7 @@
     runs: Counter[str],
     hosts: list[Any],
 ) -> Measurement:
-    """Compute all measures of one scenario.
+    """Compute all measures of one scenario from the same samples.
 
     :param runs: number of runs by the request's id.
     :param hosts: hosts that should share the load.
