--- a/packages/daisygauge-emulator/src/daisygauge_emulator/bench/__init__.py
+++ b/packages/daisygauge-emulator/src/daisygauge_emulator/bench/__init__.py
@@ -1,20 +1,20 @@
-"""Experiments with real daemons: the policies against baselines in one run."""
+"""Benchmarks of the policies against baselines on fleets of real daemons."""
 
 from ._compare import run_policies
-from ._pages import PAGES, SEED, Page
 from ._policies import POLICIES
 from ._report import write_results
 from ._run import Measurement
-from ._targets import Verdict, judge
+from ._scenarios import SCENARIOS, SEED, Scenario
+from ._targets import TargetResult, evaluate_targets
 
 __all__ = [
-    "PAGES",
     "POLICIES",
+    "SCENARIOS",
     "SEED",
     "Measurement",
-    "Page",
-    "Verdict",
-    "judge",
+    "Scenario",
+    "TargetResult",
+    "evaluate_targets",
     "run_policies",
     "write_results",
 ]
