Rename unclear names of the policy package

A second MAX_HOPS, "pause" for a period in which searches are limited, FleetLoad for the hosts of one service, RecentRuns for a count of completions, answer_owner_question and unproven had to be looked up in the code to be understood.

MAX_OPENING_HOPS, FIRST_PERIOD_SECONDS, LONGEST_PERIOD_SECONDS, ServiceLoad, RecentCompletions, reply_to_asker and SuspectList.suspected say what is meant. INITIAL_SERVICE_SECONDS and SHORTEST_STUCK_SECONDS follow the names of the constants beside them.

In _hand_off.py the parameter `fleet` is now `service`. It is a parameter of private functions; the outer name of the same spelling is unchanged. `SearchBudget.period_seconds` is never encoded, so its name doesn't leave the process. LoadReport.recent_completions keeps its name.

--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
@@ -190,7 +190,7 @@
             leaving=self.node.leaving,
             ready=self.is_ready(),
             sequence=sequence,
-            recent_completions=self.slots.recent_runs.count(now=self.node.now()),
+            recent_completions=self.slots.recent_completions.count(now=self.node.now()),
         )
 
     def is_ready(self) -> bool:
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_server.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_server.py
@@ -124,7 +124,7 @@
         asker = KeyOwner(
             agent=question.asker.agent, incarnation=question.asker.incarnation
         )
-        reply = self.idempotency.table.answer_owner_question(
+        reply = self.idempotency.table.reply_to_asker(
             question.key,
             fingerprint=question.fingerprint,
             asker=asker,
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_slots.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_slots.py
@@ -11,7 +11,7 @@
     AdmissionQueue,
     ConcurrencyLimit,
     HandToPeer,
-    RecentRuns,
+    RecentCompletions,
     Refuse,
     RunEnd,
     ServiceTimes,
@@ -55,7 +55,7 @@
         self.node = node
         self.choose_peer = choose_peer
         self.service_times = ServiceTimes()
-        self.recent_runs = RecentRuns()
+        self.recent_completions = RecentCompletions()
         self.streaming = 0
         self.pending: dict[str, asyncio.Future[SlotDecision]] = {}
         self.local_only: set[str] = set()
@@ -193,7 +193,7 @@
     def record_run(self, request: Request, *, seconds: float) -> None:
         """Record a completed run in the estimate of its class's service time."""
         self.service_times.observe(request.request_class.name, seconds=seconds)
-        self.recent_runs.add(now=self.node.now())
+        self.recent_completions.add(now=self.node.now())
 
     async def run(self) -> None:
         """Advance the queue periodically, for changes that only time brings."""
--- a/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
@@ -108,8 +108,8 @@
             "SlowStart",
             "slow_start_share",
         ],
-        "_recent": [
-            "RecentRuns",
+        "_recent_completions": [
+            "RecentCompletions",
         ],
         "_return_paths": [
             "ReturnPaths",
--- a/packages/daisygauge-policy/src/daisygauge_policy/_admission.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_admission.py
@@ -181,25 +181,29 @@
         requests = [request for request in self.waiting if request.caller == caller]
         if len(requests) <= self.caller_capacity:
             return []
-        victim = self._find_least_worth(requests)
+        least_worth = self._find_least_worth(requests)
         return [
             self._refuse(
-                victim, reason=RefusalReason.CALLER_SHARE, slots=slots, now=now
+                least_worth, reason=RefusalReason.CALLER_SHARE, slots=slots, now=now
             )
         ]
 
     def _refuse_overfull(self, *, slots: SlotUse, now: float) -> list[Refuse]:
         if len(self.waiting) <= self.capacity:
             return []
-        victim = self._find_least_worth(self.waiting)
-        return [self._refuse(victim, reason=RefusalReason.FULL, slots=slots, now=now)]
+        least_worth = self._find_least_worth(self.waiting)
+        return [
+            self._refuse(least_worth, reason=RefusalReason.FULL, slots=slots, now=now)
+        ]
 
     def _refuse_late(self, *, slots: SlotUse, now: float) -> list[Refuse]:
         refused = []
         while (late := self._find_first_late(slots=slots, now=now)) is not None:
-            victim = self._find_least_worth(self.waiting[: late + 1])
+            least_worth = self._find_least_worth(self.waiting[: late + 1])
             refused.append(
-                self._refuse(victim, reason=RefusalReason.LATE, slots=slots, now=now)
+                self._refuse(
+                    least_worth, reason=RefusalReason.LATE, slots=slots, now=now
+                )
             )
         return refused
 
--- a/packages/daisygauge-policy/src/daisygauge_policy/_hand_off.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_hand_off.py
@@ -144,7 +144,7 @@
 
 
 @frozen(kw_only=True)
-class FleetLoad:
+class ServiceLoad:
     """Load figures over the hosts of a service.
 
     :param mean_per_slot: mean of the requests per slot, running or recently done.
@@ -159,9 +159,9 @@
     margin: float, *, own: LoadReport, peers: Sequence[PeerLoad], rng: random.Random
 ) -> HandOffDecision:
     usable = [load for load in peers if load.report.ready and not load.report.leaving]
-    fleet = _measure_fleet(own, usable)
+    service = _measure_service(own, usable)
     gains = {
-        load.peer: _gain_seconds(load, own=own, margin=margin, fleet=fleet)
+        load.peer: _gain_seconds(load, own=own, margin=margin, service=service)
         for load in usable
     }
     better = sorted(peer for peer, gain in gains.items() if gain > 0.0)
@@ -176,17 +176,17 @@
     return (report.recent_completions + report.running + sent) / max(report.slots, 1)
 
 
-def _measure_fleet(own: LoadReport, peers: Sequence[PeerLoad]) -> FleetLoad:
+def _measure_service(own: LoadReport, peers: Sequence[PeerLoad]) -> ServiceLoad:
     per_slot = [_requests_per_slot(load.report, sent=load.sent) for load in peers]
     times = [load.report.service_seconds for load in peers]
-    return FleetLoad(
+    return ServiceLoad(
         mean_per_slot=(_requests_per_slot(own) + sum(per_slot)) / (len(per_slot) + 1),
         fastest_seconds=min([own.service_seconds, *times]),
     )
 
 
 def _cost_seconds(
-    report: LoadReport, *, fleet: FleetLoad, unreported: int = 0, sent: int = 0
+    report: LoadReport, *, service: ServiceLoad, unreported: int = 0, sent: int = 0
 ) -> float:
     """Return the cost of one more request at a host, in seconds.
 
@@ -196,21 +196,21 @@
     must not be held back until the slow one has caught up.
     """
     excess = 0.0
-    if fleet.mean_per_slot >= FEWEST_REQUESTS:
-        excess = _requests_per_slot(report, sent=sent) / fleet.mean_per_slot - 1.0
+    if service.mean_per_slot >= FEWEST_REQUESTS:
+        excess = _requests_per_slot(report, sent=sent) / service.mean_per_slot - 1.0
     bounded_excess = min(max(excess, -LARGEST_CREDIT), LARGEST_CHARGE)
-    adjustment = BALANCE_FACTOR * bounded_excess * fleet.fastest_seconds
+    adjustment = BALANCE_FACTOR * bounded_excess * service.fastest_seconds
     return expected_seconds(report, unreported=unreported) + adjustment
 
 
 def _gain_seconds(
-    load: PeerLoad, *, own: LoadReport, margin: float, fleet: FleetLoad
+    load: PeerLoad, *, own: LoadReport, margin: float, service: ServiceLoad
 ) -> float:
     """Return how many seconds a peer is cheaper than this host, less the margin."""
     peer_cost = _cost_seconds(
-        load.report, fleet=fleet, unreported=load.unreported, sent=load.sent
+        load.report, service=service, unreported=load.unreported, sent=load.sent
     )
     if own.leaving or not own.ready:
         return 1.0 / (1.0 + max(peer_cost, 0.0))
     hysteresis = margin * min(own.service_seconds, load.report.service_seconds)
-    return _cost_seconds(own, fleet=fleet) - peer_cost - hysteresis - DETOUR_SECONDS
+    return _cost_seconds(own, service=service) - peer_cost - hysteresis - DETOUR_SECONDS
--- a/packages/daisygauge-policy/src/daisygauge_policy/_idempotency.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_idempotency.py
@@ -252,7 +252,7 @@
         self.entries[key].state = KeyState.NOT_RUN
         self._mark_used(key, now)
 
-    def answer_owner_question(
+    def reply_to_asker(
         self, key: str, *, fingerprint: bytes, asker: KeyOwner, now: float
     ) -> OwnerReply:
         """Reply to an agent that holds a repeat of a key.
--- a/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
@@ -16,7 +16,7 @@
 MAX_ASKED = 4
 """Agents asked for a free slot. With independent loads, more than four choices gain
 little, and each hop adds a network transit."""
-MAX_HOPS = 12
+MAX_OPENING_HOPS = 12
 """Agents that one opening packet may visit, whatever they know of each other."""
 
 
@@ -118,7 +118,7 @@
             tried=() if is_able else (own.agent,),
             final=True,
         )
-    if rest and hops + 1 < MAX_HOPS:
+    if rest and hops + 1 < MAX_OPENING_HOPS:
         return PassOpening(target=rest[0], reason=reason, tried=tried, final=True)
     return RefuseOpening(reason=reason)
 
--- a/packages/daisygauge-policy/src/daisygauge_policy/_recent.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_recent_completions.py
@@ -7,7 +7,7 @@
 DECAY_SECONDS = 5.0
 
 
-class RecentRuns:
+class RecentCompletions:
     """An exponentially decaying count of completed requests."""
 
     def __init__(self) -> None:
--- a/packages/daisygauge-policy/src/daisygauge_policy/_scheduler.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_scheduler.py
@@ -18,7 +18,7 @@
 
 SPARE_REQUESTS = 1
 """Requests sent beyond the slots, so that no slot is idle for a network transit."""
-FIRST_SERVICE_SECONDS = 0.05
+INITIAL_SERVICE_SECONDS = 0.05
 """Assumed service time before the first answer."""
 SERVICE_WEIGHT = 0.1
 """Weight of a new service time in the moving mean, which spans about ten answers."""
@@ -28,7 +28,7 @@
 STUCK_SERVICE_TIMES = 4.0
 """A request that runs longer than this many mean service times doesn't occupy a slot
 any more: its answer may have been lost."""
-LEAST_STUCK_SECONDS = 0.3
+SHORTEST_STUCK_SECONDS = 0.3
 LONGEST_STUCK_SECONDS = 2.0
 
 
@@ -77,7 +77,7 @@
         self.slots = slots
         self.running: dict[bytes, float] = {}
         self.waiting: dict[bytes, ScheduledRequest] = {}
-        self.service_seconds = FIRST_SERVICE_SECONDS
+        self.service_seconds = INITIAL_SERVICE_SECONDS
 
     def load(self, *, now: float) -> int:
         """Return the number of requests that run at the upstream or wait for it."""
@@ -86,7 +86,7 @@
     def count_running(self, *, now: float) -> int:
         """Return the number of running requests whose answer may still come."""
         stuck_seconds = min(
-            max(STUCK_SERVICE_TIMES * self.service_seconds, LEAST_STUCK_SECONDS),
+            max(STUCK_SERVICE_TIMES * self.service_seconds, SHORTEST_STUCK_SECONDS),
             LONGEST_STUCK_SECONDS,
         )
         return sum(1 for began in self.running.values() if now - began < stuck_seconds)
--- a/packages/daisygauge-policy/src/daisygauge_policy/_search.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_search.py
@@ -16,9 +16,9 @@
 
 BURST_PACKETS = 6
 """Packets of one flow searched in one pause: a request rarely fills more."""
-FIRST_PAUSE_SECONDS = 0.15
+FIRST_PERIOD_SECONDS = 0.15
 """Shorter than the first retransmission of a client (200 ms)."""
-LONGEST_PAUSE_SECONDS = 1.5
+LONGEST_PERIOD_SECONDS = 1.5
 """Just below the longest pause between retransmissions of a client (1.6 s)."""
 MAX_PENDING = 4_096
 """Searches that an agent keeps; more come only after the whole fleet has failed."""
@@ -30,7 +30,7 @@
     """Limits the searches that the packets of one flow cause.
 
     :param packets: packets searched since the pause began.
-    :param pause_seconds: length of the present pause, in which ``packets`` is limited.
+    :param period_seconds: length of the present pause, in which ``packets`` is limited.
     :param since: when the present pause began, in monotonic seconds.
     :param rounds: pauses that are over; each asks another agent.
     """
@@ -38,15 +38,15 @@
     since: float
     packets: int = 0
     rounds: int = 0
-    pause_seconds: float = FIRST_PAUSE_SECONDS
+    period_seconds: float = FIRST_PERIOD_SECONDS
 
     def try_take(self, *, now: float) -> bool:
         """Count one search, and return whether it is within the budget."""
-        if now - self.since >= self.pause_seconds:
+        if now - self.since >= self.period_seconds:
             self.since = now
             self.packets = 0
             self.rounds += 1
-            self.pause_seconds = min(2.0 * self.pause_seconds, LONGEST_PAUSE_SECONDS)
+            self.period_seconds = min(2.0 * self.period_seconds, LONGEST_PERIOD_SECONDS)
         if self.packets >= BURST_PACKETS:
             return False
         self.packets += 1
--- a/packages/daisygauge-policy/src/daisygauge_policy/_slow_start.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_slow_start.py
@@ -32,13 +32,13 @@
 
     def __init__(self) -> None:
         self.since: dict[str, float] = {}
-        self._has_view = False
+        self._has_seen_hosts = False
 
     def observe_hosts(self, hosts: frozenset[str], *, now: float) -> None:
         """Record the ids of all published hosts; other hosts are dropped."""
-        first_seen = now if self._has_view else -math.inf
+        first_seen = now if self._has_seen_hosts else -math.inf
         self.since = {host: self.since.get(host, first_seen) for host in hosts}
-        self._has_view = self._has_view or bool(hosts)
+        self._has_seen_hosts = self._has_seen_hosts or bool(hosts)
 
     def observe_restart(self, host: str, *, now: float) -> None:
         """Restart the slow start of a host that has a new incarnation."""
--- a/packages/daisygauge-policy/src/daisygauge_policy/_suspects.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_suspects.py
@@ -99,7 +99,7 @@
             and now < max(suspicion.until, suspicion.trial_until)
         )
 
-    def unproven(self, hosts: Iterable[str]) -> frozenset[str]:
+    def suspected(self, hosts: Iterable[str]) -> frozenset[str]:
         """Return the suspects that have not answered yet, also after their back-off.
 
         Their number is bounded by the share that may be ejected, because a service
--- a/packages/daisygauge-relay/src/daisygauge_relay/_placement.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_placement.py
@@ -148,8 +148,8 @@
         """Return the candidates that are under suspicion, at most ``MAX_TRIED``."""
         if not self.suspects.suspicions:
             return ()
-        unproven = self.suspects.unproven(map(inet_ntoa, candidates))
-        return tuple(sorted(map(inet_aton, unproven)))[:MAX_TRIED]
+        suspected = self.suspects.suspected(map(inet_ntoa, candidates))
+        return tuple(sorted(map(inet_aton, suspected)))[:MAX_TRIED]
 
     def refuse_without_host(self, packet: RelayedPacket) -> None:
         """Refuse a new flow of a service without hosts.
--- a/testing/policy/queue_model.py
+++ b/testing/policy/queue_model.py
@@ -15,7 +15,7 @@
     Admit,
     HandToPeer,
     PeerLoadReports,
-    RecentRuns,
+    RecentCompletions,
     SentRequests,
     ServiceTimes,
     SlotUse,
@@ -39,7 +39,7 @@
     slowness: float = 1.0
     running: dict = field(factory=dict)
     times: ServiceTimes = field(factory=ServiceTimes)
-    recent: RecentRuns = field(factory=RecentRuns)
+    recent: RecentCompletions = field(factory=RecentCompletions)
     reports: PeerLoadReports = field(factory=PeerLoadReports)
     sent: SentRequests = field(factory=SentRequests)
     sequence: int = 0
--- a/testing/policy/test_idempotency.py
+++ b/testing/policy/test_idempotency.py
@@ -34,9 +34,7 @@
 
 
 def ask(table, *, asker=PEER, now=NOW, fingerprint=FINGERPRINT):
-    return table.answer_owner_question(
-        "key", fingerprint=fingerprint, asker=asker, now=now
-    )
+    return table.reply_to_asker("key", fingerprint=fingerprint, asker=asker, now=now)
 
 
 def test_a_first_attempt_runs_and_its_copy_waits(table):
@@ -170,9 +168,7 @@
     table.finish("key", answer=ANSWER, now=NOW)
 
     other = table.begin("other", fingerprint=FINGERPRINT, first=None, now=NOW)
-    asked = table.answer_owner_question(
-        "other", fingerprint=FINGERPRINT, asker=PEER, now=NOW
-    )
+    asked = table.reply_to_asker("other", fingerprint=FINGERPRINT, asker=PEER, now=NOW)
 
     assert other == TableFull()
     assert asked == OutcomeLost()
--- a/testing/policy/test_idempotency_interleavings.py
+++ b/testing/policy/test_idempotency_interleavings.py
@@ -85,7 +85,7 @@
     def process(self, message):
         if not message.is_reply:
             table = self.table(message.owner)
-            message.reply = table and table.answer_owner_question(
+            message.reply = table and table.reply_to_asker(
                 KEY, fingerprint=FINGERPRINT, asker=message.attempt.host, now=self.now
             )
             message.is_reply = True
--- a/testing/policy/test_requests.py
+++ b/testing/policy/test_requests.py
@@ -7,7 +7,7 @@
     DEFAULT_CLASS,
     Deadline,
     DrainStage,
-    RecentRuns,
+    RecentCompletions,
     ServiceTimes,
     decide_drain_stage,
     match_class,
@@ -69,8 +69,8 @@
     assert deadline.at == 20.0
 
 
-def test_recent_runs_decay():
-    recent = RecentRuns()
+def test_recent_completions_decay():
+    recent = RecentCompletions()
     recent.add(now=10.0)
     recent.add(now=10.0)
 
--- a/testing/policy/test_search.py
+++ b/testing/policy/test_search.py
@@ -17,7 +17,7 @@
     return search
 
 
-def test_each_pause_of_a_search_asks_another_agent():
+def test_each_period_of_a_search_asks_another_agent():
     budget = SearchBudget(since=0.0)
     rounds = []
     for step in range(60):
