Reword unclear doc comments of the policy package

Some doc comments left out a condition or a unit, or didn't fit the code beside them: the linger time before an agent has finished, the longest time of a stopping balancer, the detour in the gain of a hand-off and its value for a leaving host, and the charge and credit of a host.

They now state these. "Drain time" of a queue, "pause" of a search, "first view" and "truthful answer" are replaced by plain words.

--- a/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
@@ -2,7 +2,7 @@
 
 import lazy_loader
 
-# Modules load on first use, so a process starts with those of its role only.
+# Modules load on first use, so a process loads only those that its role uses.
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
--- a/packages/daisygauge-policy/src/daisygauge_policy/_admission.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_admission.py
@@ -252,7 +252,11 @@
         slots: SlotUse,
         now: float,
     ) -> Refuse:
-        """Build a refusal; a retry may follow after half the expected drain time."""
+        """Build a refusal.
+
+        A retry may follow after half the time until the queue is expected to be
+        empty.
+        """
         free = slots.free_times(now=now)
         queued = sum(entry.expected_seconds for entry in self.waiting) / len(free)
         drained = free[0] - now + queued
--- a/packages/daisygauge-policy/src/daisygauge_policy/_drain.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_drain.py
@@ -9,7 +9,8 @@
            only when no peer takes them within ``GRACE_SECONDS``
 DRAINING   as LEAVING, but a request that no peer takes is refused "not
            run"; running requests and feeds finish
-FINISHED   no request or feed is open; the process exits with code 0
+FINISHED   no request or feed is open and ``GRACE_SECONDS`` plus
+           ``LINGER_SECONDS`` are over; the process exits with code 0
 =========  ============================================================
 """
 
@@ -18,7 +19,7 @@
 import enum
 
 GRACE_SECONDS = 1.0
-# Callers see the end of their connection before the process exits.
+# Time for callers to receive the end of their connection before the process exits.
 LINGER_SECONDS = 1.0
 
 
@@ -36,10 +37,10 @@
 ) -> DrainStage:
     """Return the stage of an agent.
 
-    No stage ends a running request or feed. Whether a host must stop earlier is up
-    to the platform; that is an unplanned stop.
+    No stage ends a running request or feed. If the platform stops the host before
+    they have ended, that is an unplanned stop.
 
-    :param leaving_since: Unix time in seconds, or None while staying.
+    :param leaving_since: Unix time in seconds, or None if the agent isn't leaving.
     :param open_requests: waiting and running requests and feeds.
     """
     if leaving_since is None:
--- a/packages/daisygauge-policy/src/daisygauge_policy/_first_flight.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_first_flight.py
@@ -64,8 +64,8 @@
     """Decide whether an agent accepts, passes on or refuses a new flow.
 
     The decision is made at the agent, where its load is known best. An agent that is
-    not ready still accepts when no other agent can be asked: requests then get a
-    truthful answer instead of none.
+    not ready still accepts when no other agent can be asked: callers then learn from
+    an answer whether their requests ran, instead of getting no answer.
 
     :param own: the agent's present load report.
     :param candidates: other agents named by the balancer, in order.
--- a/packages/daisygauge-policy/src/daisygauge_policy/_hand_off.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_hand_off.py
@@ -17,8 +17,10 @@
 TRANSIT_SECONDS = 0.01
 # Cost of the extra hop, so that equal hosts never exchange requests.
 DETOUR_SECONDS = 0.005
-# A tenth more requests than the mean costs as much as one more request ahead.
+# Service times charged for each multiple of the mean that a host is above it: a tenth
+# more requests than the mean costs as much as one more request ahead.
 BALANCE_FACTOR = 10.0
+# Largest deviation from the mean that counts, as a share of the mean.
 LARGEST_CREDIT = 0.1
 LARGEST_CHARGE = 0.2
 # Below this mean of requests per slot, differences are noise.
@@ -48,7 +50,8 @@
 class HandToPeer:
     """The request goes to a peer.
 
-    :param gain_seconds: how much cheaper the request is there.
+    :param gain_seconds: cost that the hand-off saves beyond the margin; when this agent
+        is leaving or not ready, a value up to 1.0, largest for the cheapest peer.
     """
 
     peer: str
@@ -145,7 +148,7 @@
 
 @frozen(kw_only=True)
 class ServiceLoad:
-    """Load figures over the hosts of a service.
+    """Load figures over this host and the usable peers of its service.
 
     :param mean_per_slot: mean of the requests per slot, running or recently done.
     :param fastest_seconds: service time of the fastest host.
@@ -206,7 +209,11 @@
 def _gain_seconds(
     load: PeerLoad, *, own: LoadReport, margin: float, service: ServiceLoad
 ) -> float:
-    """Return how many seconds a peer is cheaper than this host, less the margin."""
+    """Return how many seconds a peer is cheaper than this host.
+
+    The margin and ``DETOUR_SECONDS`` are subtracted. If this host is leaving or not
+    ready, every peer has a gain, and the cheapest one has the largest.
+    """
     peer_cost = _cost_seconds(
         load.report, service=service, unreported=load.unreported, sent=load.sent
     )
--- a/packages/daisygauge-policy/src/daisygauge_policy/_idempotency.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_idempotency.py
@@ -97,7 +97,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class AskOwner:
-    """Ask the owner and resolve its reply with :meth:`OutcomeTable.resolve`."""
+    """Ask the owner and pass its reply to :meth:`OutcomeTable.resolve`."""
 
     owner: KeyOwner
 
@@ -257,8 +257,8 @@
     ) -> OwnerReply:
         """Reply to an agent that holds a repeat of a key.
 
-        A key that has not run here is granted to the asker, and a tombstone
-        keeps it from running here when a late copy arrives.
+        A key whose request has not run here is granted to the asker. A tombstone
+        prevents a copy that arrives later from running here.
         """
         self._expire_entries(now)
         entry = self.entries.get(key)
@@ -272,7 +272,7 @@
                 entry.state, entry.owner = KeyState.ELSEWHERE, asker
                 return Granted()
             case KeyState.ELSEWHERE if entry.owner == asker:
-                # The asker never received the grant, or it would not ask again.
+                # The asker asks again, so it has not received the earlier grant.
                 return Granted()
             case KeyState.ELSEWHERE:
                 return Moved(owner=entry.owner)
--- a/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
@@ -17,7 +17,8 @@
 """Agents asked for a free slot. With independent loads, more than four choices gain
 little, and each hop adds a network transit."""
 MAX_OPENING_HOPS = 12
-"""Agents that one opening packet may visit, whatever they know of each other."""
+"""Largest number of agents that one opening packet is sent to. It bounds the path also
+when the agents' lists of candidates differ."""
 
 
 class OpeningReason(enum.Enum):
@@ -49,7 +50,7 @@
 
 
 class RefuseOpening(Struct, kw_only=True, frozen=True):
-    """No other agent could take the flow."""
+    """Neither this agent nor another one could take the flow."""
 
     reason: OpeningReason
 
@@ -93,12 +94,13 @@
     """Decide whether an agent takes, passes on or refuses an opening packet.
 
     Up to ``MAX_ASKED`` agents are asked for a free slot. Then the least busy of them
-    is asked to take the flow. If it can't, the first agent that can takes it.
+    is asked to take the flow. If its upstream can't, the packet is passed on until an
+    agent's upstream can take the flow.
 
     :param candidates: agents of the service in this flow's order.
     :param tried: agents that need not be asked.
     :param hops: agents that have passed the packet on.
-    :param best: the least busy agent asked before.
+    :param best: the least busy agent asked before, or None if none could take it.
     :param final: True when the agent takes the flow even without a free slot.
     """
     is_able = own.inability is None
@@ -140,7 +142,8 @@
     :param candidates: agents of the service in this flow's order.
     :param copy: times that the client has repeated the packet.
     :param tried: agents asked for earlier copies.
-    :param offered: agents whose upstream has answered an earlier copy.
+    :param offered: agents that sent an offer, which is their upstream's answer to an
+        earlier copy.
     :param avoided: agents that don't answer; they get a repeated packet only when
         there are no others.
     """
--- a/packages/daisygauge-policy/src/daisygauge_policy/_placement.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_placement.py
@@ -1,7 +1,7 @@
 """Which agents are offered a new flow.
 
-Placement doesn't hash the hosts of a service for each packet: a hashed table maps
-a flow to one of ``BUCKETS`` buckets and ranks the hosts of a bucket once.
+Placement doesn't hash the hosts of a service for each packet: `CandidateTable` maps a
+flow to one of ``BUCKETS`` buckets and ranks the hosts of a bucket once.
 """
 
 from __future__ import annotations
@@ -44,7 +44,8 @@
 ) -> tuple[Upstream, ...]:
     """Return the hosts that may get new flows.
 
-    A host that the list lacks stays eligible, because the list lags.
+    A host that isn't on the instance list stays eligible, because the list may be
+    older than the host.
 
     :param instances: the instance list by id.
     :param suspects: ids of hosts that do not answer.
--- a/packages/daisygauge-policy/src/daisygauge_policy/_rotation.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_rotation.py
@@ -14,6 +14,8 @@
 NEEDED     ready                     LEAVING after ``NEEDED_SECONDS``
 FINISHED   not ready                 the process exits
 =========  ========================  ==========================================
+
+Every stage ends in FINISHED after ``longest_seconds``.
 """
 
 from __future__ import annotations
@@ -23,7 +25,8 @@
 from msgspec import Struct
 
 NOTICE_SECONDS = 1.4
-"""Two failed checks at two per second, and the transit of packets sent before."""
+"""Time until the fabric has taken the balancer out of rotation: two failed health
+checks at two per second, and the transit of the packets sent before."""
 NEEDED_SECONDS = 1.5
 """About the time that a restart of a process takes."""
 QUIET_SECONDS = 0.6
--- a/packages/daisygauge-policy/src/daisygauge_policy/_search.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_search.py
@@ -15,7 +15,8 @@
 from msgspec import Struct, field
 
 BURST_PACKETS = 6
-"""Packets of one flow searched in one pause: a request rarely fills more."""
+"""Packets of one flow that may cause a search in one period: a request rarely fills
+more."""
 FIRST_PERIOD_SECONDS = 0.15
 """Shorter than the first retransmission of a client (200 ms)."""
 LONGEST_PERIOD_SECONDS = 1.5
@@ -29,10 +30,13 @@
 class SearchBudget(Struct, kw_only=True):
     """Limits the searches that the packets of one flow cause.
 
-    :param packets: packets searched since the pause began.
-    :param period_seconds: length of the present pause, in which ``packets`` is limited.
-    :param since: when the present pause began, in monotonic seconds.
-    :param rounds: pauses that are over; each asks another agent.
+    Each period allows ``BURST_PACKETS`` searches and is twice as long as the one
+    before, up to ``LONGEST_PERIOD_SECONDS``. In each period another agent is asked.
+
+    :param packets: searches counted in the present period.
+    :param period_seconds: length of the present period.
+    :param since: monotonic time in seconds at which the present period began.
+    :param rounds: number of periods that are over.
     """
 
     since: float
@@ -100,8 +104,8 @@
         """Return the step that follows from the answers so far.
 
         :param route_agents: agents of the services that the flow's route names.
-        :param all_agents: every agent of the fleet that the asking agent knows. A
-            list without the asking agent itself is incomplete and proves nothing.
+        :param all_agents: every agent of the fleet that the asking agent knows. If
+            it lacks the asking agent, it is incomplete and the search waits.
         :param own: the asking agent.
         """
         if own not in all_agents or not self.absent.issuperset(route_agents):
--- a/packages/daisygauge-policy/src/daisygauge_policy/_slow_start.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_slow_start.py
@@ -26,8 +26,8 @@
 class SlowStart:
     """Tracks when each host was first seen, and the share of hosts in slow start.
 
-    Hosts of the first view count as warm, because there the observer is new and
-    not the hosts.
+    The hosts of the first list that isn't empty count as warm: this process has just
+    started, and the hosts may have run for long.
     """
 
     def __init__(self) -> None:
--- a/packages/daisygauge-policy/src/daisygauge_policy/_suspects.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_suspects.py
@@ -100,10 +100,10 @@
         )
 
     def suspected(self, hosts: Iterable[str]) -> frozenset[str]:
-        """Return the suspects that have not answered yet, also after their back-off.
+        """Return the hosts that are suspect, during their back-off and after it.
 
-        Their number is bounded by the share that may be ejected, because a service
-        needs some hosts to offer flows to.
+        A host stays suspect until it answers. The number is bounded by the share that
+        may be ejected, because a service needs some hosts to offer flows to.
 
         :param hosts: a service's hosts.
         """
--- a/testing/policy/test_slow_start.py
+++ b/testing/policy/test_slow_start.py
@@ -17,7 +17,7 @@
     assert 0.0 < low <= high <= 1.0
 
 
-def test_a_host_of_the_first_view_is_warm_and_a_later_one_starts_slowly():
+def test_a_host_of_the_first_list_is_warm_and_a_later_one_starts_slowly():
     slow_start = SlowStart()
     slow_start.observe_hosts(frozenset({"a"}), now=100.0)
     slow_start.observe_hosts(frozenset({"a", "b"}), now=200.0)
