--- a/packages/daisygauge-policy/src/daisygauge_policy/_search.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_search.py
@@ -15,10 +15,11 @@
 from msgspec import Struct, field
 
 BURST_PACKETS = 6
-"""Packets of one flow searched in one pause: a request rarely fills more."""
-FIRST_PAUSE_SECONDS = 0.15
+"""Packets of one flow that may cause a search in one period: a request rarely fills
+more."""
+FIRST_PERIOD_SECONDS = 0.15
 """Shorter than the first retransmission of a client (200 ms)."""
-LONGEST_PAUSE_SECONDS = 1.5
+LONGEST_PERIOD_SECONDS = 1.5
 """Just below the longest pause between retransmissions of a client (1.6 s)."""
 MAX_PENDING = 4_096
 """Searches that an agent keeps; more come only after the whole fleet has failed."""
@@ -29,24 +30,27 @@
 class SearchBudget(Struct, kw_only=True):
     """Limits the searches that the packets of one flow cause.
 
-    :param packets: packets searched since the pause began.
-    :param pause_seconds: length of the present pause, in which ``packets`` is limited.
-    :param since: when the present pause began, in monotonic seconds.
-    :param rounds: pauses that are over; each asks another agent.
+    Each period allows ``BURST_PACKETS`` searches and is twice as long as the one
+    before, up to ``LONGEST_PERIOD_SECONDS``. In each period another agent is asked.
+
+    :param packets: searches counted in the present period.
+    :param period_seconds: length of the present period.
+    :param since: monotonic time in seconds at which the present period began.
+    :param rounds: number of periods that are over.
     """
 
     since: float
     packets: int = 0
     rounds: int = 0
-    pause_seconds: float = FIRST_PAUSE_SECONDS
+    period_seconds: float = FIRST_PERIOD_SECONDS
 
     def try_take(self, *, now: float) -> bool:
         """Count one search, and return whether it is within the budget."""
-        if now - self.since >= self.pause_seconds:
+        if now - self.since >= self.period_seconds:
             self.since = now
             self.packets = 0
             self.rounds += 1
-            self.pause_seconds = min(2.0 * self.pause_seconds, LONGEST_PAUSE_SECONDS)
+            self.period_seconds = min(2.0 * self.period_seconds, LONGEST_PERIOD_SECONDS)
         if self.packets >= BURST_PACKETS:
             return False
         self.packets += 1
@@ -100,8 +104,8 @@
         """Return the step that follows from the answers so far.
 
         :param route_agents: agents of the services that the flow's route names.
-        :param all_agents: every agent of the fleet that the asking agent knows. A
-            list without the asking agent itself is incomplete and proves nothing.
+        :param all_agents: every agent of the fleet that the asking agent knows. If
+            it lacks the asking agent, it is incomplete and the search waits.
         :param own: the asking agent.
         """
         if own not in all_agents or not self.absent.issuperset(route_agents):
--- a/packages/daisygauge-policy/src/daisygauge_policy/_suspects.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_suspects.py
@@ -99,11 +99,11 @@
             and now < max(suspicion.until, suspicion.trial_until)
         )
 
-    def unproven(self, hosts: Iterable[str]) -> frozenset[str]:
-        """Return the suspects that have not answered yet, also after their back-off.
+    def suspected(self, hosts: Iterable[str]) -> frozenset[str]:
+        """Return the hosts that are suspect, during their back-off and after it.
 
-        Their number is bounded by the share that may be ejected, because a service
-        needs some hosts to offer flows to.
+        A host stays suspect until it answers. The number is bounded by the share that
+        may be ejected, because a service needs some hosts to offer flows to.
 
         :param hosts: a service's hosts.
         """
