--- a/testing/soak/client.py
+++ b/testing/soak/client.py
@@ -1,4 +1,4 @@
-"""Clients of a soak, as the platform's requesters behave."""
+"""Soak clients that send packets the way the platform's clients do."""
 
 from __future__ import annotations
 
@@ -9,27 +9,27 @@
 
 from daisygauge_platform._packets import ACK, FIN, HEAD, RST, SYN
 
-COPY_SECONDS = (0.2, 0.4, 0.8)
-"""Pauses after each opening packet; then the attempt ends."""
-REPEAT_SECONDS = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6)
-"""Pauses after each packet of a request; then the client gives up."""
+OPENING_INTERVALS_SECONDS = (0.2, 0.4, 0.8)
+"""Seconds to wait after each opening packet; after the last one the attempt fails."""
+REQUEST_INTERVALS_SECONDS = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6)
+"""Seconds to wait after each packet of a request; then the client gives up."""
 
 
 class SoakFlow:
-    """One flow from its client's end.
+    """The client's side of one flow.
 
-    :ivar host_sequence: the first number of the host chosen, or None.
-    :ivar is_reset: True once a reset has come.
+    :ivar host_sequence: initial sequence number of the chosen host, or None.
+    :ivar is_reset: True once a reset was received.
     """
 
-    def __init__(self, *, end, service_end, fabric):
-        self.end = end
-        self.service_end = service_end
+    def __init__(self, *, client_endpoint, service_endpoint, fabric):
+        self.client_endpoint = client_endpoint
+        self.service_endpoint = service_endpoint
         self.fabric = fabric
         self.host_sequence = None
         self.is_reset = False
-        self.answered = {}
-        self.news = asyncio.Event()
+        self.answers = {}
+        self.packet_received = asyncio.Event()
         self.sequence = 1
 
     def receive(self, data):
@@ -40,25 +40,25 @@
             if self.host_sequence is None:
                 self.host_sequence = seq
         elif length:
-            self.answered[seq] = data[HEAD.size :]
-        self.news.set()
+            self.answers[seq] = data[HEAD.size :]
+        self.packet_received.set()
 
-    async def wait(self, is_true, seconds):
-        until = time.monotonic() + seconds
-        while not is_true():
-            self.news.clear()
-            left = until - time.monotonic()
-            if left <= 0:
+    async def wait(self, condition, seconds):
+        deadline = time.monotonic() + seconds
+        while not condition():
+            self.packet_received.clear()
+            remaining = deadline - time.monotonic()
+            if remaining <= 0:
                 return False
             try:
-                await asyncio.wait_for(self.news.wait(), left)
+                await asyncio.wait_for(self.packet_received.wait(), remaining)
             except TimeoutError:
-                return is_true()
+                return condition()
         return True
 
     async def open(self):
-        """Tell whether a host has taken the flow."""
-        for copy, pause in enumerate(COPY_SECONDS):
+        """Open the flow and return True if a host accepted it."""
+        for copy, pause in enumerate(OPENING_INTERVALS_SECONDS):
             self.send(flags=SYN, acknowledged=copy)
             if await self.wait(
                 lambda: self.is_reset or self.host_sequence is not None, pause
@@ -66,17 +66,17 @@
                 break
         return not self.is_reset and self.host_sequence is not None
 
-    async def ask(self, body):
-        """Send a request and repeat its packet; returns the answer or None."""
+    async def send_request(self, body):
+        """Send a request, repeating it until answered; return the answer or None."""
         sequence = self.sequence
         self.sequence += len(body)
-        for pause in REPEAT_SECONDS:
+        for pause in REQUEST_INTERVALS_SECONDS:
             self.send(flags=ACK, sequence=sequence, body=body)
             if await self.wait(
-                lambda: self.is_reset or sequence in self.answered, pause
+                lambda: self.is_reset or sequence in self.answers, pause
             ):
                 break
-        return self.answered.get(sequence)
+        return self.answers.get(sequence)
 
     def close(self):
         self.send(flags=FIN | ACK, sequence=self.sequence)
@@ -85,7 +85,7 @@
         if acknowledged is None:
             acknowledged = self.host_sequence + 1
         data = pack_packet(
-            self.end, self.service_end, flags=flags, sequence=sequence,
+            self.client_endpoint, self.service_endpoint, flags=flags, sequence=sequence,
             acknowledged=acknowledged, data=body,
         )  # fmt: skip
-        self.fabric.carry(pack_end(*self.end), data)
+        self.fabric.forward(pack_end(*self.client_endpoint), data)
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -1,4 +1,4 @@
-"""Faults that a soak injects from outside the processes, and their schedule."""
+"""Faults that a soak injects from outside the processes, and their schedules."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 
 @frozen(kw_only=True)
 class Fault:
-    """One disturbance.
+    """One scheduled fault.
 
-    :param at: seconds after the soak's start.
-    :param kind: a method of ``Injector``.
-    :param target: number of the process, host or failure domain it strikes.
-    :param seconds: how long it lasts, where it ends by itself.
+    :param at: start, in seconds after the start of the schedule.
+    :param kind: name of the method of ``Injector`` that injects the fault.
+    :param target: number of the affected process, host or split, modulo their count.
+    :param seconds: duration, for kinds of faults that have one.
     """
 
     at: float
@@ -44,21 +44,21 @@
 )
 HOST_FAULTS = ("crash_host", "drain_host", "freeze_host", "reuse_address")
 OTHER_FAULTS = ("lose_packets", "change_routes")
-FIRST_KINDS = (*PROCESS_FAULTS, *STORE_FAULTS, *HOST_FAULTS, *OTHER_FAULTS)
-"""What seeds up to 400 were drawn from; their cases stay what they were."""
-KINDS = (*FIRST_KINDS, "change_split", "restart_without_store")
-LONGEST_SECONDS = 2.5
-SERIES_SHARE = 0.3
-"""Part of the faults that follow another within a tenth of a second."""
+INITIAL_FAULT_KINDS = (*PROCESS_FAULTS, *STORE_FAULTS, *HOST_FAULTS, *OTHER_FAULTS)
+"""Kinds that seeds up to 400 draw from; a change would alter their schedules."""
+FAULT_KINDS = (*INITIAL_FAULT_KINDS, "change_split", "restart_without_store")
+MAX_FAULT_SECONDS = 2.5
+BURST_SHARE = 0.3
+"""Share of the faults that follow the previous one within 0.1 s."""
 
 
 def make_schedule(
-    seed: int, *, seconds: float, pause: float, kinds: tuple[str, ...] = KINDS
+    seed: int, *, seconds: float, pause: float, kinds: tuple[str, ...] = FAULT_KINDS
 ) -> tuple[Fault, ...]:
-    """Draw faults, in series and overlapping.
+    """Draw a reproducible schedule of faults, which may overlap or come in bursts.
 
-    :param seconds: faults begin within this time.
-    :param pause: mean time between two series.
+    :param seconds: time in which the faults begin, in seconds.
+    :param pause: mean time between two bursts, in seconds.
     """
     rng = random.Random(seed)
     faults = []
@@ -69,9 +69,9 @@
                 at=round(at, 3),
                 kind=rng.choice(kinds),
                 target=rng.randrange(1_000),
-                seconds=round(rng.uniform(0.2, LONGEST_SECONDS), 2),
+                seconds=round(rng.uniform(0.2, MAX_FAULT_SECONDS), 2),
             )
         )
-        is_series = rng.random() < SERIES_SHARE
-        at += rng.uniform(0.0, 0.1) if is_series else rng.expovariate(1.0 / pause)
+        is_burst = rng.random() < BURST_SHARE
+        at += rng.uniform(0.0, 0.1) if is_burst else rng.expovariate(1.0 / pause)
     return tuple(faults)
--- a/testing/soak/host.py
+++ b/testing/soak/host.py
@@ -1,4 +1,4 @@
-"""Hosts of a soak: they check what reaches them, and run each request once."""
+"""Soak hosts that check the packets they receive and run each request once."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 
 
 class HostFlow:
-    """One flow at its host.
+    """The host's side of one flow.
 
-    :ivar answers: answer to the request at each sequence number, None while it runs.
+    :ivar answers: answer by the request's sequence number, None while it runs.
     """
 
-    def __init__(self, sequence, service_end):
+    def __init__(self, sequence, service_endpoint):
         self.sequence = sequence
-        self.service_end = service_end
+        self.service_endpoint = service_endpoint
         self.is_open = False
         self.answers = {}
 
@@ -29,101 +29,126 @@
 class SoakHost:
     """An upstream of one service.
 
-    :param send: takes what it sends to the agent's outbound address.
-    :param call_later: calls a function after a time.
-    :param report: takes a broken promise as text.
-    :ivar ran: how often each request body has run.
-    :ivar offered: monotonic time and client of each opening packet taken.
+    :param send: function that sends a packet to the agent's outbound address.
+    :param call_later: function that calls another after some seconds.
+    :param report_violation: function that records a broken promise, as text.
+    :ivar run_counts: number of runs by request body.
+    :ivar is_unresponsive: True while the host neither receives nor sends.
+    :ivar offered: monotonic time and client of each opening packet received.
     """
 
     def __init__(
-        self, *, address, service, service_end, split_end, rng, send, call_later, report
+        self,
+        *,
+        address,
+        service,
+        service_endpoint,
+        split_endpoint,
+        rng,
+        send,
+        call_later,
+        report_violation,
     ):
         self.address = address
         self.service = service
-        self.own_ends = {pack_end(*service_end), pack_end(*split_end)}
-        # Address of further routes of the service, whose ports come and go.
-        self.probe_host = None
+        self.service_endpoints = {
+            pack_end(*service_endpoint),
+            pack_end(*split_endpoint),
+        }
+        # Address of the service's routes whose ports are added and removed.
+        self.probe_address = None
         self.rng = rng
         self.send = send
         self.call_later = call_later
-        self.report = report
+        self.report_violation = report_violation
         self.flows = {}
-        self.ran = Counter()
-        self.is_dark = False
+        self.run_counts = Counter()
+        self.is_unresponsive = False
         self.is_leaving = False
         self.offered = []
 
     def receive(self, data):
-        if self.is_dark:
+        if self.is_unresponsive:
             return
         seq, ack, length, flags, echo, dst, src, _ = HEAD.unpack_from(data)
         if flags & BOUNCED or echo or data[11:15] != bytes(4):
-            self.report(f"{self.address} got a packet with marks of ours")
+            self.report_violation(
+                f"{self.address} received a packet with internal header fields set"
+            )
         if flags & SYN and flags & ACK:
-            self.report(f"{self.address} got a host's answer")
-        if not self.is_own(dst):
-            self.receive_foreign(data, flags)
+            self.report_violation(
+                f"{self.address} received a SYN-ACK, which only hosts send"
+            )
+        if not self.serves_endpoint(dst):
+            self.handle_foreign_packet(data, flags)
             return
         flow = self.flows.get(src)
         if flags & SYN:
-            self.open(src, dst, flow)
-        elif flow is None or not self.accepts(flow, ack):
-            self.give_back(data)
+            self.handle_opening_packet(src, dst, flow)
+        elif flow is None or not self.is_acknowledged(flow, ack):
+            self.bounce(data)
         elif length:
-            self.take(src, flow, seq, data[HEAD.size : HEAD.size + length])
+            self.handle_request(src, flow, seq, data[HEAD.size : HEAD.size + length])
         elif flags & FIN:
             del self.flows[src]
 
-    def is_own(self, end):
-        is_probe = self.probe_host is not None and end[:4] == inet_aton(self.probe_host)
-        return end in self.own_ends or is_probe
+    def serves_endpoint(self, endpoint):
+        is_probe = self.probe_address is not None and endpoint[:4] == inet_aton(
+            self.probe_address
+        )
+        return endpoint in self.service_endpoints or is_probe
 
-    def receive_foreign(self, data, flags):
-        """A packet of another service came; an opening one would have run there."""
+    def handle_foreign_packet(self, data, flags):
+        """Bounce a packet of another service; an opening packet breaks a promise."""
         if flags & SYN:
-            self.report(f"{self.address} of {self.service} was offered another's flow")
-        self.give_back(data)
+            self.report_violation(
+                f"{self.address} of {self.service} received another service's new flow"
+            )
+        self.bounce(data)
 
-    def open(self, src, dst, flow):
+    def handle_opening_packet(self, src, dst, flow):
         if flow is None:
             flow = self.flows[src] = HostFlow(self.rng.randrange(2**31), dst)
         self.offered.append((time.monotonic(), src))
-        self.answer(src, flow, flags=SYN | ACK, sequence=flow.sequence)
+        self.send_answer(src, flow, flags=SYN | ACK, sequence=flow.sequence)
 
-    def accepts(self, flow, ack):
-        """Only the host whose first number is acknowledged opens the flow."""
-        is_own = ack == flow.sequence + 1
-        flow.is_open = flow.is_open or is_own
-        return is_own
+    def is_acknowledged(self, flow, ack):
+        """Return True, and open the flow, if the acknowledged number is this host's."""
+        is_match = ack == flow.sequence + 1
+        flow.is_open = flow.is_open or is_match
+        return is_match
 
-    def take(self, src, flow, seq, body):
-        """Run a request once, however often its packet comes."""
+    def handle_request(self, src, flow, seq, body):
+        """Run a request once, however often its packet is received."""
         if seq in flow.answers:
             if flow.answers[seq] is not None:
-                self.answer(src, flow, flags=ACK, sequence=seq, data=flow.answers[seq])
+                self.send_answer(
+                    src, flow, flags=ACK, sequence=seq, data=flow.answers[seq]
+                )
             return
         flow.answers[seq] = None
-        self.ran[body] += 1
-        self.call_later(WORK_SECONDS, lambda: self.end(src, flow, seq, body))
+        self.run_counts[body] += 1
+        self.call_later(WORK_SECONDS, lambda: self.finish_request(src, flow, seq, body))
 
-    def end(self, src, flow, seq, body):
+    def finish_request(self, src, flow, seq, body):
         if self.flows.get(src) is not flow:
             return
         flow.answers[seq] = b"HTTP/1.1 200 OK\r\n\r\n" + body
-        self.answer(src, flow, flags=ACK, sequence=seq, data=flow.answers[seq])
+        self.send_answer(src, flow, flags=ACK, sequence=seq, data=flow.answers[seq])
 
-    def answer(self, client, flow, *, flags, sequence, data=b""):
-        if self.is_dark:
+    def send_answer(self, client, flow, *, flags, sequence, data=b""):
+        if self.is_unresponsive:
             return
-        head = HEAD.pack(sequence, 1, len(data), flags, 0, client, flow.service_end, 5)
+        head = HEAD.pack(
+            sequence, 1, len(data), flags, 0, client, flow.service_endpoint, 5
+        )
         self.send(head + data)
 
-    def give_back(self, data):
+    def bounce(self, data):
         head = bytearray(data)
         head[10] |= BOUNCED
         self.send(bytes(head))
 
     def crash(self):
-        """Lose every flow."""
+        """Drop the state of every flow."""
         self.flows.clear()
--- a/testing/soak/injector.py
+++ b/testing/soak/injector.py
@@ -1,4 +1,4 @@
-"""Carries the faults of a schedule out."""
+"""Injection of scheduled faults into a running fleet."""
 
 from __future__ import annotations
 
@@ -9,23 +9,26 @@
 from .world import SPLITS
 
 GRACE_SECONDS = 6.0
-"""Time from SIGTERM to SIGKILL, as the settings tell it."""
+"""Time from SIGTERM to SIGKILL, equal to ``grace_seconds`` in the settings."""
 DRAIN_SECONDS = 3.0
-"""A leaving host gets no new flow later than this after it said so."""
-LAPSE_SECONDS = 3.0
-"""The entry of a host that ended without a word still stands for this long."""
-REUSE_SECONDS = 2.0
-"""An address belongs to nobody for this long, as the users' sites say."""
+"""Longest time after its announcement in which a leaving host gets new flows."""
+ENTRY_EXPIRY_SECONDS = 3.0
+"""Time for which the entry of a crashed host remains in the store."""
+ADDRESS_REUSE_SECONDS = 2.0
+"""Time for which an address stays unused before its reuse, as users' sites report."""
 RESTART_SECONDS = 0.2
-CALM_SECONDS = 4.0
-"""A bound holds where nothing has struck for this long before."""
+QUIET_SECONDS = 4.0
+"""A time bound is checked only if no fault occurred in this time before."""
 
 
 class Injector:
-    """Strikes a fleet; each method is a kind of fault.
+    """Injects faults into a fleet.
 
-    :ivar struck: monotonic time at which a fault last began or ended.
-    :ivar calm_seconds: time without one before the latest fault began.
+    The methods that take only a fault are the kinds of faults, looked up by name.
+
+    :ivar last_fault_at: monotonic time at which a fault last began or ended.
+    :ivar quiet_seconds: time without faults before the latest one began.
+    :ivar tasks: faults and store changes in progress.
     """
 
     def __init__(self, fleet):
@@ -34,30 +37,30 @@
             address: asyncio.Lock()
             for address in (*fleet.agent_addresses, *fleet.balancer_addresses)
         }
-        self.struck = float("-inf")
-        self.calm_seconds = 0.0
-        self.later = set()
+        self.last_fault_at = float("-inf")
+        self.quiet_seconds = 0.0
+        self.tasks = set()
 
     async def run(self, schedule):
-        """Carry a schedule out, and wait until every fault is over."""
-        began = time.monotonic()
+        """Inject a schedule's faults at their times and wait until all have ended."""
+        started_at = time.monotonic()
         for fault in schedule:
-            await asyncio.sleep(max(0.0, began + fault.at - time.monotonic()))
-            self.start(self.strike(fault))
-        while self.later:
-            await asyncio.gather(*tuple(self.later))
+            await asyncio.sleep(max(0.0, started_at + fault.at - time.monotonic()))
+            self.start_task(self.inject(fault))
+        while self.tasks:
+            await asyncio.gather(*tuple(self.tasks))
 
-    def start(self, work):
+    def start_task(self, work):
         task = asyncio.create_task(work)
-        self.later.add(task)
-        task.add_done_callback(self.later.discard)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
-    async def strike(self, fault):
+    async def inject(self, fault):
         now = time.monotonic()
-        self.calm_seconds = now - self.struck
-        self.struck = now
+        self.quiet_seconds = now - self.last_fault_at
+        self.last_fault_at = now
         await getattr(self, fault.kind)(fault)
-        self.struck = time.monotonic()
+        self.last_fault_at = time.monotonic()
 
     def balancer(self, fault):
         return self.pick(self.fleet.balancer_addresses, fault)
@@ -78,25 +81,29 @@
             await self.fleet.start_process(address)
 
     async def terminate(self, address):
-        """Stop a process as planned: it ends in time and says that all went well."""
+        """Stop a process with SIGTERM and check its exit code and the time it took."""
         async with self.locks[address]:
             await self.fleet.wait_for_signals(address)
-            began, lag = time.monotonic(), self.fleet.lag
-            pauses = self.fleet.pauses[address]
+            started_at, lag_before = time.monotonic(), self.fleet.lag_seconds
+            paused_seconds = self.fleet.paused_seconds[address]
             code = await self.fleet.end(address, signal.SIGTERM)
-            seconds = time.monotonic() - began - (self.fleet.lag - lag)
-            seconds -= self.fleet.pauses[address] - pauses
+            seconds = (
+                time.monotonic() - started_at - (self.fleet.lag_seconds - lag_before)
+            )
+            seconds -= self.fleet.paused_seconds[address] - paused_seconds
             if code != 0:
-                self.fleet.report(f"{address} ended with {code} after SIGTERM")
+                self.fleet.report_violation(
+                    f"{address} ended with {code} after SIGTERM"
+                )
             elif seconds > GRACE_SECONDS:
-                self.fleet.report(f"{address} took {seconds:.1f} s to stop")
+                self.fleet.report_violation(f"{address} took {seconds:.1f} s to stop")
             await asyncio.sleep(RESTART_SECONDS)
             await self.fleet.start_process(address)
 
     async def pause(self, address, fault):
         self.fleet.pause(address)
         await asyncio.sleep(fault.seconds)
-        self.fleet.pauses[address] += fault.seconds
+        self.fleet.paused_seconds[address] += fault.seconds
         self.fleet.resume(address)
 
     async def kill_balancer(self, fault):
@@ -121,10 +128,10 @@
         await asyncio.gather(*map(self.kill, self.locks))
 
     async def reload_settings(self, fault):
-        """Write a settings file that can't be read, then the old one again."""
+        """Reload an invalid settings file, then restore and reload the valid one."""
         address = self.pick(list(self.locks), fault)
         async with self.locks[address]:
-            # A process that can't read its settings when it starts may end.
+            # A process that can't read its settings while it starts may exit.
             if not await self.fleet.is_ready(address):
                 return
             path = self.fleet.directory / f"{address}.json"
@@ -134,41 +141,41 @@
                 self.fleet.processes[address].send_signal(signal.SIGHUP)
                 await asyncio.sleep(0.1)
 
-    # The store, for all processes or for one.
+    # The store, for all processes or for some of them.
 
-    async def set_store(self, mode, fault):
+    async def set_store_mode(self, mode, fault):
         self.fleet.store.mode = mode
         await asyncio.sleep(fault.seconds)
         self.fleet.store.mode = "up"
 
-    async def set_proxies(self, mode, fault):
-        """Make a part of the processes lose the store."""
+    async def set_proxy_modes(self, mode, fault):
+        """Set the mode of the store proxies of randomly chosen processes."""
         names = list(self.fleet.proxies)
         count = 1 + fault.target % len(names)
-        struck = [self.fleet.proxies[n] for n in self.fleet.rng.sample(names, count)]
-        for proxy in struck:
+        affected = [self.fleet.proxies[n] for n in self.fleet.rng.sample(names, count)]
+        for proxy in affected:
             proxy.set_mode(mode)
         await asyncio.sleep(fault.seconds)
-        for proxy in struck:
+        for proxy in affected:
             proxy.set_mode("pass")
 
     async def store_busy(self, fault):
-        await self.set_store("busy", fault)
+        await self.set_store_mode("busy", fault)
 
     async def store_garbled(self, fault):
-        await self.set_store("garbled", fault)
+        await self.set_store_mode("garbled", fault)
 
     async def store_silent(self, fault):
-        await self.set_proxies("silent", fault)
+        await self.set_proxy_modes("silent", fault)
 
     async def store_delayed(self, fault):
-        await self.set_proxies("delayed", fault)
+        await self.set_proxy_modes("delayed", fault)
 
     async def store_reset(self, fault):
-        await self.set_proxies("reset", fault)
+        await self.set_proxy_modes("reset", fault)
 
     async def store_one_way(self, fault):
-        await self.set_proxies("one-way", fault)
+        await self.set_proxy_modes("one-way", fault)
 
     async def store_compacted(self, fault):
         self.fleet.store.compact()
@@ -178,69 +185,71 @@
     async def crash_host(self, fault):
         address = self.agent(fault)
         host = self.fleet.hosts[address]
-        if host.is_dark:
+        if host.is_unresponsive:
             return
         host.crash()
-        host.is_dark = True
+        host.is_unresponsive = True
         await asyncio.sleep(fault.seconds)
         if self.fleet.hosts[address] is host:
-            await self.begin_life(address)
+            await self.start_next_host(address)
 
     async def freeze_host(self, fault):
         host = self.fleet.hosts[self.agent(fault)]
-        if host.is_dark:
+        if host.is_unresponsive:
             return
-        host.is_dark = True
+        host.is_unresponsive = True
         await asyncio.sleep(fault.seconds)
-        host.is_dark = False
+        host.is_unresponsive = False
 
     async def drain_host(self, fault):
-        """Let a host leave; new flows may come for a bounded time only."""
+        """Drain a host and check that new flows stop within ``DRAIN_SECONDS``."""
         address = self.agent(fault)
         host = self.fleet.hosts[address]
-        if host.is_dark or host.is_leaving:
+        if host.is_unresponsive or host.is_leaving:
             return
         host.is_leaving = True
-        was_calm = self.calm_seconds > CALM_SECONDS
-        said, lag = time.monotonic(), self.fleet.lag
+        was_quiet = self.quiet_seconds > QUIET_SECONDS
+        announced_at, lag_before = time.monotonic(), self.fleet.lag_seconds
         self.fleet.publish_host(address, state="draining")
-        before = self.struck
+        fault_before = self.last_fault_at
         await asyncio.sleep(DRAIN_SECONDS + 1.0)
-        last = said + DRAIN_SECONDS + (self.fleet.lag - lag)
-        late = [at for at, _ in host.offered if at > last]
-        if late and was_calm and self.struck == before:
-            self.fleet.report(f"{address} got {len(late)} flows after it had left")
+        deadline = announced_at + DRAIN_SECONDS + (self.fleet.lag_seconds - lag_before)
+        late = [at for at, _ in host.offered if at > deadline]
+        if late and was_quiet and self.last_fault_at == fault_before:
+            self.fleet.report_violation(
+                f"{address} received {len(late)} new flows after its drain limit"
+            )
         if self.fleet.hosts[address] is host:
-            await self.begin_life(address)
+            await self.start_next_host(address)
 
     async def reuse_address(self, fault):
-        """Give a host's address to another service."""
+        """Reassign a host's address to a host of another service."""
         address = self.agent(fault)
         host = self.fleet.hosts[address]
-        if host.is_dark or host.is_leaving:
+        if host.is_unresponsive or host.is_leaving:
             return
         host.crash()
-        host.is_dark = True
+        host.is_unresponsive = True
         async with self.locks[address]:
             self.fleet.resume(address)
             await self.fleet.end(address, signal.SIGKILL)
-            await asyncio.sleep(REUSE_SECONDS)
+            await asyncio.sleep(ADDRESS_REUSE_SECONDS)
             names = list(self.fleet.services.values())
             others = [name for name in names if name != self.fleet.services[address]]
             if names.count(self.fleet.services[address]) > 1 and others:
                 self.fleet.services[address] = others[0]
-            await self.begin_life(address)
+            await self.start_next_host(address)
             await self.fleet.start_process(address)
 
-    async def begin_life(self, address):
-        """Let the next host begin at an address; the old entry lapses later."""
+    async def start_next_host(self, address):
+        """Add a new host at an address and remove the previous host's entry later."""
         old = f"servers/{self.fleet.host_key(address)}"
-        self.fleet.lives[address] += 1
+        self.fleet.incarnations[address] += 1
         await self.fleet.add_host(address)
-        self.start(self.lapse(old))
+        self.start_task(self.expire_entry(old))
 
-    async def lapse(self, key):
-        await asyncio.sleep(LAPSE_SECONDS)
+    async def expire_entry(self, key):
+        await asyncio.sleep(ENTRY_EXPIRY_SECONDS)
         if key in self.fleet.store.items:
             self.fleet.store.remove(key)
 
@@ -252,13 +261,13 @@
         self.fleet.fabric.loss = 0.0
 
     async def change_split(self, fault):
-        """Let the split route name other services; open flows stay where they are."""
+        """Change the services of the split route; open flows stay on their hosts."""
         self.fleet.version += 3
         self.fleet.split = SPLITS[fault.target % len(SPLITS)]
         self.fleet.publish_routes(self.fleet.version)
 
     async def restart_without_store(self, fault):
-        """Begin a balancer anew that can't reach the store for a while."""
+        """Restart a balancer that can't reach the store for the fault's duration."""
         address = self.balancer(fault)
         proxy = self.fleet.proxies[address]
         proxy.set_mode("reset")
@@ -267,7 +276,7 @@
         proxy.set_mode("pass")
 
     async def change_routes(self, fault):
-        """Add one route and remove another."""
+        """Replace the probe route by one with the next port."""
         self.fleet.version += 3
         self.fleet.probe_ports = [self.fleet.probe_ports[-1] + 1]
         self.fleet.publish_routes(self.fleet.version)
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -1,4 +1,4 @@
-"""A TCP proxy on loopback between one process and the store, with faults."""
+"""TCP proxy on loopback between one process and the store, with injected faults."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 class Proxy:
-    """Passes bytes on; ``mode`` makes it fail.
+    """Forwards bytes in both directions; ``mode`` selects the fault.
 
     :ivar mode: ``pass``, ``delayed``, ``reset``, ``silent`` or ``one-way`` (answers
         are lost).
@@ -50,15 +50,15 @@
         task = asyncio.current_task()
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
-        # The end of the soak cancels what waits on a silent connection.
+        # The end of the soak cancels the tasks that wait on silent connections.
         with contextlib.suppress(OSError, asyncio.CancelledError):
-            there, back = await asyncio.open_connection(*self.target)
+            store_reader, store_writer = await asyncio.open_connection(*self.target)
             await asyncio.gather(
-                self.pass_on(reader, back, is_answer=False),
-                self.pass_on(there, writer, is_answer=True),
+                self.relay(reader, store_writer, is_answer=False),
+                self.relay(store_reader, writer, is_answer=True),
             )
 
-    async def pass_on(self, reader, writer, *, is_answer):
+    async def relay(self, reader, writer, *, is_answer):
         self.writers.add(writer)
         try:
             while data := await reader.read(CHUNK_BYTES):
@@ -67,7 +67,7 @@
                 is_lost = self.mode == "silent" or (
                     self.mode == "one-way" and is_answer
                 )
-                # A connection on which bytes were lost stays silent for good.
+                # TCP can't skip bytes: once some are lost, the connection stays silent.
                 if is_lost:
                     await asyncio.Event().wait()
                 writer.write(data)
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -1,4 +1,4 @@
-"""The fleet of a soak: real processes, checked hosts, clients and a faulty store."""
+"""Soak fleet: real processes, checking hosts, clients and a store with faults."""
 
 from __future__ import annotations
 
@@ -27,40 +27,43 @@
 from .proxy import Proxy
 
 SERVICES = {"order-desk": ("198.18.0.1", 443), "pattern-library": ("198.18.0.2", 443)}
-PROBE_HOST = "198.18.0.3"
-"""Address of routes that come and go."""
-SPLIT_END = ("198.18.0.4", 443)
-"""Address of a route whose services change."""
+PROBE_ADDRESS = "198.18.0.3"
+"""Address of the routes that ``change_routes`` adds and removes."""
+SPLIT_ENDPOINT = ("198.18.0.4", 443)
+"""Endpoint of the split route, whose services change."""
 SPLITS = (tuple(SERVICES), ("order-desk",), ("pattern-library",))
-"""Services that the split route names by turns."""
+"""Sets of services among which the split route changes."""
 GRACE_SECONDS = 6
-LAG_SECONDS = 0.1
+LAG_CHECK_SECONDS = 0.1
 """The soak's own loop is looked at this often; what it lags, bounds are moved by."""
 
 
 class SoakFleet(LoopbackFleet):
-    """A fleet whose processes reach the store through a proxy each.
+    """A fleet in which each process reaches the store through its own proxy.
 
-    :ivar broken: broken promises, as text.
+    :ivar violations: broken promises, as text.
+    :ivar incarnations: number of replaced hosts by address.
+    :ivar paused_seconds: total time for which each process was paused.
+    :ivar lag_seconds: total lag of the event loop.
     """
 
     def __init__(self, directory, *, block, seed, hosts=5, balancers=3):
         super().__init__(directory, block=block, hosts=hosts, balancers=balancers)
         self.rng = random.Random(seed)
-        self.broken = []
+        self.violations = []
         self.proxies = {}
         self.services = {}
-        self.lives = Counter()
+        self.incarnations = Counter()
         self.version = 1
         self.probe_ports = [8_001]
         self.split = SPLITS[0]
         self.paused = {}
-        self.pauses = Counter()
-        self.every_host = []
+        self.paused_seconds = Counter()
+        self.all_hosts = []
         self.flows = {}
         self.client_sockets = {}
-        self.lag = 0.0
-        self.expected_ends = set()
+        self.lag_seconds = 0.0
+        self.expected_exits = set()
         self.fabric = Fabric(
             balancers=self.balancer_addresses,
             is_ready=self.is_ready,
@@ -68,14 +71,14 @@
             seed=seed,
         )
 
-    def report(self, text):
-        self.broken.append(f"{time.monotonic() - self.began:.2f} s: {text}")
+    def report_violation(self, text):
+        self.violations.append(f"{time.monotonic() - self.started_at:.2f} s: {text}")
 
     async def start(self):
-        self.began = time.monotonic()
+        self.started_at = time.monotonic()
         names = list(SERVICES)
         for number, address in enumerate(self.agent_addresses):
-            # The first service has most of the hosts, as at the users' sites.
+            # The first service has most of the hosts, as on the users' sites.
             self.services[address] = names[1 if number % 5 in (1, 4) else 0]
         for number, address in enumerate(
             (*self.agent_addresses, *self.balancer_addresses), 1
@@ -100,7 +103,7 @@
             task.cancel()
         for address in tuple(self.paused):
             self.resume(address)
-        self.expected_ends.update(self.processes)
+        self.expected_exits.update(self.processes)
         await super().stop()
         for proxy in self.proxies.values():
             await proxy.stop()
@@ -108,41 +111,46 @@
             transport.close()
 
     async def watch_lag(self):
-        """Measure by how much this machine lags; bounds of time are moved by it."""
+        """Add up the event loop's lag, by which time bounds are extended."""
         while True:
             began = time.monotonic()
-            await asyncio.sleep(LAG_SECONDS)
-            self.lag += max(0.0, time.monotonic() - began - 2 * LAG_SECONDS)
+            await asyncio.sleep(LAG_CHECK_SECONDS)
+            self.lag_seconds += max(
+                0.0, time.monotonic() - began - 2 * LAG_CHECK_SECONDS
+            )
 
     async def watch_processes(self):
-        """A process ends only when it is told to."""
+        """Report processes that exit without being stopped."""
         while True:
-            await asyncio.sleep(LAG_SECONDS)
+            await asyncio.sleep(LAG_CHECK_SECONDS)
             for address, process in tuple(self.processes.items()):
                 if process.returncode is not None and (
-                    address not in self.expected_ends
+                    address not in self.expected_exits
                 ):
-                    self.report(f"{address} ended by itself: {process.returncode}")
-                    self.expected_ends.add(address)
+                    self.report_violation(
+                        f"{address} exited unexpectedly with {process.returncode}"
+                    )
+                    self.expected_exits.add(address)
 
-    # What is published.
+    # Published settings and records.
 
     def shared_settings(self, address):
         number = list(self.proxies).index(address) + 1
         return super().shared_settings(address) | {
             "platform": f"{self.address(8, number)}:{STORE_PORT}",
-            # A process may be killed in its first seconds; its lines must be there.
+            # Write log lines at once: a process may be killed in its first seconds.
             "log_delay_seconds": 0.0,
         }
 
     def publish_routes(self, version, *, port=443):
-        ends = {name: (host, port) for name, (host, port) in SERVICES.items()}
-        routes = [self.make_route(name, *end) for name, end in ends.items()]
+        endpoints = {name: (host, port) for name, (host, port) in SERVICES.items()}
+        routes = [self.make_route(name, *end) for name, end in endpoints.items()]
         routes += [
-            self.make_route("order-desk", PROBE_HOST, port) for port in self.probe_ports
+            self.make_route("order-desk", PROBE_ADDRESS, port)
+            for port in self.probe_ports
         ]
         shares = [{"service": service, "weight": 1} for service in self.split]
-        split = self.make_route(self.split[0], *SPLIT_END)
+        split = self.make_route(self.split[0], *SPLIT_ENDPOINT)
         routes.append(split | {"weightedServices": shares})
         self.store.put(
             "op/config",
@@ -163,12 +171,12 @@
                 "service": self.services[address], "zone": "a", "version": "v1",
                 "address": f"{address}:{UPSTREAM_PORT}", "capacity": 2,
                 "state": state, "coldRemainingMs": 0, "sequence": 1,
-                "born": self.lives[address] + 1,
+                "born": self.incarnations[address] + 1,
             },
         )  # fmt: skip
 
     def host_key(self, address):
-        return f"host-{address}-{self.lives[address]}"
+        return f"host-{address}-{self.incarnations[address]}"
 
     async def add_host(self, address):
         if address not in self.host_sockets:
@@ -181,16 +189,16 @@
         self.hosts[address] = SoakHost(
             address=address,
             service=service,
-            service_end=SERVICES[service],
-            split_end=SPLIT_END,
+            service_endpoint=SERVICES[service],
+            split_endpoint=SPLIT_ENDPOINT,
             rng=self.rng,
             send=lambda data: self.from_host(address, data),
             call_later=self.call_later,
-            report=self.report,
+            report_violation=self.report_violation,
         )
-        self.every_host.append(self.hosts[address])
+        self.all_hosts.append(self.hosts[address])
         if service == "order-desk":
-            self.hosts[address].probe_host = PROBE_HOST
+            self.hosts[address].probe_address = PROBE_ADDRESS
         self.publish_host(address)
 
     def from_host(self, address, data):
@@ -209,12 +217,12 @@
             await self.start_agent(address)
         else:
             await self.start_balancer(address)
-        self.expected_ends.discard(address)
+        self.expected_exits.discard(address)
 
     # Signals.
 
     async def end(self, address, number):
-        self.expected_ends.add(address)
+        self.expected_exits.add(address)
         return await super().end(address, number)
 
     def pause(self, address):
@@ -252,20 +260,26 @@
         if was_open and flow.is_reset:
             self.check_reset(dst, flow)
 
-    def check_reset(self, end, flow):
-        """A flow that its host holds must not be reset."""
+    def check_reset(self, endpoint, flow):
+        """Report the reset of a flow that its host still holds."""
         for host in self.hosts.values():
-            held = host.flows.get(end)
+            held = host.flows.get(endpoint)
             if held is not None and held.sequence == flow.host_sequence:
-                self.report(f"flow of port {flow.end[1]} was reset; its host holds it")
+                self.report_violation(
+                    f"flow of port {flow.client_endpoint[1]} was reset; host holds it"
+                )
 
-    def new_flow(self, service_end):
+    def new_flow(self, service_endpoint):
         self.clients += 1
         address = list(self.client_sockets)[self.clients % 4]
-        end = (address, 20_000 + self.clients)
-        flow = SoakFlow(end=end, service_end=service_end, fabric=self.fabric)
-        self.flows[pack_end(*end)] = flow
+        endpoint = (address, 20_000 + self.clients)
+        flow = SoakFlow(
+            client_endpoint=endpoint,
+            service_endpoint=service_endpoint,
+            fabric=self.fabric,
+        )
+        self.flows[pack_end(*endpoint)] = flow
         return flow
 
-    def forget(self, flow):
-        self.flows.pop(pack_end(*flow.end), None)
+    def remove_flow(self, flow):
+        self.flows.pop(pack_end(*flow.client_endpoint), None)
