Name the capacity experiment in the usual terms

Doc comments, flag descriptions and local names of bench/capacity were figurative or vague. The JSON keys and quantity names that it writes stay; "seat" there is a watcher, as the doc comments now say.

--- a/bench/capacity/fleet.py
+++ b/bench/capacity/fleet.py
@@ -1,4 +1,4 @@
-"""Starts, asks and kills the processes of a capacity experiment."""
+"""Processes of a capacity experiment: start, sampling and termination."""
 
 from __future__ import annotations
 
@@ -15,18 +15,22 @@
 PEER_PORT = 7001
 PLATFORM_PORT = 8500
 START_BATCH = 10
-ANSWER_SECONDS = 20.0
-PROBE_SECONDS = 60.0
-"""Longest wait for a change to be in force everywhere; the target is 15 s."""
+ANSWER_TIMEOUT_SECONDS = 20.0
+PROBE_TIMEOUT_SECONDS = 60.0
+"""Timeout for a change to be in force everywhere; the target is 15 s."""
 
 
 class ProbeMissingError(Exception):
-    """A change didn't come into force on some participants."""
+    """A change didn't come into force on all participants in time."""
 
 
 @frozen(kw_only=True)
 class Sample:
-    """Counters of one participant at one time."""
+    """Counters of one participant at one time, in seconds and bytes.
+
+    The fields are the keys that the participant writes. ``seat`` is True for a
+    watcher, the process that watches the platform on behalf of others.
+    """
 
     ready: bool
     seat: bool
@@ -39,10 +43,10 @@
 
 
 @define(kw_only=True, eq=False)
-class Process:
-    """One participant.
+class ParticipantProcess:
+    """One participant and its process.
 
-    :ivar probes: when each number of the probe came into force, Unix seconds.
+    :ivar probe_times: Unix time at which each probe number came into force.
     """
 
     id: str
@@ -50,9 +54,9 @@
     failure_domain: str
     host: str
     process: asyncio.subprocess.Process | None = None
-    probes: dict[int, float] = field(factory=dict)
+    probe_times: dict[int, float] = field(factory=dict)
     answers: asyncio.Queue = field(factory=asyncio.Queue)
-    reading: asyncio.Task | None = None
+    reader_task: asyncio.Task | None = None
 
     async def start(self, platform: str) -> None:
         """Start the process."""
@@ -68,32 +72,32 @@
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
         )
-        self.reading = asyncio.create_task(self._read())
+        self.reader_task = asyncio.create_task(self._read())
 
     async def _read(self) -> None:
         async for line in self.process.stdout:
             content = json.loads(line)
             if "probe" in content:
-                self.probes[content["probe"]] = content["at"]
+                self.probe_times[content["probe"]] = content["at"]
             else:
                 self.answers.put_nowait(Sample(**content))
 
-    async def ask(self) -> Sample:
-        """Return the counters now."""
+    async def request_sample(self) -> Sample:
+        """Request the current counters and return them."""
         self.process.stdin.write(b"\n")
-        async with asyncio.timeout(ANSWER_SECONDS):
+        async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
             return await self.answers.get()
 
     async def kill(self) -> None:
-        """End the process at once."""
+        """Kill the process and wait for its exit."""
         self.process.stdin.close()
         self.process.kill()
         await self.process.wait()
-        self.reading.cancel()
+        self.reader_task.cancel()
 
 
-class Platform:
-    """The platform's stand-in and what operators publish on it."""
+class PlatformStandIn:
+    """The platform's stand-in and the records published on it."""
 
     def __init__(self, *, host: str) -> None:
         self.host = host
@@ -112,10 +116,10 @@
             stdout=asyncio.subprocess.DEVNULL,
         )
         self.session = aiohttp.ClientSession()
-        async with asyncio.timeout(ANSWER_SECONDS):
+        async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
             while True:
                 try:
-                    await self.reads()
+                    await self.fetch_read_count()
                     return
                 except aiohttp.ClientError:
                     await asyncio.sleep(0.1)
@@ -131,7 +135,7 @@
         record = {"kind": kind, "id": id, "schema_version": 2, "revision": revision}
         await self.put(f"/v1/kv/records/{kind}/{id}", {**record, "spec": spec})
 
-    async def list_instance(self, process: Process) -> None:
+    async def register_instance(self, process: ParticipantProcess) -> None:
         """Add a participant to the instance list."""
         meta = {
             "peer_port": str(PEER_PORT),
@@ -152,14 +156,14 @@
         }
         await self.put(f"/stand-in/instances/{process.id}", entry)
 
-    async def reads(self) -> int:
-        """Return how often the platform was read."""
+    async def fetch_read_count(self) -> int:
+        """Return the number of reads that the platform has served."""
         url = f"{self.address}/stand-in/statistics"
         async with self.session.get(url) as answer:
             return (await answer.json())["reads"]
 
     async def stop(self) -> None:
-        """End the stand-in."""
+        """Kill the stand-in and wait for its exit."""
         await self.session.close()
         self.process.kill()
         await self.process.wait()
@@ -169,10 +173,10 @@
     """The participants of one experiment."""
 
     def __init__(self, *, size: int, domains: int, block: str) -> None:
-        self.platform = Platform(host=f"{block}.0.1")
+        self.platform = PlatformStandIn(host=f"{block}.0.1")
         balancers = max(4 * domains, size // 6)
         self.processes = [
-            Process(
+            ParticipantProcess(
                 id=f"i{index:04}",
                 role="balancer" if index < balancers else "agent",
                 failure_domain=f"domain-{index % domains}",
@@ -184,22 +188,24 @@
     async def start(self) -> None:
         """Start every process and wait until all are ready."""
         for process in self.processes:
-            await self.platform.list_instance(process)
+            await self.platform.register_instance(process)
         for start in range(0, len(self.processes), START_BATCH):
             batch = self.processes[start : start + START_BATCH]
             await asyncio.gather(*(p.start(self.platform.address) for p in batch))
-            await asyncio.gather(*(process.ask() for process in batch))
+            await asyncio.gather(*(process.request_sample() for process in batch))
         while not all(sample.ready for sample in (await self.sample()).values()):
             await asyncio.sleep(0.2)
 
     async def sample(self) -> dict[str, Sample]:
-        """Ask every participant for its counters."""
-        samples = await asyncio.gather(*(process.ask() for process in self.processes))
+        """Return the current counters of every participant by id."""
+        samples = await asyncio.gather(
+            *(process.request_sample() for process in self.processes)
+        )
         ids = (process.id for process in self.processes)
         return dict(zip(ids, samples, strict=True))
 
     async def kill(self, ids: set[str]) -> None:
-        """End some participants at once."""
+        """Kill the participants with these ids and remove them from the fleet."""
         killed = [process for process in self.processes if process.id in ids]
         self.processes = [p for p in self.processes if p.id not in ids]
         await asyncio.gather(*(process.kill() for process in killed))
@@ -207,32 +213,36 @@
     async def wait_for_probe(self, number: int, *, since: float) -> float:
         """Return the seconds until a probe is in force on every participant.
 
-        :raises ProbeMissingError: it isn't in force in time; names those that lack it.
+        :raises ProbeMissingError: if it isn't in force in time; names the participants
+            that lack it.
         """
         try:
-            async with asyncio.timeout(PROBE_SECONDS):
-                while not all(number in process.probes for process in self.processes):
+            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+                while not all(
+                    number in process.probe_times for process in self.processes
+                ):
                     await asyncio.sleep(0.02)
         except TimeoutError:
             raise ProbeMissingError(await self.describe_missing(number)) from None
-        return max(process.probes[number] for process in self.processes) - since
+        return max(process.probe_times[number] for process in self.processes) - since
 
     async def describe_missing(self, number: int) -> str:
-        """Tell which participants lack a probe, and what they last knew."""
-        lacking = [p for p in self.processes if number not in p.probes]
+        """Describe the participants that lack a probe, with their counters."""
+        missing = [p for p in self.processes if number not in p.probe_times]
         lines = [
-            f"{p.id} ({p.role}, {p.failure_domain}): has {max(p.probes, default=0)}, "
-            f"{await p.ask()}"
-            for p in lacking
+            f"{p.id} ({p.role}, {p.failure_domain}): "
+            f"has {max(p.probe_times, default=0)}, "
+            f"{await p.request_sample()}"
+            for p in missing
         ]
-        return "\n".join([f"change {number} is missing on {len(lacking)}:", *lines])
+        return "\n".join([f"change {number} is missing on {len(missing)}:", *lines])
 
     async def stop(self) -> None:
-        """End everything."""
+        """Kill the started participants and the stand-in."""
         await self.kill({process.id for process in self.processes if process.process})
         await self.platform.stop()
 
 
 def now() -> float:
-    """Unix time in seconds."""
+    """Return the Unix time in seconds."""
     return time.time()
--- a/bench/capacity/participant.py
+++ b/bench/capacity/participant.py
@@ -1,7 +1,7 @@
-"""One daemon's control alone, in a process of its own.
+"""Process that runs the control part of one daemon, for capacity experiments.
 
-Answers each line on standard input with its counters, and tells on standard
-output when a revision of the probe record comes into force.
+For each line on standard input it writes its counters to standard output, as JSON.
+It also writes a line when a revision of the probe record comes into force.
 """
 
 from __future__ import annotations
@@ -25,17 +25,17 @@
 flags.DEFINE_enum("role", "balancer", ["balancer", "agent"], "Role.")
 flags.DEFINE_string("failure_domain", None, "Failure domain.", required=True)
 flags.DEFINE_string("host", None, "IPv4 address to listen on.", required=True)
-flags.DEFINE_integer("peer_port", 7001, "Port of the grpc server.")
+flags.DEFINE_integer("peer_port", 7001, "Port of the gRPC server.")
 flags.DEFINE_string("platform", None, "Base address of the platform.", required=True)
 
 
-def tell(**content: object) -> None:
-    """Write one line for the experiment."""
+def write_line(**content: object) -> None:
+    """Write one JSON line to standard output."""
     print(json.dumps(content), flush=True)
 
 
 class Participant:
-    """A configuration source with its grpc server."""
+    """A configuration source with its gRPC server."""
 
     def __init__(self) -> None:
         role = Role(flags.FLAGS.role)
@@ -57,25 +57,25 @@
         await server.start(flags.FLAGS.host, flags.FLAGS.peer_port)
         async with asyncio.TaskGroup() as tasks:
             source = tasks.create_task(self.source.run())
-            follower = tasks.create_task(self.follow_probe())
-            await self.answer_questions()
+            probe_watcher = tasks.create_task(self.watch_probe())
+            await self.answer_requests()
             source.cancel()
-            follower.cancel()
+            probe_watcher.cancel()
         server.close()
 
-    async def follow_probe(self) -> None:
-        """Tell when a revision of the probe record is in force."""
+    async def watch_probe(self) -> None:
+        """Write a line when a revision of the probe record comes into force."""
         view = self.source.view
-        told = 0
+        reported_number = 0
         while True:
             service = view.services.get(PROBE_SERVICE)
-            if service is not None and service.number != told:
-                told = service.number
-                tell(probe=told, at=time.time())
+            if service is not None and service.number != reported_number:
+                reported_number = service.number
+                write_line(probe=reported_number, at=time.time())
             view = await self.source.wait_for_change(after=view.version)
 
-    async def answer_questions(self) -> None:
-        """Answer every line with the counters."""
+    async def answer_requests(self) -> None:
+        """Write the counters for every line on standard input."""
         reader = asyncio.StreamReader()
         protocol = asyncio.StreamReaderProtocol(reader)
         loop = asyncio.get_running_loop()
@@ -83,7 +83,7 @@
         process = psutil.Process()
         while await reader.readline():
             budget = self.source.budget
-            tell(
+            write_line(
                 ready=self.source.ready,
                 seat=self.source.node.is_watcher,
                 followers=len(self.source.node.followers),
--- a/bench/capacity/run.py
+++ b/bench/capacity/run.py
@@ -1,7 +1,7 @@
-"""Measures the slopes of control and sets them against the aim.
+"""Measure the cost of control per fleet size and extrapolate to the target size.
 
-Prints a table and writes every sample to a JSON file. Exit code 1 when a target
-that holds at every size is missed.
+Prints a table and writes the results to a JSON file. The exit code is 1 when a run
+misses a target that applies to every size.
 """
 
 from __future__ import annotations
@@ -17,16 +17,16 @@
 from fleet import Fleet, Sample, now
 from store import StoreCost, measure_store
 
-DAEMONS_AT_AIM = 7_600
-BALANCERS_AT_AIM = 1_100
-UPSTREAMS_AT_AIM = 6_500
-DOMAINS_AT_AIM = 17
+TARGET_DAEMONS = 7_600
+TARGET_BALANCERS = 1_100
+TARGET_UPSTREAMS = 6_500
+TARGET_DOMAINS = 17
 CHANGES_PER_DAY = 920
 LIST_CHANGES_PER_DAY = 550 * 3
-"""Each replaced instance leaves, goes and comes."""
+"""Three changes per replaced instance: it drains, it is removed, a new one is added."""
 SECONDS_PER_DAY = 86_400
-FLEET_SECONDS = 3.0
-SEATS_KILLED_SECONDS = 15.0
+IN_FORCE_TARGET_SECONDS = 3.0
+WATCHERS_KILLED_TARGET_SECONDS = 15.0
 PROBES = 8
 PROBE_PAUSE_SECONDS = 0.5
 STEADY_SECONDS = 12.0
@@ -34,17 +34,18 @@
 SECRET = "5a" * 32
 STORE_SIZES = (500, 2_000, 6_500)
 
-flags.DEFINE_list("sizes", ["24", "48", "96"], "Daemons in each run.")
+flags.DEFINE_list("sizes", ["24", "48", "96"], "Number of daemons in each run.")
 flags.DEFINE_string("output", "bench/results/capacity.json", "File for the results.")
-flags.DEFINE_string("block", "127.20", "First two bytes of the addresses used.")
+flags.DEFINE_string("block", "127.20", "First two octets of the loopback addresses.")
 
 
 @attrs.frozen(kw_only=True)
 class Usage:
-    """What one kind of daemon uses, the median of its members.
+    """Resource usage of one kind of daemon, as the median over its daemons.
 
-    :param change_seconds: processor time for one change.
-    :param change_bytes: bytes sent for one change.
+    :param processor_share: share of one core in steady state.
+    :param change_seconds: processor time per change beyond steady state.
+    :param change_bytes: bytes sent per change beyond steady state.
     """
 
     daemons: int
@@ -58,11 +59,13 @@
 
 
 @attrs.frozen(kw_only=True)
-class Run:
-    """What one size of fleet gave.
+class SizeResult:
+    """Results of one fleet size.
+
+    The fields are written to the results file, where a watcher is called a seat.
 
     :param in_force_seconds: time until each change was in force everywhere.
-    :param seats_killed_seconds: the same with every seat killed at that moment.
+    :param seats_killed_seconds: the same if all watchers are killed at the change.
     """
 
     size: int
@@ -75,7 +78,7 @@
 
 
 async def publish_probe(fleet: Fleet, number: int) -> float:
-    """Change the probe record and return the time of the change."""
+    """Publish the probe record and return the Unix time just before."""
     spec = {"number": number, "address": {"host": "10.0.0.1", "port": 443}}
     at = now()
     await fleet.platform.publish("service", "probe", spec, revision=number)
@@ -83,7 +86,7 @@
 
 
 async def measure_probes(fleet: Fleet, first: int) -> tuple[float, ...]:
-    """Publish several changes and return how long each took."""
+    """Publish several changes and return the seconds until each was in force."""
     seconds = []
     for number in range(first, first + PROBES):
         since = await publish_probe(fleet, number)
@@ -92,8 +95,8 @@
     return tuple(seconds)
 
 
-def role_of(process_role: str, sample: Sample) -> str:
-    """Return the role of a participant: seat, balancer or agent."""
+def get_role(process_role: str, sample: Sample) -> str:
+    """Return the kind of a participant: seat (watcher), balancer or agent."""
     return "seat" if sample.seat else process_role
 
 
@@ -102,10 +105,10 @@
     steady: tuple[dict[str, Sample], dict[str, Sample]],
     changing: tuple[dict[str, Sample], dict[str, Sample]],
 ) -> dict[str, Usage]:
-    """Return what each kind of daemon used while steady and while changing."""
+    """Return the usage of each kind of daemon, in steady state and per change."""
     kinds: dict[str, list[str]] = {}
     for id, sample in steady[1].items():
-        kinds.setdefault(role_of(roles[id], sample), []).append(id)
+        kinds.setdefault(get_role(roles[id], sample), []).append(id)
 
     def rate(id: str, name: str) -> float:
         first, last = steady[0][id], steady[1][id]
@@ -137,31 +140,31 @@
     }
 
 
-async def measure_size(size: int) -> Run:
-    """Run one fleet."""
+async def measure_size(size: int) -> SizeResult:
+    """Run a fleet of one size and return its results."""
     fleet = Fleet(size=size, domains=DOMAINS, block=flags.FLAGS.block)
     roles = {process.id: process.role for process in fleet.processes}
     await fleet.platform.start()
     try:
         await fleet.platform.publish("key", "key-1", {"number": 1, "secret": SECRET})
         await publish_probe(fleet, 1)
-        began = now()
+        started_at = now()
         await fleet.start()
-        start_seconds = now() - began
+        start_seconds = now() - started_at
         await asyncio.sleep(1.0)
         before = await fleet.sample()
         in_force = await measure_probes(fleet, 2)
         after = await fleet.sample()
-        reads = await fleet.platform.reads()
+        reads = await fleet.platform.fetch_read_count()
         steady_from = await fleet.sample()
         await asyncio.sleep(STEADY_SECONDS)
         steady = (steady_from, await fleet.sample())
-        reads = await fleet.platform.reads() - reads
+        reads = await fleet.platform.fetch_read_count() - reads
         seats = {id for id, sample in steady[1].items() if sample.seat}
         since = await publish_probe(fleet, PROBES + 2)
         await fleet.kill(seats)
         killed = await fleet.wait_for_probe(PROBES + 2, since=since)
-        return Run(
+        return SizeResult(
             size=size,
             seats=len(seats),
             start_seconds=start_seconds,
@@ -174,13 +177,15 @@
         await fleet.stop()
 
 
-def print_run(run: Run) -> None:
-    """Print one size of fleet."""
+def print_run(run: SizeResult) -> None:
+    """Print the results of one fleet size."""
     print(
         f"{run.size:4} daemons, {run.seats} seats: in force everywhere "
-        f"{max(run.in_force_seconds):.2f} s at most (target {FLEET_SECONDS:.0f}), "
+        f"{max(run.in_force_seconds):.2f} s at most "
+        f"(target {IN_FORCE_TARGET_SECONDS:.0f}), "
         f"{run.seats_killed_seconds:.2f} s with all seats killed "
-        f"(target {SEATS_KILLED_SECONDS:.0f}); {run.reads_per_second:.2f} reads/s",
+        f"(target {WATCHERS_KILLED_TARGET_SECONDS:.0f}); "
+        f"{run.reads_per_second:.2f} reads/s",
         flush=True,
     )
     for kind, usage in sorted(run.usage.items()):
@@ -196,35 +201,39 @@
         )
 
 
-def fit(points: list[tuple[float, float]]) -> tuple[float, float]:
-    """Return slope and intercept by least squares."""
+def fit_line(points: list[tuple[float, float]]) -> tuple[float, float]:
+    """Return slope and intercept of the least-squares line."""
     line = statistics.linear_regression(*zip(*points, strict=True))
     return line.slope, line.intercept
 
 
-def project(runs: list[Run], stores: list[StoreCost]) -> list[tuple[str, str, str]]:
-    """Return what the slopes give at the aim: quantity, target, value."""
+def extrapolate(
+    runs: list[SizeResult], stores: list[StoreCost]
+) -> list[tuple[str, str, str]]:
+    """Return quantity, target and value, extrapolated to the target size."""
     seats = [run.usage["seat"] for run in runs]
-    per_domain = DAEMONS_AT_AIM / DOMAINS_AT_AIM
+    per_domain = TARGET_DAEMONS / TARGET_DOMAINS
     followers = per_domain * 2 / 3
-    slope, base = fit([(u.followers, u.sent_bytes_per_second) for u in seats])
+    slope, base = fit_line([(u.followers, u.sent_bytes_per_second) for u in seats])
     steady = base + slope * followers
-    slope_change, base_change = fit([(u.followers, u.change_bytes) for u in seats])
+    slope_change, base_change = fit_line([(u.followers, u.change_bytes) for u in seats])
     changes = (CHANGES_PER_DAY + LIST_CHANGES_PER_DAY) / SECONDS_PER_DAY
     change_bytes = max(0.0, base_change + slope_change * followers)
-    share_slope, share_base = fit([(u.followers, u.processor_share) for u in seats])
-    work_slope, work_base = fit([(u.followers, u.change_seconds) for u in seats])
+    share_slope, share_base = fit_line(
+        [(u.followers, u.processor_share) for u in seats]
+    )
+    work_slope, work_base = fit_line([(u.followers, u.change_seconds) for u in seats])
     share = share_base + share_slope * followers
     share += (work_base + work_slope * followers + stores[-1].change_seconds) * changes
-    memory_slope, _ = fit([(s.entries, s.resident_bytes) for s in stores])
+    memory_slope, _ = fit_line([(s.entries, s.resident_bytes) for s in stores])
     resident = statistics.median(u.resident_bytes for u in seats)
-    memory = resident + memory_slope * UPSTREAMS_AT_AIM
+    memory = resident + memory_slope * TARGET_UPSTREAMS
     agents = [run.usage["agent"] for run in runs]
     agent_bytes = max(
         usage.sent_bytes_per_second + usage.received_bytes_per_second
         for usage in agents
     )
-    reads = DOMAINS_AT_AIM * 3 * (2 / 30 + 2 * changes)
+    reads = TARGET_DOMAINS * 3 * (2 / 30 + 2 * changes)
     return [
         ("followers of a seat", "", f"{followers:.0f}"),
         ("seat: bytes/s sent", "13000", f"{steady + change_bytes * changes:.0f}"),
@@ -249,16 +258,16 @@
     ]
 
 
-def is_met(run: Run) -> bool:
-    """Tell whether a run met the targets that hold at every size."""
+def meets_targets(run: SizeResult) -> bool:
+    """Return True if a run met the targets that apply to every size."""
     return (
-        max(run.in_force_seconds) <= FLEET_SECONDS
-        and run.seats_killed_seconds <= SEATS_KILLED_SECONDS
+        max(run.in_force_seconds) <= IN_FORCE_TARGET_SECONDS
+        and run.seats_killed_seconds <= WATCHERS_KILLED_TARGET_SECONDS
     )
 
 
 async def measure() -> int:
-    """Run every size, print and write the results."""
+    """Run every size, and print and write the results."""
     runs = []
     for size in map(int, flags.FLAGS.sizes):
         runs.append(await measure_size(size))
@@ -270,8 +279,8 @@
             f"{store.resident_bytes / 1e6:.1f} MB, load {store.load_seconds:.2f} s, "
             f"change {store.change_seconds * 1e3:.1f} ms"
         )
-    projected = project(runs, stores) if len(runs) > 1 else []
-    print("\nat the aim, by these slopes:   target   worked out")
+    projected = extrapolate(runs, stores) if len(runs) > 1 else []
+    print("\nextrapolated to target size:   target extrapolated")
     for name, target, value in projected:
         print(f"  {name:34} {target:>8} {value:>12}")
     content = {
@@ -282,7 +291,7 @@
     output = Path(flags.FLAGS.output)
     output.parent.mkdir(parents=True, exist_ok=True)
     output.write_text(json.dumps(content, indent=2) + "\n")
-    return 0 if all(map(is_met, runs)) else 1
+    return 0 if all(map(meets_targets, runs)) else 1
 
 
 def main(_: list[str]) -> None:
--- a/bench/capacity/store.py
+++ b/bench/capacity/store.py
@@ -1,4 +1,4 @@
-"""Memory and processor time of the state of one daemon, by number of entries."""
+"""Measurement of memory and processor time of one daemon's configuration state."""
 
 from __future__ import annotations
 
@@ -18,11 +18,12 @@
 
 @frozen(kw_only=True)
 class StoreCost:
-    """What one size of state costs.
+    """Cost of configuration state with a number of entries.
 
-    :param resident_bytes: growth of the process by the state.
-    :param load_seconds: processor time to read everything once.
-    :param change_seconds: processor time to take one changed record in.
+    :param entries: number of upstreams.
+    :param resident_bytes: resident memory that the state adds to the process.
+    :param load_seconds: processor time to apply all records and instances.
+    :param change_seconds: processor time to apply one changed record.
     """
 
     entries: int
@@ -32,14 +33,14 @@
 
 
 def make_record(kind: str, id: str, spec: dict, revision: int = 1) -> PublishedRecord:
-    """Build a record as the platform holds it."""
+    """Build a record as the platform stores it."""
     record = {"kind": kind, "id": id, "schema_version": 2, "revision": revision}
     document = json.dumps({**record, "spec": spec}).encode()
     return PublishedRecord(name=f"records/{kind}/{id}", document=document)
 
 
 def make_address(number: int) -> str:
-    """Return one of many addresses."""
+    """Return the IPv4 address in 10.0.0.0/8 with a number."""
     return f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}"
 
 
@@ -56,7 +57,7 @@
 
 
 def make_records(upstreams: int) -> list[PublishedRecord]:
-    """Build upstreams and their services."""
+    """Build the records of upstreams and their services."""
     services = [
         make_record(
             "service",
@@ -69,7 +70,7 @@
 
 
 def make_instances(count: int) -> list[Instance]:
-    """Build an instance list."""
+    """Build an instance list of agents."""
     return [
         Instance(
             id=f"u{number:05}",
@@ -110,7 +111,7 @@
 
 
 def measure_store(upstreams: int) -> StoreCost:
-    """Measure one size in a fresh process."""
+    """Measure the cost of one size in a new process."""
     context = multiprocessing.get_context("spawn")
     queue = context.Queue()
     worker = context.Process(target=_measure, args=(upstreams, queue))
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -147,7 +147,7 @@
         await self.check_steady_service(served)
 
     async def check_steady_service(self, served):
-        """Check that requests succeed after recovery and removed routes open no flow."""
+        """Check that requests succeed again and that removed routes open no flow."""
         fleet = self.fleet
         await asyncio.sleep(CONFIGURATION_SECONDS)
         endpoints = [
@@ -162,7 +162,8 @@
                     break
             else:
                 fleet.report_violation(
-                    f"a request to {endpoint} failed {MAX_ATTEMPTS} times without faults"
+                    f"a request to {endpoint} failed {MAX_ATTEMPTS} times "
+                    "without faults"
                 )
         if fleet.probe_ports[-1] > 8_001:
             old = fleet.new_flow((PROBE_ADDRESS, fleet.probe_ports[-1] - 1))
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -35,7 +35,7 @@
 """Sets of services among which the split route changes."""
 GRACE_SECONDS = 6
 LAG_CHECK_SECONDS = 0.1
-"""The soak's own loop is looked at this often; what it lags, bounds are moved by."""
+"""Interval of the event loop's lag check; time bounds are extended by the lag."""
 
 
 class SoakFleet(LoopbackFleet):
