Name the scenarios' state and steps in the usual terms

Step functions and the shared state had figurative or vague names. The module scene became scenario_state. The texts of steps, scenarios and mutations stay. The local names 'account', 'begin', 'forget', 'load', 'pending', 'runs' and the like never left the process.

--- a/testing/proof/environment.py
+++ b/testing/proof/environment.py
@@ -1,4 +1,4 @@
-"""Hooks of behave: one event loop for all scenarios, one fleet for each."""
+"""Hooks for behave: one event loop for all scenarios, one fleet per scenario."""
 
 import asyncio
 import shutil
@@ -8,11 +8,11 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
-from scene import Scene
+from scenario_state import ScenarioState
 
 
 def run_on_loop(context, coroutine):
-    """Run a coroutine on the loop that also carries feeds and load."""
+    """Run a coroutine on the event loop on which feeds and load also run."""
     return asyncio.run_coroutine_threadsafe(coroutine, context.loop).result()
 
 
@@ -27,17 +27,17 @@
 
 def before_scenario(context, scenario):
     context.number += 1
-    context.scene = Scene(number=context.number)
+    context.state = ScenarioState(number=context.number)
 
 
 def after_scenario(context, scenario):
-    context.run(context.scene.close())
-    fleet = context.scene.fleet
+    context.run(context.state.close())
+    fleet = context.state.fleet
     if fleet is not None and scenario.status.name == "passed":
         shutil.rmtree(fleet.directory)
-    verdict = "passed" if scenario.status.name == "passed" else "failed"
+    status = "passed" if scenario.status.name == "passed" else "failed"
     if scenario.status.name != "skipped":
-        context.counts[verdict] += 1
+        context.counts[status] += 1
 
 
 def after_all(context):
--- a/testing/proof/mutations.py
+++ b/testing/proof/mutations.py
@@ -1,8 +1,8 @@
-"""Takes one mechanism out of the product at a time and expects a red scenario.
+"""Disable one mechanism of the product at a time and expect its scenario to fail.
 
-A scenario that stays green without its mechanism shows nothing. Each mutation
-is made in a copy of the packages, which the started processes import instead.
-Closes with ``N passed, N failed``; a mutation passes when its scenario is red.
+A scenario that passes without its mechanism proves nothing. Each mutation is
+applied to a copy of the packages, which the started processes import instead.
+The last line is ``N passed, N failed``; a mutation passes if its scenario fails.
 """
 
 import os
@@ -23,9 +23,10 @@
 
 @frozen(kw_only=True)
 class Edit:
-    """A piece of the product and what replaces it, wherever the file holds it.
+    """A replacement of source text, applied to all its occurrences in a file.
 
-    :param file: path below ``packages``.
+    :param file: path relative to ``packages``.
+    :param old: text that must occur in the file.
     """
 
     file: str
@@ -33,20 +34,23 @@
     new: str
 
     def apply(self, packages: Path) -> None:
-        """Make the edit in a copy of the packages."""
+        """Apply the edit to a copy of the packages.
+
+        :raises SystemExit: if the file doesn't contain the old text.
+        """
         path = packages / self.file
-        sound = path.read_text()
-        if self.old not in sound:
+        original = path.read_text()
+        if self.old not in original:
             raise SystemExit(
-                f"{self.file} does not hold this any more, "
-                f"bring the mutation up to date: {self.old}"
+                f"{self.file} no longer contains the text to replace, "
+                f"update the mutation: {self.old}"
             )
-        path.write_text(sound.replace(self.old, self.new))
+        path.write_text(original.replace(self.old, self.new))
 
 
 @frozen(kw_only=True)
 class Mutation:
-    """The edits that take one mechanism out, and the scenario that proves it."""
+    """The edits that disable one mechanism, and the scenario that must then fail."""
 
     name: str
     edits: tuple[Edit, ...]
@@ -153,7 +157,7 @@
 
 
 def run_mutated(mutation: Mutation) -> bool:
-    """Run a mutation's scenario and tell whether it went red."""
+    """Run a mutation's scenario and return True if one of its checks failed."""
     with tempfile.TemporaryDirectory(prefix="daisygauge-mutation-") as directory:
         packages = Path(directory) / "packages"
         shutil.copytree(ROOT / "packages", packages)
@@ -172,24 +176,26 @@
             capture_output=True,
             text=True,
         )
-    reasons = [line for line in finished.stdout.splitlines() if FAILED_CHECK in line]
-    if reasons:
-        print(f"  {reasons[0][:160]}", flush=True)
+    failed_checks = [
+        line for line in finished.stdout.splitlines() if FAILED_CHECK in line
+    ]
+    if failed_checks:
+        print(f"  {failed_checks[0][:160]}", flush=True)
     else:
         print(f"  no check failed:\n{finished.stdout[-1500:]}{finished.stderr}")
-    return bool(reasons)
+    return bool(failed_checks)
 
 
 def main() -> None:
-    """Run every mutation, or those whose name holds the first argument."""
-    wanted = sys.argv[1] if len(sys.argv) > 1 else ""
-    chosen = [mutation for mutation in MUTATIONS if wanted in mutation.name]
-    red = 0
-    for mutation in chosen:
+    """Run all mutations, or those whose name contains the first argument."""
+    pattern = sys.argv[1] if len(sys.argv) > 1 else ""
+    selected = [mutation for mutation in MUTATIONS if pattern in mutation.name]
+    detected = 0
+    for mutation in selected:
         print(f"{mutation.name}: {mutation.scenario}", flush=True)
-        red += run_mutated(mutation)
-    print(f"{red} passed, {len(chosen) - red} failed")
-    raise SystemExit(red != len(chosen))
+        detected += run_mutated(mutation)
+    print(f"{detected} passed, {len(selected) - detected} failed")
+    raise SystemExit(detected != len(selected))
 
 
 if __name__ == "__main__":
--- a/testing/proof/scene.py
+++ b/testing/proof/scenario_state.py
@@ -1,4 +1,4 @@
-"""One scenario's fleet with its callers, feeds and load."""
+"""State of a scenario: its fleet, callers, feeds and load."""
 
 import asyncio
 import time
@@ -23,28 +23,28 @@
 
 
 @define(kw_only=True, eq=False)
-class Scene:
-    """What the steps of a scenario share.
+class ScenarioState:
+    """State that the steps of a scenario share.
 
-    :param number: tells the address blocks of successive fleets apart.
+    :param number: scenario number, which selects the address block of its fleet.
     """
 
     number: int
     fleet: Fleet | None = None
     feeds: list[OpenFeed] = field(factory=list)
     workloads: list[ServiceWorkload] = field(factory=list)
-    load: list[asyncio.Task] = field(factory=list)
+    load_tasks: list[asyncio.Task] = field(factory=list)
     records: list[Record] = field(factory=list)
     callers: list[Caller] = field(factory=list)
-    pending: dict[str, asyncio.Task] = field(factory=dict)
+    pending_requests: dict[str, asyncio.Task] = field(factory=dict)
     outcomes: dict[str, Record] = field(factory=dict)
     exit_codes: list[int] = field(factory=list)
     marks: dict[str, float] = field(factory=dict)
-    frozen: list = field(factory=list)
-    named_callers: dict[str, Caller] = field(factory=dict)
-    named_hosts: dict = field(factory=dict)
+    suspended_processes: list = field(factory=list)
+    callers_by_request: dict[str, Caller] = field(factory=dict)
+    hosts_by_request: dict = field(factory=dict)
     highest_revisions: dict[str, float] = field(factory=dict)
-    gone_runs: list = field(factory=list)
+    runs_of_stopped_hosts: list = field(factory=list)
     revisions: dict[str, dict[str, float]] = field(factory=dict)
 
     async def start_fleet(self, *, hosts, balancers=3, **options):
@@ -63,7 +63,7 @@
         self.feeds.append(
             OpenFeed(service=service, caller=caller, feed=feed, task=task)
         )
-        await self.until(lambda: feed.report.events > 0, seconds=10)
+        await self.wait_until(lambda: feed.report.events > 0, seconds=10)
 
     async def start_load(self, *, callers):
         for number, service in enumerate(self.fleet.services):
@@ -74,20 +74,20 @@
                 clients=[Client.AIOQUIC],
             )
             self.workloads.append(workload)
-            self.load.append(asyncio.create_task(workload.run()))
+            self.load_tasks.append(asyncio.create_task(workload.run()))
 
     async def stop_load(self):
         for workload in self.workloads:
             workload.stopping.set()
-        await asyncio.gather(*self.load)
-        self.load.clear()
+        await asyncio.gather(*self.load_tasks)
+        self.load_tasks.clear()
 
     async def call(self, service, request, *, name=None):
         """Send one request on a connection of its own and record its outcome."""
         caller = Caller(self.fleet.target(service))
         self.callers.append(caller)
         if name is not None:
-            self.named_callers[name] = caller
+            self.callers_by_request[name] = caller
         return await self.call_with(caller, request)
 
     async def call_with(self, caller, request):
@@ -103,27 +103,29 @@
         self.records.append(record)
         return record
 
-    def begin(self, name, service, **fields):
-        """Send a request whose outcome a later step looks at."""
+    def start_request(self, name, service, **fields):
+        """Start a request whose outcome a later step checks."""
         request = Request(**fields)
-        self.pending[name] = asyncio.create_task(self.call(service, request, name=name))
+        self.pending_requests[name] = asyncio.create_task(
+            self.call(service, request, name=name)
+        )
 
-    def host_named(self, name):
-        """Return what the answer of a named request says of its host, or None."""
-        caller = self.named_callers.get(name)
+    def get_host_header(self, name):
+        """Return the host header of a named request's answer, or None without one."""
+        caller = self.callers_by_request.get(name)
         connections = caller.connections if caller is not None else []
         return connections[0].exchanges.host if connections else None
 
-    def host_of(self, name):
-        """Return the host that a named request went to."""
-        if name not in self.named_hosts:
-            id = self.host_named(name).split(";")[0]
-            self.named_hosts[name] = self.fleet.hosts[id]
-        return self.named_hosts[name]
+    def get_host_of_request(self, name):
+        """Return the host that received a named request."""
+        if name not in self.hosts_by_request:
+            id = self.get_host_header(name).split(";")[0]
+            self.hosts_by_request[name] = self.fleet.hosts[id]
+        return self.hosts_by_request[name]
 
-    async def outcome(self, name):
+    async def wait_for_outcome(self, name):
         if name not in self.outcomes:
-            self.outcomes[name] = await self.pending[name]
+            self.outcomes[name] = await self.pending_requests[name]
         return self.outcomes[name].outcome
 
     @property
@@ -133,21 +135,21 @@
 
     @property
     def reports(self):
-        """Reports of all feeds, those of the load included."""
+        """Reports of all feeds, including those of the load."""
         loaded = [workload.feed.report for workload in self.workloads]
         return [*(feed.feed.report for feed in self.feeds), *loaded]
 
-    def runs(self):
-        """Runs of all upstreams, stopped ones included."""
+    def all_runs(self):
+        """Return the runs of all upstreams, including stopped ones."""
         hosts = self.fleet.hosts.values()
         present = [run for host in hosts for run in self.fleet.ledger(host)]
-        return [*self.gone_runs, *present]
+        return [*self.runs_of_stopped_hosts, *present]
 
-    def account(self):
-        return reconcile(self.all_records, self.runs())
+    def reconcile_requests(self):
+        return reconcile(self.all_records, self.all_runs())
 
-    async def until(self, condition, *, seconds):
-        """Wait for a condition; tell whether it came true in time."""
+    async def wait_until(self, condition, *, seconds):
+        """Wait for a condition and return True if it was met in time."""
         deadline = time.monotonic() + seconds
         while not condition():
             if time.monotonic() > deadline:
@@ -156,9 +158,13 @@
         return True
 
     async def close(self):
-        for process in self.frozen:
+        for process in self.suspended_processes:
             process.resume()
-        tasks = [*self.load, *self.pending.values(), *(f.task for f in self.feeds)]
+        tasks = [
+            *self.load_tasks,
+            *self.pending_requests.values(),
+            *(f.task for f in self.feeds),
+        ]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/testing/proof/steps/configuration.py
+++ b/testing/proof/steps/configuration.py
@@ -1,4 +1,4 @@
-"""Steps that publish records and look at what is in force."""
+"""Steps that publish records and check which revisions are in force."""
 
 import asyncio
 import time
@@ -12,11 +12,11 @@
 POLL_SECONDS = 0.1
 
 
-async def read_revision(scene, process):
-    """Return the sum of revisions in force at a daemon, None when it is down."""
+async def read_revision(state, process):
+    """Return the sum of the revisions in force at a daemon, or None if it is down."""
     url = f"http://{process.host}:{process.metrics_port}/metrics"
     try:
-        async with scene.fleet.stand_ins.session.get(url) as answer:
+        async with state.fleet.stand_ins.session.get(url) as answer:
             text = await answer.text()
     except (TimeoutError, OSError):
         return None
@@ -26,68 +26,68 @@
     return None
 
 
-def daemons_of(scene, service):
+def list_daemons(state, service):
     """Return every process that needs the records of a service."""
-    balancers = [balancer.process for balancer in scene.fleet.balancers.values()]
-    agents = [host.agent for host in scene.fleet.hosts_of(service)]
+    balancers = [balancer.process for balancer in state.fleet.balancers.values()]
+    agents = [host.agent for host in state.fleet.hosts_of(service)]
     return [process for process in (*balancers, *agents) if process.running]
 
 
-async def read_revisions(scene, service):
-    processes = daemons_of(scene, service)
-    values = await asyncio.gather(*(read_revision(scene, p) for p in processes))
+async def read_revisions(state, service):
+    processes = list_daemons(state, service)
+    values = await asyncio.gather(*(read_revision(state, p) for p in processes))
     seen = {p.id: v for p, v in zip(processes, values, strict=True) if v is not None}
-    highest = scene.highest_revisions
+    highest = state.highest_revisions
     highest.update({id: max(v, highest.get(id, v)) for id, v in seen.items()})
     return seen
 
 
-def plan_of(scene, service):
-    plans = scene.fleet.deployment.services
+def get_plan(state, service):
+    plans = state.fleet.deployment.services
     return next(plan for plan in plans if plan.id == service)
 
 
-async def publish(scene, service, revision, **fields):
+async def publish(state, service, revision, **fields):
     record = documents.service_record(
-        plan_of(scene, service),
-        address=scene.fleet.services[service],
+        get_plan(state, service),
+        address=state.fleet.services[service],
         revision=revision,
         **fields,
     )
-    await scene.fleet.stand_ins.publish(record)
+    await state.fleet.stand_ins.publish(record)
 
 
 @given("the revisions in force are noted")
 @when("the revisions in force are noted")
-def note_revisions(context):
-    scene = context.scene
-    scene.revisions = {
-        service: context.run(read_revisions(scene, service))
-        for service in scene.fleet.services
+def record_revisions(context):
+    state = context.state
+    state.revisions = {
+        service: context.run(read_revisions(state, service))
+        for service in state.fleet.services
     }
 
 
 @when("revision {revision:d} of {service} is published")
 def publish_revision(context, revision, service):
-    context.run(publish(context.scene, service, revision))
+    context.run(publish(context.state, service, revision))
 
 
 @when("revision {revision:d} of {service} is published with a retry share of {share:g}")
-def publish_share(context, revision, service, share):
-    context.run(publish(context.scene, service, revision, retry_share=share))
+def publish_retry_share(context, revision, service, share):
+    context.run(publish(context.state, service, revision, retry_share=share))
 
 
 @when("an invalid revision {revision:d} of {service} is published")
 def publish_invalid(context, revision, service):
     fields = {"placement": {"type": "no such policy"}}
-    context.run(publish(context.scene, service, revision, **fields))
+    context.run(publish(context.state, service, revision, **fields))
 
 
-async def wait_for_sum(scene, service, expected, seconds):
-    """Wait until every daemon of a service shows the expected sum."""
+async def wait_for_revisions(state, service, expected, seconds):
+    """Wait until each daemon of a service reports its expected sum of revisions."""
     deadline = time.monotonic() + seconds
     while True:
-        seen = await read_revisions(scene, service)
+        seen = await read_revisions(state, service)
         if seen and all(seen[id] == expected[id] for id in seen):
             return seen
         if time.monotonic() > deadline:
@@ -97,19 +97,19 @@
 
 @then("{growth:d} more revisions of {service} are in force within {seconds:d} seconds")
 @then("{growth:d} more revision of {service} is in force within {seconds:d} seconds")
-def in_force(context, growth, service, seconds):
-    scene = context.scene
-    before = scene.revisions[service]
+def check_in_force(context, growth, service, seconds):
+    state = context.state
+    before = state.revisions[service]
     expected = {id: value + growth for id, value in before.items()}
-    seen = context.run(wait_for_sum(scene, service, expected, seconds))
+    seen = context.run(wait_for_revisions(state, service, expected, seconds))
     assert seen == {id: expected[id] for id in seen}, f"{expected} {seen}"
 
 
 @then("no revision of {service} is lower {seconds:d} seconds later")
-def not_reverted(context, service, seconds):
-    scene = context.scene
+def check_not_reverted(context, service, seconds):
+    state = context.state
     context.run(asyncio.sleep(seconds))
-    seen = context.run(read_revisions(scene, service))
-    highest = scene.highest_revisions
+    seen = context.run(read_revisions(state, service))
+    highest = state.highest_revisions
     lower = {id: (highest[id], v) for id, v in seen.items() if v < highest[id]}
     assert not lower, lower
--- a/testing/proof/steps/fleet.py
+++ b/testing/proof/steps/fleet.py
@@ -1,4 +1,4 @@
-"""Steps that start fleets and stop, freeze or replace their processes."""
+"""Steps that start fleets and stop, suspend or replace their processes."""
 
 import asyncio
 import signal
@@ -9,15 +9,15 @@
 @given("a fleet with {balancers:d} balancers and {hosts:d} hosts a service")
 def start_fleet(context, balancers, hosts):
     sizes = {"order-desk": hosts, "pattern-library": hosts}
-    context.run(context.scene.start_fleet(hosts=sizes, balancers=balancers))
+    context.run(context.state.start_fleet(hosts=sizes, balancers=balancers))
 
 
 def find_balancer(context, number):
-    return list(context.scene.fleet.balancers.values())[number - 1]
+    return list(context.state.fleet.balancers.values())[number - 1]
 
 
 def find_host(context, number, service):
-    return context.scene.fleet.hosts_of(service)[number - 1]
+    return context.state.fleet.hosts_of(service)[number - 1]
 
 
 @when("balancer {number:d} is killed")
@@ -28,35 +28,35 @@
 @when("balancer {number:d} starts again")
 def restart_balancer(context, number):
     balancer = find_balancer(context, number)
-    context.run(context.scene.fleet.restart_balancer(balancer))
+    context.run(context.state.fleet.restart_balancer(balancer))
 
 
 @when("balancer {number:d} is frozen")
-def freeze_balancer(context, number):
+def suspend_balancer(context, number):
     process = find_balancer(context, number).process
-    context.scene.frozen.append(process)
+    context.state.suspended_processes.append(process)
     process.suspend()
 
 
 @when("balancer {number:d} wakes")
-def wake_balancer(context, number):
+def resume_balancer(context, number):
     find_balancer(context, number).process.resume()
 
 
 @when("every balancer is replaced in turn")
 def replace_balancers(context):
-    fleet = context.scene.fleet
+    fleet = context.state.fleet
     for balancer in list(fleet.balancers.values()):
         code = context.run(fleet.replace_balancer(balancer))
-        context.scene.exit_codes.append(code)
+        context.state.exit_codes.append(code)
         context.run(fleet.stand_ins.wait_live(set(fleet.balancers)))
 
 
 @when("host {number:d} of {service} drains")
 def drain_host(context, number, service):
     host = find_host(context, number, service)
-    codes = context.run(context.scene.fleet.drain_host(host))
-    context.scene.exit_codes.extend(codes)
+    codes = context.run(context.state.fleet.drain_host(host))
+    context.state.exit_codes.extend(codes)
 
 
 @when("the agent of host {number:d} of {service} is killed")
@@ -67,18 +67,18 @@
 @when("the agent of host {number:d} of {service} starts again")
 def restart_agent(context, number, service):
     host = find_host(context, number, service)
-    context.run(context.scene.fleet.restart_agent(host))
+    context.run(context.state.fleet.restart_agent(host))
 
 
 @when("the agent of host {number:d} of {service} is frozen")
-def freeze_agent(context, number, service):
+def suspend_agent(context, number, service):
     process = find_host(context, number, service).agent
-    context.scene.frozen.append(process)
+    context.state.suspended_processes.append(process)
     process.suspend()
 
 
 @when("the agent of host {number:d} of {service} wakes")
-def wake_agent(context, number, service):
+def resume_agent(context, number, service):
     find_host(context, number, service).agent.resume()
 
 
@@ -92,35 +92,35 @@
     context.run(asyncio.sleep(seconds))
 
 
-async def reuse_address(scene, host, other):
-    """Start a host of another service where one has just died."""
-    fleet = scene.fleet
+async def reuse_address(state, host, other):
+    """Kill a host and start one of another service at its address."""
+    fleet = state.fleet
     plan = next(plan for plan in fleet.deployment.services if plan.id == other)
     await asyncio.gather(host.agent.kill(), host.upstream.kill())
-    scene.gone_runs.extend(fleet.ledger(host))
+    state.runs_of_stopped_hosts.extend(fleet.ledger(host))
     del fleet.hosts[host.id]
     await fleet.publish_upstream(plan, host.index)
     await fleet.start_host(plan, host.index)
 
 
 @when("host {number:d} of {service} dies and {other} takes its address")
-def take_address(context, number, service, other):
+def start_other_service(context, number, service, other):
     host = find_host(context, number, service)
-    context.run(reuse_address(context.scene, host, other))
+    context.run(reuse_address(context.state, host, other))
 
 
 @when("every host of {service} is replaced in turn")
 def replace_hosts(context, service):
-    fleet = context.scene.fleet
+    fleet = context.state.fleet
     for host in fleet.hosts_of(service):
-        context.scene.exit_codes.extend(context.run(fleet.drain_host(host)))
+        context.state.exit_codes.extend(context.run(fleet.drain_host(host)))
         replacement = context.run(fleet.start_host(host.plan, host.index))
         context.run(fleet.wait_ready(replacement.agent))
 
 
 @when("the host of {name} starts to drain")
 def start_drain(context, name):
-    scene = context.scene
-    host = scene.host_of(name)
-    context.run(scene.fleet.register_host(host, leaving=True))
+    state = context.state
+    host = state.get_host_of_request(name)
+    context.run(state.fleet.register_host(host, leaving=True))
     host.agent.send_signal(signal.SIGTERM)
