--- a/bench/capacity/run.py
+++ b/bench/capacity/run.py
@@ -210,7 +210,7 @@
 def extrapolate(
     runs: list[SizeResult], stores: list[StoreCost]
 ) -> list[tuple[str, str, str]]:
-    """Return quantity, target and value, extrapolated to the target size."""
+    """Return quantity, target and value for the target size, by linear slopes."""
     seats = [run.usage["seat"] for run in runs]
     per_domain = TARGET_DAEMONS / TARGET_DOMAINS
     followers = per_domain * 2 / 3
--- a/testing/soak/fabric.py
+++ b/testing/soak/fabric.py
@@ -40,7 +40,10 @@
             await asyncio.sleep(CHECK_SECONDS)
 
     def rotation(self):
-        """Return the balancers in rotation; all if fewer than half are ready."""
+        """Return the balancers in rotation.
+
+        If fewer than half are, all are returned, including dead ones.
+        """
         used = [
             b for b in self.balancers if self.failed_checks[b] < FAILED_CHECKS_TO_REMOVE
         ]
--- a/testing/soak/host.py
+++ b/testing/soak/host.py
@@ -99,7 +99,10 @@
         return endpoint in self.service_endpoints or is_probe
 
     def handle_foreign_packet(self, data, flags):
-        """Bounce a packet of another service; an opening packet breaks a promise."""
+        """Bounce a packet of another service.
+
+        An opening packet is also reported: its requests would have run on this host.
+        """
         if flags & SYN:
             self.report_violation(
                 f"{self.address} of {self.service} received another service's new flow"
