Follow the rename of the fake client's send_opening in the adapter's fleet

The processes' fleet uses the fake client of the relay tests; it still called the method by its old name, knock, and seven of its tests failed. A search for uses of names that no file defines any more finds no other.

--- a/testing/adapter/fleet.py
+++ b/testing/adapter/fleet.py
@@ -220,7 +220,7 @@
         The opening packet is sent up to three times, as clients do.
         """
         for copy in (0, 1, 2):
-            client.knock(balancer, copy)
+            client.send_opening(balancer, copy)
             if await self.wait_for(lambda: client.is_open, seconds=RETRY_SECONDS):
                 return True
         return await self.wait_for(lambda: client.is_open, seconds=1.0)
