--- a/packages/daisygauge-control/src/daisygauge_control/_sealing.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_sealing.py
@@ -72,9 +72,9 @@
 
 
 def _cipher(key: DerivedKeys) -> AESGCM:
-    return AESGCM(key.peer_call_seal)
+    return AESGCM(key.peer_call_sealing_key)
 
 
-def sealed_bytes(sealed: Sealed) -> int:
+def sealed_size(sealed: Sealed) -> int:
     """Return the size of a message on its stream in bytes."""
     return sealed.ByteSize() + FRAMING_BYTES
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_placer.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_balancer/_placer.py
@@ -9,7 +9,7 @@
 from daisygauge_control import ConfigurationView
 from daisygauge_policy import PlacementTable, make_flow_key
 from daisygauge_records import Endpoint, Placement, Service
-from daisygauge_wire import Datagram, Kind, PlacedStatus
+from daisygauge_wire import Datagram, Kind, PlacementStatus
 
 from .._events import EventLog
 from . import _events as events
@@ -19,10 +19,10 @@
 
 SERVICE_NUMBER_BYTES = 2
 FINAL_STATUSES = frozenset(
-    {PlacedStatus.ACCEPTED, PlacedStatus.PASSED_ON, PlacedStatus.IGNORED}
+    {PlacementStatus.ACCEPTED, PlacementStatus.PASSED_ON, PlacementStatus.IGNORED}
 )
 MISADDRESSED_STATUSES = frozenset(
-    {PlacedStatus.WRONG_SERVICE, PlacedStatus.WRONG_INCARNATION}
+    {PlacementStatus.WRONG_SERVICE, PlacementStatus.WRONG_INCARNATION}
 )
 
 
@@ -306,7 +306,7 @@
             self.offer(flight, packet)
 
     def expire(self, *, now: float, time_now: float) -> None:
-        """Offer flights to the next candidate after ``ANSWER_TIMEOUT_SECONDS``.
+        """Offer unanswered flights to their next candidates; report the silent hosts.
 
         :param now: monotonic time in seconds.
         :param time_now: Unix time in seconds.
--- a/packages/daisygauge-records/src/daisygauge_records/_schema_1.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_schema_1.py
@@ -1,4 +1,4 @@
-"""Schema version 1: flat specs, converted into the effective models."""
+"""Specs of schema version 1, which are flat, and their conversion."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from attrs import field, frozen
 
-from ._errors import ValueRefusedError
+from ._errors import InvalidValueError
 from ._models import (
     DEFAULT_DEADLINE_SECONDS,
     DEFAULT_MAX_CONNECTIONS,
@@ -98,7 +98,8 @@
 def convert(*, id: str, spec: Spec1) -> Service | Upstream | Key:
     """Convert a spec of schema version 1 into the effective model.
 
-    :raises ValueRefusedError: naming the field of schema version 1 at fault.
+    :raises InvalidValueError: a field can't be converted; the path names the field of
+        schema version 1.
     """
     match spec:
         case Service1():
@@ -126,7 +127,7 @@
 def _convert_class(index: int, spec: RequestClass1) -> RequestClass:
     method, separator, path_prefix = spec.match.partition(" ")
     if not separator:
-        raise ValueRefusedError.of(
+        raise InvalidValueError.of(
             f"{spec.match!r} is not acceptable",
             remedy="write a method, a space and a path prefix, such as 'GET /feed'",
             path=f"classes[{index}].match",
@@ -167,14 +168,14 @@
 def _select(field_name: str, name: str, table: dict[str, Choice]) -> Choice:
     if name in table:
         return table[name]
-    raise ValueRefusedError.of(
+    raise InvalidValueError.of(
         f"{name!r} is unknown",
         remedy=f"use one of {sorted(table)}",
         path=field_name,
     )
 
 
-FIELD_NAMES: dict[str, str] = {
+SCHEMA_1_FIELDS: dict[str, str] = {
     "address.host": "host",
     "address.port": "port",
     "agent.host": "host",
@@ -185,4 +186,4 @@
     "path_prefix": "match",
     "deadline_seconds": "deadline_ms",
 }
-"""Fields of schema version 1 by the path of the effective field."""
+"""Field names of schema version 1 by path in the effective model."""
--- a/packages/daisygauge-wire/src/daisygauge_wire/__init__.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/__init__.py
@@ -1,8 +1,9 @@
-"""The protocol between the processes of daisygauge."""
+"""Formats of the messages that the processes of daisygauge exchange."""
 
 import lazy_loader
 
-# A process pays at its start only for the modules that its role uses.
+# Submodules are imported on first use, so that a process loads only those that its
+# role needs.
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
@@ -14,8 +15,8 @@
             "Route",
             "decode_connection_id",
             "encode_connection_id",
-            "open_connection_id",
-            "reset_token",
+            "decrypt_connection_id",
+            "derive_reset_token",
         ],
         "_datagram": [
             "ANY_INCARNATION",
@@ -25,7 +26,7 @@
             "Datagram",
             "Kind",
             "MalformedDatagramError",
-            "PlacedStatus",
+            "PlacementStatus",
             "decode_datagram",
             "encode_datagram",
         ],
--- a/testing/daemon/test_balancer_fuzz.py
+++ b/testing/daemon/test_balancer_fuzz.py
@@ -12,7 +12,7 @@
     Datagram,
     KeyRing,
     Kind,
-    PlacedStatus,
+    PlacementStatus,
     Route,
     encode_connection_id,
     encode_datagram,
@@ -94,7 +94,7 @@
     lambda rng: signed_datagram(rng, kind=Kind.FORWARD),
     lambda rng: signed_datagram(rng, kind=Kind.LOAD_REPORT),
     lambda rng: signed_datagram(rng, kind=Kind.PROBE_ANSWER),
-    lambda rng: signed_datagram(rng, kind=Kind.PLACED, payload=rng.randbytes(300)),
+    lambda rng: signed_datagram(rng, kind=Kind.PLACEMENT, payload=rng.randbytes(300)),
     lambda rng: signed_datagram(rng, candidates=(UNPUBLISHED.agent,)),
 )
 
@@ -136,7 +136,7 @@
         datagram = await agent.receive_datagram()
         if datagram.incarnation != ANY_INCARNATION:
             return datagram
-        agent.answer(datagram, PlacedStatus.IGNORED, balancer.local)
+        agent.answer(datagram, PlacementStatus.IGNORED, balancer.local)
 
 
 async def check_flow(number, flow, balancer, caller, agent, address):
--- a/testing/soak/client.py
+++ b/testing/soak/client.py
@@ -7,7 +7,7 @@
 
 from relay.network import pack_end, pack_packet
 
-from daisygauge_platform._packets import ACK, FIN, HEAD, RST, SYN
+from daisygauge_platform._packets import ACK, FIN, HEADER, RST, SYN
 
 OPENING_INTERVALS_SECONDS = (0.2, 0.4, 0.8)
 """Seconds to wait after each opening packet; after the last one the attempt fails."""
@@ -33,14 +33,14 @@
         self.sequence = 1
 
     def receive(self, data):
-        seq, _, length, flags, *_ = HEAD.unpack_from(data)
+        seq, _, length, flags, *_ = HEADER.unpack_from(data)
         if flags & RST:
             self.is_reset = True
         elif flags & SYN:
             if self.host_sequence is None:
                 self.host_sequence = seq
         elif length:
-            self.answers[seq] = data[HEAD.size :]
+            self.answers[seq] = data[HEADER.size :]
         self.packet_received.set()
 
     async def wait(self, condition, seconds):
--- a/testing/soak/host.py
+++ b/testing/soak/host.py
@@ -8,7 +8,7 @@
 
 from relay.network import pack_end
 
-from daisygauge_platform._packets import ACK, BOUNCED, FIN, HEAD, SYN
+from daisygauge_platform._packets import ACK, BOUNCED, FIN, HEADER, SYN
 
 WORK_SECONDS = 0.02
 
@@ -70,7 +70,7 @@
     def receive(self, data):
         if self.is_unresponsive:
             return
-        seq, ack, length, flags, echo, dst, src, _ = HEAD.unpack_from(data)
+        seq, ack, length, flags, echo, dst, src, _ = HEADER.unpack_from(data)
         if flags & BOUNCED or echo or data[11:15] != bytes(4):
             self.report_violation(
                 f"{self.address} received a packet with internal header fields set"
@@ -88,7 +88,9 @@
         elif flow is None or not self.is_acknowledged(flow, ack):
             self.bounce(data)
         elif length:
-            self.handle_request(src, flow, seq, data[HEAD.size : HEAD.size + length])
+            self.handle_request(
+                src, flow, seq, data[HEADER.size : HEADER.size + length]
+            )
         elif flags & FIN:
             del self.flows[src]
 
@@ -142,7 +144,7 @@
     def send_answer(self, client, flow, *, flags, sequence, data=b""):
         if self.is_unresponsive:
             return
-        head = HEAD.pack(
+        head = HEADER.pack(
             sequence, 1, len(data), flags, 0, client, flow.service_endpoint, 5
         )
         self.send(head + data)
