--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -266,7 +266,8 @@
             held = host.flows.get(endpoint)
             if held is not None and held.sequence == flow.host_sequence:
                 self.report_violation(
-                    f"flow of port {flow.client_endpoint[1]} was reset; host holds it"
+                    f"flow of port {flow.client_endpoint[1]} was reset; "
+                    "its host holds it"
                 )
 
     def new_flow(self, service_endpoint):
