Clarify names and comments of control that took a second reading

Some names held something else than they said: the busy flag of the HTTP client means that the connection must be closed, and two functions named choose_watchers choose different processes. Some comments used terms without a definition (lapse) or no longer fitted the code (record_outage is also called when the platform answers again).

Rename them within the package and its tests, and reword the comments. Behaviour, settings, messages on the wire and error texts stay. The attribute `sent` of a follower's stream is internal.

--- a/packages/daisygauge-control/src/daisygauge_control/_budget.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_budget.py
@@ -13,8 +13,9 @@
 READS_PER_SECOND = 2.0
 READS_BURST = 20.0
 SYNC_RESERVE = 0.25
-"""Share of the burst that full copies leave to changes."""
-MAX_STEP_BYTES = 500_000.0
+"""Share of the burst that is reserved for changes; full copies can't use it."""
+MAX_CHARGED_BYTES = 500_000.0
+"""Largest size that one message counts against the rate limit."""
 
 
 class ControlBudget:
@@ -47,7 +48,7 @@
         :param is_sync: True if the message is part of a full copy.
         """
         reserve = SYNC_RESERVE * CONTROL_BURST_BYTES if is_sync else 0.0
-        amount = min(float(size), MAX_STEP_BYTES)
+        amount = min(float(size), MAX_CHARGED_BYTES)
         while True:
             now = self.clock()
             seconds = self.bytes_bucket.wait_seconds(amount + reserve, now=now)
--- a/packages/daisygauge-control/src/daisygauge_control/_credentials.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_credentials.py
@@ -1,8 +1,9 @@
 """Authentication of calls between daemons with keys derived from published ones.
 
 Each call carries its sender, the time, and a keyed hash (HMAC, RFC 2104) of both, of
-the receiver and of the method. A call is refused if no key in force verifies the hash,
-if it is for another receiver, or if its time is too far off.
+the receiver and of the method. The hash is called the tag of the call. A call is
+refused if no key in force verifies the tag, if it is for another receiver, or if its
+time is too far off.
 """
 
 from __future__ import annotations
--- a/packages/daisygauge-control/src/daisygauge_control/_directory.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory.py
@@ -14,12 +14,13 @@
 from msgspec.structs import replace
 
 LAPSE_GRACE_SECONDS = 2.0
-"""Entries that lapsed during a platform outage come back within this time."""
+"""An entry lapses when it expires on the platform. Running hosts whose entries lapsed
+during a platform outage are listed again within this time."""
 OUTAGE_MEMORY_SECONDS = 8.0
-"""A removal this soon after a platform outage may be such a lapse."""
+"""A removal within this time after a platform outage may be a lapse."""
 SETTLING_SECONDS = LAPSE_GRACE_SECONDS + 0.5
-"""After this time, whatever had lapsed before the start of the process is back in the
-view. The half second covers the propagation of a change."""
+"""By this time after the first read, entries that had lapsed before it are in the view
+again. The half second covers the propagation of a change."""
 MAX_CURRENT_AGE_SECONDS = 2.0
 """A view confirmed within this time is current; sources confirm it every second."""
 NO_REVISION = 0
@@ -180,7 +181,9 @@
         self.lapses_expected_until = float("-inf")
 
     def record_outage(self, *, now: float) -> None:
-        """Record that the platform can't be read, so that removals may be lapses.
+        """Record that the platform is unavailable, or was until this call.
+
+        Removals may be lapses for ``OUTAGE_MEMORY_SECONDS`` afterwards.
 
         :param now: monotonic time in seconds.
         """
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_follower.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_follower.py
@@ -21,7 +21,7 @@
 )
 from ._directory_exchange import INITIAL_ANSWER_SECONDS, PeerReader
 from ._directory_reader import DirectoryReader, HistoryLostError
-from ._directory_watchers import choose_watchers, order_watchers
+from ._directory_watchers import choose_agent_watchers, order_watchers
 from ._errors import PlatformUnavailableError
 from ._signal import Signal
 
@@ -31,7 +31,8 @@
 COALESCE_SECONDS = 0.2
 """Pause after changes, so that a series of changes takes one call instead of many."""
 MAX_PEER_AGE_SECONDS = 1.8
-"""A peer is not current if its data is older than a watch and its timeout."""
+"""A peer with older data is not current. The limit exceeds the longest watch:
+``WATCH_SECONDS`` and the timeout of 0.5 s."""
 FIRST_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 1.2
 """Well below the time within which a change must be in force."""
@@ -160,7 +161,7 @@
     def list_sources(self) -> tuple[str, ...]:
         """Return all sources, most preferred first."""
         agents = self.directory.view.hosts_by_address
-        watchers = choose_watchers(agents)
+        watchers = choose_agent_watchers(agents)
         others = order_watchers(
             (watcher for watcher in watchers if watcher != self.own_address),
             follower=self.own_address,
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_messages.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_messages.py
@@ -16,7 +16,7 @@
 
 
 class MalformedMessageError(ValueError):
-    """A peer sent bytes that are not a valid message; the versions may not match."""
+    """A peer sent bytes that are not a valid message; it may run another version."""
 
 
 class ChangesRequest(Struct, kw_only=True, frozen=True, array_like=True):
--- a/packages/daisygauge-control/src/daisygauge_control/_directory_watchers.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory_watchers.py
@@ -15,10 +15,11 @@
 MIN_WATCHERS = 3
 """Two may fail at once without interrupting the updates of the others."""
 HOSTS_PER_WATCHER = 24
-"""A watcher answers each of its followers about once a second."""
+"""There is one watcher for this number of hosts. It answers each of its followers
+about once a second."""
 
 
-def choose_watchers(agents: Iterable[str]) -> tuple[str, ...]:
+def choose_agent_watchers(agents: Iterable[str]) -> tuple[str, ...]:
     """Return the addresses of the agents that watch the platform."""
     ranked = sorted(set(agents), key=_watcher_order)
     count = max(MIN_WATCHERS, -(-len(ranked) // HOSTS_PER_WATCHER))
--- a/packages/daisygauge-control/src/daisygauge_control/_events.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_events.py
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class RevisionConflict:
-    """Two contents were published with one revision; the digests decided between them.
+    """Two contents of a record have the same revision; that of greater digest is kept.
 
     :param kept: digest of the content in force.
     :param dropped: digest of the other content.
--- a/packages/daisygauge-control/src/daisygauge_control/_http_client.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_http_client.py
@@ -62,7 +62,7 @@
         self.host = host
         self.port = port
         self.calls = 0
-        self._is_busy = False
+        self._must_close = False
         self.streams: Streams | None = None
 
     async def get(self, target: str, *, timeout_seconds: float) -> HttpResponse:
@@ -83,11 +83,11 @@
                 address=f"{self.host}:{self.port}", reason=reason
             ) from error
         finally:
-            if self.streams is not None and self._is_busy:
+            if self.streams is not None and self._must_close:
                 self.close()
 
     async def _exchange(self, target: str) -> HttpResponse:
-        self._is_busy = True
+        self._must_close = True
         if is_closed(self.streams):
             self.close()
             self.streams = await connect_tcp(self.host, self.port)
@@ -101,7 +101,7 @@
             if not data:
                 raise EOFError("the connection closed before the response was complete")
             response = parts.feed(data)
-        self._is_busy = not parts.parser.should_keep_alive()
+        self._must_close = not parts.parser.should_keep_alive()
         return response
 
     def close(self) -> None:
--- a/packages/daisygauge-control/src/daisygauge_control/_node.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_node.py
@@ -31,7 +31,7 @@
 
 
 class Node:
-    """This daemon as its peers see it.
+    """State of this daemon that its control tasks share.
 
     :ivar changed: notified when records, instances or subscriptions change.
     :ivar followers: daemons that follow this one, by id.
--- a/packages/daisygauge-control/src/daisygauge_control/_sealing.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_sealing.py
@@ -25,7 +25,7 @@
 
 
 class UnreadableMessageError(ValueError):
-    """A message can't be opened with any key in force, so the peer is not trusted."""
+    """A message is invalid or can't be decrypted, so the peer is not trusted."""
 
     def __init__(self, reason: str) -> None:
         super().__init__(f"{reason}; check that both daemons hold the same keys")
--- a/packages/daisygauge-control/src/daisygauge_control/_service.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_service.py
@@ -111,7 +111,7 @@
     """The stream of changes to one follower.
 
     :param request: first message of the follower.
-    :ivar sent: instance list as it was sent to the follower.
+    :ivar sent_instances: instance list as it was last sent to the follower.
     :ivar sequence: number of the latest change that was sent to the follower.
     """
 
@@ -127,9 +127,9 @@
         self.follower = follower
         self.node = node
         self.request = request
-        self.sent: Instances = {}
+        self.sent_instances: Instances = {}
         self.sequence = node.state.change_log.sequence
-        self._selected_from: tuple[object, object] = (None, None)
+        self._selection_inputs: tuple[object, object] = (None, None)
         self._reported_ready = False
 
     async def receive_reports(self) -> None:
@@ -166,7 +166,7 @@
         state = self.node.state
         return (
             self.sequence != state.change_log.sequence
-            or self._selected_from[0] is not state.view.instances
+            or self._selection_inputs[0] is not state.view.instances
             or self._reported_ready != self.node.is_ready()
         )
 
@@ -199,10 +199,10 @@
         view = self.node.state.view
         inputs = (view.instances, view.upstreams)
         if all(
-            old is new for old, new in zip(self._selected_from, inputs, strict=True)
+            old is new for old, new in zip(self._selection_inputs, inputs, strict=True)
         ):
             return
-        self._selected_from = inputs
+        self._selection_inputs = inputs
         member = self.follower.member
         upstreams = view.upstreams.get(member.service, ())
         current = select_instances(
@@ -210,7 +210,7 @@
             member=member,
             upstreams=[upstream.id for upstream in upstreams],
         )
-        sent, self.sent = self.sent, current
+        sent, self.sent_instances = self.sent_instances, current
         for id, instance in current.items():
             if sent.get(id) != instance:
                 delta.instances.append(encode_instance(instance))
--- a/packages/daisygauge-control/src/daisygauge_control/_state.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_state.py
@@ -66,7 +66,7 @@
         self.unreadable: dict[str, RecordRefused] = {}
         self.duplicates: dict[str, RecordRefused] = {}
         self._keys: tuple[Key, ...] = ()
-        self._seen: dict[str, int] = {}
+        self._document_hashes: dict[str, int] = {}
 
     @property
     def refused(self) -> dict[str, RecordRefused]:
@@ -82,9 +82,9 @@
         changed = False
         for entry in published:
             content = hash(entry.document)
-            if self._seen.get(entry.name) == content:
+            if self._document_hashes.get(entry.name) == content:
                 continue
-            self._seen[entry.name] = content
+            self._document_hashes[entry.name] = content
             record = self._parse(entry.document, name=entry.name)
             if record is not None:
                 self.unreadable.pop(f"{record.kind}/{record.id}", None)
@@ -97,7 +97,7 @@
         :return: True if a new view is in force.
         """
         records = [self._parse(document, name="peer") for document in documents]
-        # A list, because any() on a generator would skip records after a change.
+        # A list, because any() on a generator would stop at the first changed record.
         changed = [
             self._apply_record(record) for record in records if record is not None
         ]
--- a/packages/daisygauge-control/src/daisygauge_control/_status.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_status.py
@@ -112,7 +112,7 @@
 ) -> StatusAnswer:
     """Merge the answers of watchers into one status by failure domain.
 
-    A daemon that several watchers report is listed with its smallest delay.
+    A daemon that several watchers report is listed with its least ``behind_seconds``.
     """
     members: dict[str, MemberStatus] = {}
     watchers: dict[str, str] = {}
--- a/packages/daisygauge-control/src/daisygauge_control/_subscription_manager.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_subscription_manager.py
@@ -19,8 +19,8 @@
 TICK_SECONDS = 1.0
 INITIAL_SYNC_SECONDS = 3.0
 """Longest time that a daemon waits for its peers after its start."""
-WATCHER_LINGER_SECONDS = 10.0
-"""Time for which a daemon goes on watching after the plan no longer asks for it."""
+STOP_WATCHING_AFTER_SECONDS = 10.0
+"""Time for which a daemon keeps watching after its plan ceased to require it."""
 FALL_BACK_AFTER_SECONDS = 2.0
 FALL_BACK_SPREAD_SECONDS = 8.0
 """Period over which the reads of daemons that lost their peers together are spread."""
@@ -81,8 +81,8 @@
         Balancers need every record anyway, so they read all of them.
         """
         is_agent = self.node.member.role is Role.AGENT
-        records = self.watch.read_keys if is_agent else self.watch.read_records
-        await self.watch.read_until_success(records, self.watch.read_instances)
+        read_records = self.watch.read_keys if is_agent else self.watch.read_records
+        await self.watch.read_until_success(read_records, self.watch.read_instances)
 
     def _update(self, *, started: float) -> None:
         now = self._now()
@@ -91,7 +91,7 @@
         plan = self._make_plan(now)
         self.subscriptions.set_peers(plan.peers)
         if plan.is_watcher:
-            self._watcher_until = now + WATCHER_LINGER_SECONDS
+            self._watcher_until = now + STOP_WATCHING_AFTER_SECONDS
         self._set_watcher(now < self._watcher_until)
         self._schedule_fallback(now)
         if not self.has_synced and self._is_synced(now - started):
@@ -158,7 +158,7 @@
         :param age: seconds since the daemon began to follow peers.
         """
         subscriptions = tuple(self.subscriptions.by_peer.values())
-        asked = (
+        peers_done = (
             all(subscription.answered for subscription in subscriptions)
             or age > INITIAL_SYNC_SECONDS
         )
@@ -166,7 +166,7 @@
             subscription.answered and subscription.peer_ready
             for subscription in subscriptions
         )
-        return asked and (from_peer or self.watch.records_read)
+        return peers_done and (from_peer or self.watch.records_read)
 
     async def _fall_back_if_due(self) -> None:
         """Read the platform once if no peer has answered for too long."""
--- a/packages/daisygauge-control/src/daisygauge_control/_watchers.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_watchers.py
@@ -106,9 +106,9 @@
     """Choose the peers of a watcher: three at most.
 
     They are the next watcher of its own domain, one of the next domain and one of
-    another domain. The subscriptions to the next one form rings over the watchers of
-    a domain and over the domains, so that a change that only one watcher could read
-    reaches all of them.
+    another domain. The subscriptions to the next watcher form a ring over the watchers
+    of a domain, and those to the next domain a ring over the domains. A change that
+    only one watcher could read thus reaches all of them.
     """
     position = [watcher.id for watcher in own].index(member.id)
     peers = [*own[position + 1 :], *own[:position]][:1]
@@ -150,7 +150,9 @@
 
 
 AGENT_BALANCERS = 16
+"""Number of balancers of its region that an agent knows."""
 AGENT_RANKED_BALANCERS = 8
+"""Number of the highest-ranked balancers of its failure domain that an agent knows."""
 
 
 def select_instances(
--- a/testing/control/test_directory_follower.py
+++ b/testing/control/test_directory_follower.py
@@ -30,7 +30,7 @@
     encode_message,
     pack_items,
 )
-from daisygauge_control._directory_watchers import choose_watchers, order_watchers
+from daisygauge_control._directory_watchers import choose_agent_watchers, order_watchers
 
 PEER_PORT = 17_911
 
@@ -194,7 +194,7 @@
     hosts = tuple(host_item(n, n) for n in range(1, 9))
     follower, _, _ = make_follower(FakeReader(DirectoryUpdate(as_of=9, items=hosts)))
     await follower.step()
-    watchers = choose_watchers(follower.directory.view.hosts_by_address)
+    watchers = choose_agent_watchers(follower.directory.view.hosts_by_address)
     reply = ChangesReply(as_of=9, age_seconds=0.1, is_complete=False, items=())
     peers = {watcher: FakePeer(reply) for watcher in watchers}
     follower.peers.update(peers)
@@ -270,7 +270,7 @@
     items = tuple(host_item(n, n) for n in range(1, 9))
     follower, _, _ = make_follower(FakeReader())
     follower.directory.replace(items, as_of=9, now=0.0)
-    watchers = choose_watchers(follower.directory.view.hosts_by_address)
+    watchers = choose_agent_watchers(follower.directory.view.hosts_by_address)
 
     assert (
         follower.list_sources()[0]
@@ -307,16 +307,18 @@
 
 
 def test_the_number_of_watchers_grows_slower_than_the_fleet():
-    counts = [len(choose_watchers(map(str, range(n)))) for n in (2, 10, 100, 6_500)]
+    counts = [
+        len(choose_agent_watchers(map(str, range(n)))) for n in (2, 10, 100, 6_500)
+    ]
 
     assert counts == [2, 3, 5, 271]
 
 
 def test_few_watchers_change_when_a_host_leaves():
     agents = [f"10.0.0.{n}" for n in range(40)]
-    before = set(choose_watchers(agents))
+    before = set(choose_agent_watchers(agents))
     leaver = sorted(before)[0]
-    after = set(choose_watchers(agent for agent in agents if agent != leaver))
+    after = set(choose_agent_watchers(agent for agent in agents if agent != leaver))
 
     assert len(before & after) == len(before) - 1
 
--- a/testing/control/test_propagation.py
+++ b/testing/control/test_propagation.py
@@ -151,7 +151,7 @@
 
 async def test_a_former_watcher_keeps_following_changes(platform, monkeypatch):
     monkeypatch.setattr(
-        "daisygauge_control._subscription_manager.WATCHER_LINGER_SECONDS", 0.1
+        "daisygauge_control._subscription_manager.STOP_WATCHING_AFTER_SECONDS", 0.1
     )
     platform.publish(make_key(), make_service(), make_upstream(slots=1))
     async with run_fleet(platform) as fleet:
