Name the first read of a starting daemon unlike the method

The local name equalled that of the method for all records, although an agent reads only the keys. It is read_first now.

--- a/packages/daisygauge-control/src/daisygauge_control/_subscription_manager.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_subscription_manager.py
@@ -81,8 +81,8 @@
         Balancers need every record anyway, so they read all of them.
         """
         is_agent = self.node.member.role is Role.AGENT
-        read_records = self.watch.read_keys if is_agent else self.watch.read_records
-        await self.watch.read_until_success(read_records, self.watch.read_instances)
+        read_first = self.watch.read_keys if is_agent else self.watch.read_records
+        await self.watch.read_until_success(read_first, self.watch.read_instances)
 
     def _update(self, *, started: float) -> None:
         now = self._now()
