Give the agent's internals consistent names

One mapping had the two names OUTCOME_LABELS and OUTCOME_NAMES, the acceptor stored send_reply as send_packet, describe_error returned an outcome and make_memory_key named a memory that is now PassedFlights. Rename them, and say what count_detached_requests counts and why task names differ from components.

--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_acceptor.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_acceptor.py
@@ -61,7 +61,7 @@
 class Acceptor:
     """Creates and runs the caller connections of an agent.
 
-    :param send_reply: sends a packet towards a caller.
+    :param send_packet: sends a packet towards a caller.
     """
 
     def __init__(
@@ -71,13 +71,13 @@
         table: ConnectionTable,
         metrics: AgentMetrics,
         serve: ServeRequest,
-        send_reply: Callable[..., None],
+        send_packet: Callable[..., None],
     ) -> None:
         self.node = node
         self.table = table
         self.metrics = metrics
         self.serve = serve
-        self.send_packet = send_reply
+        self.send_packet = send_packet
         self.configuration = create_quic_configuration(node.settings.tls)
 
     def issue_id(self) -> IssuedId:
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_agent.py
@@ -104,7 +104,7 @@
             table=self.table,
             metrics=self.metrics,
             serve=self.requests.serve,
-            send_reply=self.replies.send_reply,
+            send_packet=self.replies.send_reply,
         )
         self.receive_datagrams()
         handler = PeerHandler(
@@ -112,6 +112,7 @@
         )
         self.peer_port = PeerPort(runtime=self.runtime, handlers=[handler])
         await self.peer_port.start()
+        # The names of tasks appear in logs and stay when a component is renamed.
         self.runtime.spawn(self.health.run(), name="health")
         self.runtime.spawn(self.slots.run(), name="slots")
         self.runtime.spawn(self.load_reports.run(), name="gauges")
@@ -202,7 +203,11 @@
         return self.health.ready and is_open
 
     def count_detached_requests(self) -> int:
-        """Count requests that may run without an open connection of a caller."""
+        """Count requests that may run without an open connection of a caller.
+
+        Requests of open connections are included, and a first run that holds or
+        waits for a slot is counted twice; 0 means that there are none.
+        """
         return (
             self.slots.running + self.slots.waiting + len(self.idempotency.first_runs)
         )
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_first_flights.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_first_flights.py
@@ -84,7 +84,7 @@
         if self.table.has_ended(flight_key, now=now):
             self.report(datagram, flight_key[1], status=PlacementStatus.ACCEPTED)
             return
-        passed = self.passed.find(make_memory_key(flight_key), now=now)
+        passed = self.passed.find(make_passed_key(flight_key), now=now)
         if passed is not None and datagram.hops < MAX_HOPS:
             self.pass_on(datagram, flight_key, decision=passed)
             return
@@ -151,7 +151,7 @@
                 )
             case PassFlight() as decision:
                 self.passed.record(
-                    make_memory_key(flight_key), decision=decision, now=self.node.now()
+                    make_passed_key(flight_key), decision=decision, now=self.node.now()
                 )
                 self.count("passed-on")
                 self.node.log.write(
@@ -207,6 +207,6 @@
         self.node.send(answer, receiver=datagram.sender)
 
 
-def make_memory_key(flight_key: FlightKey) -> bytes:
-    """Return the key of a flow in ``PassedFlights``."""
+def make_passed_key(flight_key: FlightKey) -> bytes:
+    """Return the key of a first flight in ``PassedFlights``."""
     return make_flow_key(caller=flight_key[0], destination_id=flight_key[1])
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_calls.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_calls.py
@@ -119,7 +119,7 @@
             async with asyncio.timeout(remaining_seconds):
                 return await call.run(channel, head=head, body=body, metadata=metadata)
         except (*CALL_ERRORS, TimeoutError) as error:
-            return call.describe_error(error)
+            return call.classify_error(error)
 
 
 class HandOffCall:
@@ -188,11 +188,11 @@
                     self.outcome = Unknown(reason="the peer broke off")
         return self.outcome
 
-    def describe_error(self, error: Exception) -> Outcome:
+    def classify_error(self, error: Exception) -> Outcome:
         """Return the outcome of a call that failed.
 
         It is ``NotRun`` only when the peer can't have received the request, or refused
-        it unread.
+        it before its handler got it.
         """
         if self.outcome is not None:
             return self.outcome
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_routing.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_routing.py
@@ -18,7 +18,7 @@
 from ._slots import SlotGranted, Slots, classify_outcome
 from ._upstream import UpstreamClient
 
-OUTCOME_LABELS = {Answered: "answered", NotRun: "not-run", Unknown: "unknown"}
+OUTCOME_NAMES = {Answered: "answered", NotRun: "not-run", Unknown: "unknown"}
 
 
 class LoadReader(Protocol):
@@ -260,7 +260,7 @@
                 answer=answer,
             )
         body.rewind()
-        self.metrics.handed_off.labels(OUTCOME_LABELS[type(outcome)]).inc()
+        self.metrics.handed_off.labels(OUTCOME_NAMES[type(outcome)]).inc()
         return outcome
 
     def log_route(self, request: Request, *, target: str, reason: str) -> None:
