Clarify comments of the agent about draining and waiting

The descriptions of the drain left out open connections and hand-offs, and some sentences lacked their subject.

--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_connection.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_connection.py
@@ -27,8 +27,8 @@
 MAX_INBOX_DATAGRAMS = 1_024
 KEEPALIVE_SECONDS = 5.0
 IDLE_KEEPALIVE_SECONDS = 10.0
-"""Longer, because pings are the main cost of idle connections, and without requests
-a dead caller may be detected late."""
+"""Connections without requests are pinged less often, because pings are their main
+cost, and a dead caller may be detected late while it has no request."""
 TIMER_SLACK_SECONDS = 0.001
 """uvloop fires timers up to a millisecond early."""
 
@@ -175,8 +175,8 @@
             return
         if self.timer is not None:
             self.timer.cancel()
-        # timer_at holds the time, because uvloop returns a handle without one for a
-        # timer that is already due.
+        # The due time is stored in timer_at, because the handle that uvloop returns
+        # for a timer that is already due has no time.
         self.timer = loop.call_at(due_at, self.on_timer)
         self.timer_at = due_at
 
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_drain.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_drain.py
@@ -55,7 +55,7 @@
         return stage in (DrainStage.SERVING, DrainStage.LEAVING)
 
     def leave(self, *, reason: str) -> None:
-        """Start the drain: accept no new flow and no new request."""
+        """Start the drain: accept no new connection or hand-off, and send GOAWAY."""
         if self.node.leaving:
             return
         self.node.leaving = True
@@ -83,7 +83,10 @@
             view = await self.node.runtime.source.wait_for_change(after=view.version)
 
     async def run(self, *, reason: str) -> None:
-        """Start the drain and wait until no request runs, or the time limit passes."""
+        """Start the drain; wait until no connection is open and no request runs.
+
+        The wait ends after ``max_drain_seconds``.
+        """
         self.leave(reason=reason)
         try:
             async with asyncio.timeout(self.max_drain_seconds):
@@ -97,7 +100,10 @@
             )
 
     async def wait_until_idle(self) -> None:
-        """Wait until every request has ended, and close connections without any."""
+        """Wait until no connection is open and no request runs.
+
+        A connection without requests is closed after ``GRACE_SECONDS``.
+        """
         idle_since: dict[CallerConnection, float] = {}
         loop = asyncio.get_running_loop()
         while len(self.table) or self.count_detached_requests():
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_events.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_events.py
@@ -104,8 +104,8 @@
     number=322,
     name="drain-cut",
     level=Level.WARNING,
-    text="The time limit of the drain passed while connections were open; their "
-    "callers have to open a new connection after GOAWAY.",
+    text="The time limit of the drain passed while connections were open or requests "
+    "were running; callers have to open a new connection after GOAWAY.",
     fields=("connections", "requests"),
 )
 
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_health.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_health.py
@@ -16,7 +16,10 @@
 
 
 class HealthCheck:
-    """Polls the upstream's health check, which may be wrong.
+    """Polls the upstream's health check.
+
+    A passing check doesn't prove that the upstream accepts requests, see
+    :meth:`Agent.is_ready`.
 
     :ivar ready: False until the first success, and after
         ``FAILURES_UNTIL_NOT_READY`` failures in a row.
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_server.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_peer_server.py
@@ -110,7 +110,7 @@
         return None
 
     async def AskOutcome(self, stream: Stream) -> None:
-        """Send the state of an idempotency key; grant the key if it has not run."""
+        """Send the state of an idempotency key; grant it if its request has not run."""
         question = await stream.recv_message()
         is_for_this_incarnation = (
             question.service == self.node.service_number
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_slots.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_slots.py
@@ -167,7 +167,11 @@
         self.resolve(waiting.id, SlotGranted())
 
     def hand_off_waiting(self) -> None:
-        """Hand the request with the longest wait ahead to a peer, if one is better."""
+        """Hand the last request of the queue to a less loaded peer, if there is one.
+
+        The last request has the longest wait ahead. Requests in ``local_only`` are
+        skipped.
+        """
         if self.queue is None:
             return
         for waiting in reversed(self.queue.waiting):
@@ -196,7 +200,10 @@
         self.recent_runs.add(now=self.node.now())
 
     async def run(self) -> None:
-        """Advance the queue periodically, for changes that only time brings."""
+        """Advance the queue and hand off a waiting request periodically.
+
+        Deadlines pass without an event that would advance the queue.
+        """
         while True:
             await asyncio.sleep(ADVANCE_INTERVAL_SECONDS)
             if self.queue is not None and self.queue.waiting:
--- a/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_table.py
+++ b/packages/daisygauge-daemon/src/daisygauge_daemon/_agent/_table.py
@@ -40,7 +40,7 @@
         flight_key: tuple[Endpoint, bytes],
         now: float,
     ) -> None:
-        """Remove a connection, and remember its first flight for a while.
+        """Remove a connection, and record its first flight as ended.
 
         :param now: Unix time in seconds.
         """
