Clarify names and texts of balancers and agents of relayed flows

Two different timeouts had one name, some counters had no explanation, and several texts left out their subject or could be read in two ways.

Rename LostFlow to LossReason, NeedlessCopy to RedundantCopy, the two OFFER_TIMEOUT_SECONDS, ANSWER_BOUNDS_SECONDS (platform calls use the bounds too) and the event constants DIRECTORY_MOVED and HOST_GONE, which now match the directory's events.

The locals `moved` and `silent`, spelled like outer names, never leave the process and are renamed too.

--- a/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_balancer.py
@@ -48,8 +48,8 @@
 """Idle time after which a flow is removed. A later packet starts a search for it."""
 
 
-class LostFlow(enum.Enum):
-    """Evidence that no upstream holds a flow any more; the values are log reasons."""
+class LossReason(enum.Enum):
+    """How it is known that no upstream holds a flow; the values are log reasons."""
 
     AT_OWNER = "gone-at-its-owner"
     EVERYWHERE = "absent-everywhere"
@@ -281,7 +281,7 @@
             flow.owner = None
             flow.offers = [offer for offer in flow.offers if offer.agent != agent]
             if frame.lost:
-                self.reset_lost_flow(packet.flow, flow, LostFlow.AT_OWNER, absent=1)
+                self.reset_lost_flow(packet.flow, flow, LossReason.AT_OWNER, absent=1)
                 return
         self.placement.refresh()
         self.search(flow, packet, frame.packet, now=now)
@@ -291,10 +291,12 @@
         flow = self.flows.get(frame.flow)
         if flow is None or flow.owner is not None:
             return
-        self.reset_lost_flow(frame.flow, flow, LostFlow.EVERYWHERE, absent=frame.agents)
+        self.reset_lost_flow(
+            frame.flow, flow, LossReason.EVERYWHERE, absent=frame.agents
+        )
 
     def reset_lost_flow(
-        self, key: bytes, flow: BalancerFlow, reason: LostFlow, *, absent: int
+        self, key: bytes, flow: BalancerFlow, reason: LossReason, *, absent: int
     ) -> None:
         """Reset a flow that no upstream holds any more.
 
--- a/packages/daisygauge-relay/src/daisygauge_relay/_candidates.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_candidates.py
@@ -22,7 +22,7 @@
 
 
 def choose_service(route: RouteRecord, flow: bytes) -> str:
-    """Return the service of a new flow, by its hash and the weights of the shares."""
+    """Return a new flow's service, by the hash of the flow and the shares' weights."""
     total = sum(share.weight for share in route.shares)
     point = (xxh3_64_intdigest(flow, seed=1) % 1_000_000) / 1_000_000 * total
     for share in route.shares:
@@ -40,6 +40,8 @@
 class CandidateLists:
     """Candidate orders for one view; equal views give equal orders in every process.
 
+    :ivar agents: packed addresses of every agent of a service, by service tag.
+    :ivar ready: hosts that may get new flows, by service tag.
     :ivar ejected: packed addresses of agents that are tried last.
     :ivar service_tags: service tag of the newest host at each agent, by packed address.
     """
--- a/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
@@ -8,10 +8,10 @@
 
 from msgspec import Struct, field
 
-ANSWER_BOUNDS_SECONDS = (
+DURATION_BOUNDS_SECONDS = (
     0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 5.0,
 )  # fmt: skip
-"""Upper bounds of the buckets, finest in the range of the target latencies."""
+"""Upper bounds of a histogram's buckets, closest in the range of target latencies."""
 
 
 class Histogram(Struct, kw_only=True):
@@ -22,7 +22,7 @@
     :param total_seconds: sum of the durations.
     """
 
-    bounds: tuple[float, ...] = ANSWER_BOUNDS_SECONDS
+    bounds: tuple[float, ...] = DURATION_BOUNDS_SECONDS
     counts: list[int] = field(default_factory=list)
     total_seconds: float = 0.0
 
@@ -49,6 +49,11 @@
 class RelayCounters(Struct, kw_only=True):
     """Counters of one process; plain integers, since every packet increments some.
 
+    :ivar placed: opening packets that a balancer sent to an agent.
+    :ivar searched: packets for which a balancer asked an agent to search for the owner.
+    :ivar queried: queries that a searching agent sent to other agents.
+    :ivar taken: opening packets that an agent delivered to its upstream.
+    :ivar passed: opening packets that an agent passed on to another agent.
     :ivar failures: unexpected errors of tasks, by the task's name.
     :ivar answers: time from a request's first packet to its answer's first packet.
     :ivar platform_calls: time of calls to the platform beyond the requested wait.
--- a/packages/daisygauge-relay/src/daisygauge_relay/_events.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_events.py
@@ -44,7 +44,7 @@
 OPENING_REFUSED = _flow_event(
     601,
     "opening-refused",
-    "A flow that isn't open was reset; its requests have not run.",
+    "A new flow was refused with a reset; its requests have not run.",
     ("flow", "reason", *KNOWN_STATE_FIELDS),
     Level.WARNING,
 )
@@ -142,19 +142,19 @@
     number=612,
     name="agents-suspected",
     level=Level.WARNING,
-    text="The agents that leave opening packets unanswered changed; they are tried "
-    "last. Check that they run and can be reached.",
+    text="The list of suspected agents changed. Agents that leave opening packets "
+    "unanswered are tried last; check that they run and can be reached.",
     fields=("suspects", *KNOWN_STATE_FIELDS),
     limited=True,
 )
-DIRECTORY_MOVED = Event(
+DIRECTORY_CHANGED = Event(
     number=620,
     name="directory-moved",
     level=Level.INFO,
     text="Hosts or routes changed.",
     fields=("source", "as_of", "source_age_seconds", "version", "changes"),
 )
-HOST_GONE = Event(
+HOST_EXPIRED = Event(
     number=621,
     name="host-gone",
     level=Level.INFO,
@@ -165,8 +165,8 @@
     number=622,
     name="source-lost",
     level=Level.WARNING,
-    text="A source of configuration gives no usable answer; the last good state stays "
-    "in force and other sources are asked.",
+    text="A source of configuration gives no usable answer; the last valid state stays "
+    "in force and other sources are queried.",
     fields=("source", "reason", "retry_seconds"),
     limited=True,
 )
@@ -190,7 +190,7 @@
     number=625,
     name="settings-refused",
     level=Level.ERROR,
-    text="The changed settings can't be used; the last good ones stay in force.",
+    text="The changed settings can't be used; the last valid ones stay in force.",
     fields=("error",),
 )
 LINES_SUPPRESSED = Event(
@@ -205,8 +205,8 @@
     number=627,
     name="datagram-failed",
     level=Level.ERROR,
-    text="Handling a datagram or a peer's call ended with an unexpected error; it was "
-    "dropped. Report the error with its traceback.",
+    text="An unexpected error occurred in handling a datagram or a peer's call, which "
+    "was dropped. Report the error with its traceback.",
     fields=("error", "traceback"),
     limited=True,
     lines_per_second=1.0,
@@ -217,8 +217,8 @@
     number=628,
     name="task-restarted",
     level=Level.ERROR,
-    text="A task ended with an unexpected error and begins again; the process goes on. "
-    "Report the error with its traceback.",
+    text="A task ended with an unexpected error and is restarted; the process "
+    "continues. Report the error with its traceback.",
     fields=("task", "error", "traceback"),
     limited=True,
     lines_per_second=1.0,
@@ -243,8 +243,8 @@
     UPSTREAM_SILENT,
     UPSTREAM_HEARD,
     SUSPECTS_CHANGED,
-    DIRECTORY_MOVED,
-    HOST_GONE,
+    DIRECTORY_CHANGED,
+    HOST_EXPIRED,
     SOURCE_LOST,
     SOURCE_REGAINED,
     SETTINGS_RELOADED,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_flows.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_flows.py
@@ -11,7 +11,7 @@
 from daisygauge_policy import SearchBudget
 
 SWEEP_ENTRIES = 64
-"""Entries checked for each new one; a full sweep would delay packets."""
+"""Number of entries checked at each insertion; a full sweep would delay packets."""
 
 Entry = TypeVar("Entry")
 
--- a/packages/daisygauge-relay/src/daisygauge_relay/_observer.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_observer.py
@@ -46,7 +46,7 @@
             case DirectoryChanged():
                 self.log_changes(event)
             case HostExpired():
-                self.log.write(events.HOST_GONE, host=event.id)
+                self.log.write(events.HOST_EXPIRED, host=event.id)
             case SourceLost():
                 self.log.write(
                     events.SOURCE_LOST,
@@ -59,15 +59,15 @@
                     events.SOURCE_REGAINED, source=event.source, failures=event.failures
                 )
 
-    def log_changes(self, moved: DirectoryChanged) -> None:
+    def log_changes(self, change: DirectoryChanged) -> None:
         """Log the changes that were merged into the directory."""
         self.log.write(
-            events.DIRECTORY_MOVED,
-            source=moved.source,
-            as_of=moved.as_of,
-            source_age_seconds=round(moved.age_seconds, 3),
+            events.DIRECTORY_CHANGED,
+            source=change.source,
+            as_of=change.as_of,
+            source_age_seconds=round(change.age_seconds, 3),
             version=self.directory.view.version,
-            changes=[describe_item(item) for item in moved.items[:MAX_LOGGED_CHANGES]],
+            changes=[describe_item(item) for item in change.items[:MAX_LOGGED_CHANGES]],
         )
 
 
--- a/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
@@ -27,9 +27,9 @@
 from ._runtime import RelayRuntime
 from ._upstream import Upstream
 
-OFFER_TIMEOUT_SECONDS = 0.05
-"""Timeout for the upstream's answer to an opening packet. It runs on the same instance
-and answers within a millisecond, so one that exceeds this is down or stalled."""
+UPSTREAM_ANSWER_TIMEOUT_SECONDS = 0.05
+"""Timeout for the upstream's answer to an opening packet. The upstream runs on the same
+instance and answers within a millisecond; if it exceeds this, it is down or stalled."""
 EXPECTED_REQUEST_SECONDS = 0.1
 """How long an accepted flow counts as load before its first request, which follows the
 opening within two network crossings."""
@@ -158,7 +158,7 @@
         )
         self.deliver(frame.packet)
         self.runtime.call_later(
-            OFFER_TIMEOUT_SECONDS, lambda: self.check_offer(packet.flow)
+            UPSTREAM_ANSWER_TIMEOUT_SECONDS, lambda: self.check_offer(packet.flow)
         )
 
     def check_offer(self, flow: bytes) -> None:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_placement.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_placement.py
@@ -15,8 +15,8 @@
 from ._packet import RelayedPacket, format_flow
 from ._runtime import RelayRuntime
 
-OFFER_TIMEOUT_SECONDS = 0.15
-"""Timeout for an agent's offer; an agent that exceeds it counts as silent. It is below
+AGENT_OFFER_TIMEOUT_SECONDS = 0.15
+"""Timeout for an agent's offer; an agent that exceeds it is suspected. It is below
 the 200 ms after which clients repeat an opening packet."""
 EARLY_COPY_SECONDS = 0.1
 """Clients send copies 0.2 s apart. One that arrives sooner was queued together with the
@@ -30,7 +30,7 @@
     NO_HOST = "no-host"
 
 
-class NeedlessCopy(enum.Enum):
+class RedundantCopy(enum.Enum):
     """Why a repeated opening packet isn't sent to an agent."""
 
     LATE = "late-opening"
@@ -91,9 +91,9 @@
             return
         flow = self.flows.get(packet.flow)
         if flow is not None and packet.copy:
-            needless = find_needless_copy(flow, now=now)
-            if needless is not None:
-                self.runtime.counters.count_dropped(needless.value)
+            redundancy = find_redundancy(flow, now=now)
+            if redundancy is not None:
+                self.runtime.counters.count_dropped(redundancy.value)
                 return
         if flow is None or flow.owner is not None:
             service = choose_service(route, packet.flow)
@@ -111,13 +111,13 @@
         """Choose an agent for an opening packet and send it there."""
         tag = service_tag(flow.service)
         candidates = self.candidates.order(tag, packet.flow)
-        silent = self.list_suspects(candidates)
+        suspects = self.list_suspects(candidates)
         agent = choose_candidate(
             candidates,
             copy=packet.copy,
             tried=flow.asked,
             offered=[offer.agent for offer in flow.offers],
-            avoided=silent,
+            avoided=suspects,
         )
         if agent is None:
             self.refuse_without_host(packet)
@@ -137,8 +137,8 @@
             suspects=len(self.candidates.ejected),
             **self.runtime.known_state(),
         )
-        # Other agents needn't pass the packet to one that doesn't answer.
-        tried = tuple(other for other in silent if other != agent)
+        # Listed as tried, so that no agent passes the packet on to a suspect.
+        tried = tuple(other for other in suspects if other != agent)
         frame = OpenFrame(
             balancer=self.own_address, service=tag, packet=data, tried=tried
         )
@@ -154,9 +154,9 @@
     def refuse_without_host(self, packet: RelayedPacket) -> None:
         """Refuse a new flow of a service without hosts.
 
-        A copy of an opening packet is dropped without a reset: an upstream that has
-        left since may have received an earlier copy, and a reset would then cut an open
-        flow.
+        A copy of an opening packet is dropped without a reset: an upstream that is
+        no longer listed may have received an earlier copy, and a reset would then cut
+        an open flow.
         """
         if packet.copy:
             self.runtime.counters.count_dropped("opening-uncertain")
@@ -164,7 +164,7 @@
         self.refuse(packet, BalancerRefusal.NO_HOST)
 
     def refuse(self, packet: RelayedPacket, reason: BalancerRefusal) -> None:
-        """Reset a flow that isn't open, once there is a configuration."""
+        """Reset a new flow, or drop its packet while there is no configuration."""
         if not self.runtime.directory.view.is_complete:
             self.runtime.counters.count_dropped("no-configuration")
             return
@@ -180,10 +180,10 @@
     def record_silence(
         self, flow: BalancerFlow, packet: RelayedPacket, *, now: float
     ) -> None:
-        """Suspect the agent asked last when it has not offered in time."""
+        """Suspect the most recently asked agent when its offer is overdue."""
         if packet.copy == 0 or flow.offers or not flow.asked:
             return
-        if now - flow.last_packet_at < OFFER_TIMEOUT_SECONDS:
+        if now - flow.last_packet_at < AGENT_OFFER_TIMEOUT_SECONDS:
             return
         if self.last_received.get(flow.asked[-1], float("-inf")) >= flow.last_packet_at:
             # The agent is alive; it has passed the packet on to one that may not be.
@@ -206,11 +206,11 @@
         self.candidates.eject(ejected)
 
 
-def find_needless_copy(flow: BalancerFlow, *, now: float) -> NeedlessCopy | None:
+def find_redundancy(flow: BalancerFlow, *, now: float) -> RedundantCopy | None:
     """Return why a copy of a flow's opening packet needn't be sent, or None."""
     if flow.owner is not None:
-        return NeedlessCopy.LATE
-    is_asked = bool(flow.asked) and not flow.offers
-    if is_asked and now - flow.last_packet_at < EARLY_COPY_SECONDS:
-        return NeedlessCopy.EARLY
+        return RedundantCopy.LATE
+    awaits_offer = bool(flow.asked) and not flow.offers
+    if awaits_offer and now - flow.last_packet_at < EARLY_COPY_SECONDS:
+        return RedundantCopy.EARLY
     return None
--- a/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
@@ -190,8 +190,10 @@
     The first request of a flow usually began with the opening. One that arrives much
     later was sent on a flow that had been opened in advance.
     """
-    is_first = not flow.answered and now - flow.opening_at <= MAX_OPENING_SECONDS
-    return flow.opening_at if is_first else now
+    began_with_opening = (
+        not flow.answered and now - flow.opening_at <= MAX_OPENING_SECONDS
+    )
+    return flow.opening_at if began_with_opening else now
 
 
 def hold_packet(held: HeldRequest, packet: RelayedPacket, data: bytes) -> None:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
@@ -140,8 +140,8 @@
     @property
     def is_ready(self) -> bool:
         """True while this process accepts traffic."""
-        wants_traffic = self.is_needed or not self.is_leaving
-        return self.directory.view.is_complete and wants_traffic
+        accepts_flows = self.is_needed or not self.is_leaving
+        return self.directory.view.is_complete and accepts_flows
 
     def report_error(self, error: Exception) -> None:
         """Log an unexpected error of one datagram; the process continues."""
--- a/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
@@ -21,7 +21,7 @@
 
 
 class Searches:
-    """Queries agents for the holder of a flow and collects the answers.
+    """Queries agents for the owner of a flow and collects the answers.
 
     :param candidates: agents by service.
     :param send: sends a frame to another instance.
@@ -44,7 +44,7 @@
         self.pending = PendingSearches()
 
     def begin(self, frame: SearchFrame, packet: RelayedPacket, *, now: float) -> None:
-        """Query for a flow's holder, which reports to the balancer itself."""
+        """Query agents for a flow's owner, which reports to the balancer itself."""
         flow = packet.flow
         search = self.pending.begin(
             flow,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_settings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_settings.py
@@ -155,7 +155,7 @@
 class RelayAgentSettings(RelaySettings, kw_only=True, frozen=True):
     """Settings of an agent.
 
-    :param service: the service that the upstream beside the agent belongs to.
+    :param service: name of the service of the upstream on the agent's instance.
     :param upstream: address on which the upstream receives packets.
     :param outbound: address to which the upstream sends its packets.
     """
--- a/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
@@ -53,12 +53,12 @@
         :param service: tag of the service.
         """
         host = self.host_record
-        is_resident = host is None or service_tag(host.service) == service
-        return is_resident and service_tag(self.service) == service
+        matches_directory = host is None or service_tag(host.service) == service
+        return matches_directory and service_tag(self.service) == service
 
     @property
     def slots(self) -> int | None:
-        """Requests that it runs concurrently, or None while unknown."""
+        """Number of requests that the upstream runs at once, or None while unknown."""
         host = self.host_record
         return None if host is None else host.slots
 
