Call packed addresses endpoints in the tests of relayed flows

"End" named a client, a service address and the end of a request. Rename SERVICE_END to SERVICE_ENDPOINT and pack_end to pack_endpoint, the name that the wire package uses.

--- a/testing/adapter/fleet.py
+++ b/testing/adapter/fleet.py
@@ -23,7 +23,7 @@
 READY_PORT = 18_167
 INNER_PORTS = [17_720, 17_735]
 SERVICE = "order-desk"
-SERVICE_END = ("198.18.0.1", 443)
+SERVICE_ENDPOINT = ("198.18.0.1", 443)
 RETRY_SECONDS = 0.2
 
 
@@ -97,7 +97,7 @@
     # Records in the store.
 
     def publish_routes(self, version, *, port=443):
-        host, _ = SERVICE_END
+        host, _ = SERVICE_ENDPOINT
         route = {
             "name": "r-1", "host": host, "prefix": f"/{port}/", "type": "safe",
             "timeoutMs": 3000, "targetLatencyMs": 500, "priority": 1,
@@ -206,7 +206,7 @@
     async def open_client(self):
         self.clients += 1
         host = self.address(2, self.clients)
-        client = FakeClient(network=self, end=(host, 40_000), service=SERVICE_END)
+        client = FakeClient(network=self, end=(host, 40_000), service=SERVICE_ENDPOINT)
         client.transport = await open_socket(host, CLIENT_PORT, client.receive)
         self.sockets.append(client.transport)
         return client
--- a/testing/relay/network.py
+++ b/testing/relay/network.py
@@ -36,18 +36,18 @@
 INNER_PORT = 7720
 CLIENT_PORT = 8172
 SERVICE = "order-desk"
-SERVICE_END = ("198.18.0.1", 443)
+SERVICE_ENDPOINT = ("198.18.0.1", 443)
 ANSWER = b"HTTP/1.1 200 OK\r\n\r\n"
 
 
-def pack_end(host: str, port: int) -> bytes:
+def pack_endpoint(host: str, port: int) -> bytes:
     return inet_aton(host) + port.to_bytes(2, "big")
 
 
 def pack_packet(source, target, *, flags=0, sequence=0, acknowledged=0, data=b""):
     head = HEADER.pack(
-        sequence, acknowledged, len(data), flags, 0, pack_end(*target),
-        pack_end(*source), 77,
+        sequence, acknowledged, len(data), flags, 0, pack_endpoint(*target),
+        pack_endpoint(*source), 77,
     )  # fmt: skip
     return head + data
 
@@ -226,7 +226,7 @@
 
     network: object
     end: tuple
-    service: tuple = SERVICE_END
+    service: tuple = SERVICE_ENDPOINT
     host_sequence: int | None = None
     received: list = field(factory=list)
     resets: int = 0
@@ -309,7 +309,7 @@
 
     def publish_routes(self, *ports, version=None, services=((SERVICE, 1.0),)):
         self.revision += 1
-        host, port = SERVICE_END
+        host, port = SERVICE_ENDPOINT
         routes = tuple(
             RouteRecord(
                 name=f"route-{p}", host=host, port=p,
@@ -390,7 +390,7 @@
         self.down.discard(address)
         return balancer
 
-    def new_client(self, *, service=SERVICE_END):
+    def new_client(self, *, service=SERVICE_ENDPOINT):
         end = (f"100.64.0.{len(self.clients) % 250 + 1}", 40_000 + len(self.clients))
         client = FakeClient(network=self, end=end, service=service)
         self.clients[end] = client
@@ -442,14 +442,14 @@
     def deliver_to_client(self, data):
         _, _, _, _, _, dst, _, _ = HEADER.unpack_from(data)
         for end, client in self.clients.items():
-            if pack_end(*end) == dst:
+            if pack_endpoint(*end) == dst:
                 client.receive(data)
 
     def deliver_later(self, call):
         self.clock.call_later(LATENCY_SECONDS, call)
 
     def holder_of(self, client):
-        key = pack_end(*client.end) + pack_end(*client.service)
+        key = pack_endpoint(*client.end) + pack_endpoint(*client.service)
         for host in self.hosts.values():
             flow = host.flows.get(key)
             if flow is not None and flow.is_open:
--- a/testing/relay/test_openings.py
+++ b/testing/relay/test_openings.py
@@ -8,7 +8,15 @@
 from daisygauge_relay._flows import FlowStage
 from daisygauge_wire import UnknownFlowFrame, encode_frame
 
-from .network import ACK, SERVICE_END, SYN, HostFlow, Network, ask_all, pack_end
+from .network import (
+    ACK,
+    SERVICE_ENDPOINT,
+    SYN,
+    HostFlow,
+    Network,
+    ask_all,
+    pack_endpoint,
+)
 
 
 @pytest.fixture
@@ -176,8 +184,10 @@
     assert [host for host in network.hosts.values() if host.flows] == holder
 
 
-def test_the_service_end_of_the_tests_is_routed(network):
-    assert SERVICE_END in network.balancers["10.0.0.1"].runtime.directory.view.routes
+def test_the_service_endpoint_of_the_tests_is_routed(network):
+    assert (
+        SERVICE_ENDPOINT in network.balancers["10.0.0.1"].runtime.directory.view.routes
+    )
 
 
 def test_a_silent_agent_is_tried_again_after_its_back_off(network):
@@ -334,7 +344,7 @@
         # The other upstream has answered a copy of the opening packet, late.
         chosen = network.holder_of(client)
         (other,) = (host for host in network.hosts.values() if host is not chosen)
-        ends = pack_end(*client.end), pack_end(*client.service)
+        ends = pack_endpoint(*client.end), pack_endpoint(*client.service)
         sequence = chosen.flows[ends[0] + ends[1]].sequence - 5_000
         other.flows[ends[0] + ends[1]] = HostFlow(sequence)
         other.send(ends[1], ends[0], flags=SYN | ACK, sequence=sequence)
--- a/testing/relay/test_splits.py
+++ b/testing/relay/test_splits.py
@@ -15,10 +15,10 @@
 
 from .network import (
     SERVICE,
-    SERVICE_END,
+    SERVICE_ENDPOINT,
     Network,
     ask_all,
-    pack_end,
+    pack_endpoint,
     refresh_directories,
 )
 
@@ -169,8 +169,8 @@
     chosen = [
         choose_service(
             route,
-            pack_end(f"100.64.{number % 200}.{number // 200}", 1_024 + number)
-            + pack_end(*SERVICE_END),
+            pack_endpoint(f"100.64.{number % 200}.{number // 200}", 1_024 + number)
+            + pack_endpoint(*SERVICE_ENDPOINT),
         )
         for number in range(flows)
     ]
--- a/testing/soak/client.py
+++ b/testing/soak/client.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 
-from relay.network import pack_end, pack_packet
+from relay.network import pack_endpoint, pack_packet
 
 from daisygauge_platform._packets import ACK, FIN, HEADER, RST, SYN
 
@@ -88,4 +88,4 @@
             self.client_endpoint, self.service_endpoint, flags=flags, sequence=sequence,
             acknowledged=acknowledged, data=body,
         )  # fmt: skip
-        self.fabric.forward(pack_end(*self.client_endpoint), data)
+        self.fabric.forward(pack_endpoint(*self.client_endpoint), data)
--- a/testing/soak/host.py
+++ b/testing/soak/host.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from socket import inet_aton
 
-from relay.network import pack_end
+from relay.network import pack_endpoint
 
 from daisygauge_platform._packets import ACK, BOUNCED, FIN, HEADER, SYN
 
@@ -52,8 +52,8 @@
         self.address = address
         self.service = service
         self.service_endpoints = {
-            pack_end(*service_endpoint),
-            pack_end(*split_endpoint),
+            pack_endpoint(*service_endpoint),
+            pack_endpoint(*split_endpoint),
         }
         # Address of the service's routes whose ports are added and removed.
         self.probe_address = None
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -17,7 +17,7 @@
     LoopbackFleet,
     open_socket,
 )
-from relay.network import pack_end
+from relay.network import pack_endpoint
 
 from daisygauge_platform._packets import HEADER
 
@@ -278,8 +278,8 @@
             service_endpoint=service_endpoint,
             fabric=self.fabric,
         )
-        self.flows[pack_end(*endpoint)] = flow
+        self.flows[pack_endpoint(*endpoint)] = flow
         return flow
 
     def remove_flow(self, flow):
-        self.flows.pop(pack_end(*flow.client_endpoint), None)
+        self.flows.pop(pack_endpoint(*flow.client_endpoint), None)
