--- a/Makefile
+++ b/Makefile
@@ -22,48 +22,49 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
-# Runs every unit and property test, and the scenarios that no load can upset.
+# Runs all unit and property tests, and the scenarios that machine load can't disturb.
 test: setup
 	$(BIN)/behave --no-capture --format=progress3 --tags=@ci testing/proof/features
 	$(BIN)/python -m pytest
 
-# Regenerates the committed protocol code.
+# Regenerates the committed protocol code from the .proto files.
 protocol: setup
 	cd packages/daisygauge-wire/src && PATH="$(CURDIR)/$(BIN):$$PATH" python -m grpc_tools.protoc \
 		-I. --python_out=. --grpclib_python_out=. daisygauge_wire/*.proto
 
-# Runs both kinds of flow on loopback, with failures, and checks every outcome.
+# Runs both kinds of flow on loopback with injected failures and checks every outcome.
 demo: setup
 	$(BIN)/python -m daisygauge_emulator.demo
 	$(BIN)/python -m pytest -q testing/adapter/test_process.py
 
-# Keeps a fleet up until Ctrl-C; FLEET_FILE names a file for its description.
+# Runs a fleet until Ctrl-C; FLEET_FILE is the path for a file that describes it.
 fleet: setup
 	$(BIN)/python -m daisygauge_emulator.fleet
 
-# Runs every scenario of docs/PROMISES.md against real processes.
+# Runs all scenarios of docs/PROMISES.md against real processes.
 proof: setup
 	$(BIN)/behave --no-capture --format=progress3 testing/proof/features
 
-# Compares the policies with baselines; results and plots go to bench/.
+# Compares the policies with baselines and writes results and plots to bench/.
 bench: setup
 	$(BIN)/daisygaugectl bench policies
 
-# Shows that the scenarios fail when the mechanism that they prove is taken out.
+# Checks that removing a mechanism makes a scenario fail.
 proof-red: setup
 	$(BIN)/python testing/proof/mutations.py
 
-# Measures the slopes of control; prints target against measured.
+# Measures how the cost of control traffic grows with the fleet and compares it with
+# targets.
 capacity: setup
 	$(BIN)/python bench/capacity/run.py
 
-# Scores the sites of deploy/sites.json against what landed; KIT is the folder of the
-# users' site files and bench.
+# Scores the sites of deploy/sites.json and compares the result with the scores recorded
+# there; KIT is the directory of the users' site files and bench.
 score: setup
 	$(BIN)/python platform/scores/run.py --kit=$(KIT) --jobs=$(or $(JOBS),2) \
 		--bench=$(firstword $(wildcard $(KIT)/more/*/bin/fleetbench) $(KIT)/bin/fleetbench)
 
-# Plays seeds of the fault soak, then those that once failed; SEEDS and FIRST choose.
+# Runs SEEDS seeds of the fault soak from FIRST on, then the seeds that failed before.
 soak: setup
 	cd testing && ../$(BIN)/python -m soak --first=$(or $(FIRST),1) --seeds=$(or $(SEEDS),50)
 	cd testing && ../$(BIN)/python -m soak --regressions
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Puts the pinned libraries and the product's packages under target/deps.
+# Installs the pinned libraries and copies the product's packages to target/deps.
 set -euo pipefail
 deps=target/deps
 if [ ! -e "$deps/.installed" ] || [ deploy/requirements.txt -nt "$deps/.installed" ]; then
@@ -10,5 +10,6 @@
 rm -rf "$deps"/daisygauge_*
 cp -r packages/*/src/daisygauge_* platform/src/daisygauge_platform "$deps/"
 find "$deps" -name '*.egg-info' -prune -exec rm -rf {} +
-# Processes can't write compiled files at run time, and compiling is part of a start.
+# Compiles in advance: processes can't write compiled files at run time and would
+# compile at every start.
 python3 -m compileall -q "$deps"
