--- a/packages/daisygauge-records/src/daisygauge_records/_structure.py
+++ b/packages/daisygauge-records/src/daisygauge_records/_structure.py
@@ -1,4 +1,4 @@
-"""Conversion of decoded JSON into attrs models, without coercion of types."""
+"""Conversion of decoded JSON into attrs models, with strict type checks."""
 
 from __future__ import annotations
 
--- a/packages/daisygauge-wire/src/daisygauge_wire/_connection_id.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_connection_id.py
@@ -1,8 +1,8 @@
 """QUIC connection IDs that name the agent which issued them.
 
-The layout follows QUIC-LB (draft-ietf-quic-load-balancers): the routing part is
-one encrypted AES block, so that clients can neither read addresses inside the
-fleet nor choose the agent that they reach.
+The layout is based on QUIC-LB (draft-ietf-quic-load-balancers): the routing part
+is one encrypted AES block, so that outsiders can neither read nor choose addresses
+inside the fleet.
 
 ========  =====  ==================================================
 offset    bytes  content
@@ -47,8 +47,8 @@
 
     :param agent: inner datagram address of the issuing agent.
     :param service: service number.
-    :param incarnation: number of the issuing agent's process, which changes with
-        every start.
+    :param incarnation: number derived from the start time of the issuing agent's
+        process.
     """
 
     agent: Endpoint
--- a/packages/daisygauge-wire/src/daisygauge_wire/_datagram.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_datagram.py
@@ -75,7 +75,7 @@
     :param hops: number of agents that have passed a first flight on.
     :param caller: source address of the caller's packets.
     :param address: service address that the caller uses.
-    :param sender: inner address of the balancer that replies go to, or of the
+    :param sender: inner address of the balancer that answers go to, or of the
         sender of a probe or load report.
     :param candidates: agents that a first flight may still be passed to.
     """
--- a/packages/daisygauge-wire/src/daisygauge_wire/_load_report.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_load_report.py
@@ -75,7 +75,7 @@
         fields = _LOAD_REPORT.unpack(payload)
     except struct.error as error:
         raise ValueError(
-            f"load report of {len(payload)} bytes, expected {_LOAD_REPORT.size} bytes"
+            f"the payload of a load report must have {_LOAD_REPORT.size} bytes"
         ) from error
     slots, running, waiting, connections, max_connections = fields[:5]
     service_seconds, flags, sequence, recent_completions = fields[5:]
--- a/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
@@ -248,8 +248,7 @@
     end = _OPEN.size + count * ADDRESS_BYTES
     if count > MAX_TRIED or len(data) < end:
         raise MalformedFrameError(
-            f"an open frame that lists {count} agents is truncated "
-            f"or exceeds the limit of {MAX_TRIED}"
+            "an open frame lists more agents than it contains or than are allowed"
         )
     tried = tuple(
         data[start : start + ADDRESS_BYTES]
--- a/testing/adapter/fleet.py
+++ b/testing/adapter/fleet.py
@@ -1,4 +1,4 @@
-"""Balancers and agents as real processes on loopback, with stand-ins around them."""
+"""Balancers and agents as processes on loopback, with fake store, hosts and clients."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 from relay.network import FakeClient, FakeHost
 
-from adapter.store import StandInStore
+from adapter.store import FakeStore
 
 STORE_PORT = 18_169
 CLIENT_PORT = 18_172
@@ -24,10 +24,10 @@
 INNER_PORTS = [17_720, 17_735]
 SERVICE = "order-desk"
 SERVICE_END = ("198.18.0.1", 443)
-REPEAT_SECONDS = 0.2
+RETRY_SECONDS = 0.2
 
 
-class Socket(asyncio.DatagramProtocol):
+class DatagramReceiver(asyncio.DatagramProtocol):
     def __init__(self, receive):
         self.receive = receive
 
@@ -38,26 +38,27 @@
 async def open_socket(host, port, receive):
     loop = asyncio.get_running_loop()
     transport, _ = await loop.create_datagram_endpoint(
-        lambda: Socket(receive), local_addr=(host, port)
+        lambda: DatagramReceiver(receive), local_addr=(host, port)
     )
     return transport
 
 
 def caught_signals(status):
-    """Return the mask of signals that a process handles."""
+    """Return the mask of signals that a process handles, from its /proc status."""
     return int(status.partition("SigCgt:")[2].split()[0], 16)
 
 
 class LoopbackFleet:
-    """Starts and ends the processes; every process ends with the fleet.
+    """Starts the processes of a fleet and ends all of them in ``stop``.
 
-    :param block: second number of the fleet's loopback addresses.
+    :param block: second number of the fleet's loopback addresses, to keep fleets
+        apart.
     """
 
     def __init__(self, directory, *, block=40, hosts=3, balancers=2):
         self.directory = directory
         self.block = block
-        self.store = StandInStore()
+        self.store = FakeStore()
         self.processes = {}
         self.hosts = {}
         self.sockets = []
@@ -93,7 +94,7 @@
             transport.close()
         await self.store.stop()
 
-    # What is published.
+    # Records in the store.
 
     def publish_routes(self, version, *, port=443):
         host, _ = SERVICE_END
@@ -165,7 +166,7 @@
         )  # fmt: skip
 
     async def wait_for_signals(self, address):
-        """Wait until a process takes SIGTERM itself; before, it can't but end."""
+        """Wait until a process handles SIGTERM, which until then would kill it."""
         status = Path(f"/proc/{self.processes[address].pid}/status")
         while not caught_signals(status.read_text()) >> (signal.SIGTERM - 1) & 1:
             await asyncio.sleep(0.005)
@@ -196,7 +197,7 @@
         raise AssertionError(f"{address} was not ready within 60 s")
 
     def lines(self, address):
-        """Return what a process has logged."""
+        """Return the log records of a process."""
         text = (self.directory / f"{address}.log").read_text()
         return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
 
@@ -214,20 +215,23 @@
         self.host_sockets[self.agent_addresses[0]].sendto(data, (balancer, CLIENT_PORT))
 
     async def connect(self, client, balancer):
-        """Open a flow, repeating the opening packet as clients do."""
+        """Open a flow and tell whether it opened.
+
+        The opening packet is sent up to three times, as clients do.
+        """
         for copy in (0, 1, 2):
             client.knock(balancer, copy)
-            if await self.wait_for(lambda: client.is_open, seconds=REPEAT_SECONDS):
+            if await self.wait_for(lambda: client.is_open, seconds=RETRY_SECONDS):
                 return True
         return await self.wait_for(lambda: client.is_open, seconds=1.0)
 
     async def ask(self, client, balancer, *, sequence, seconds=10.0):
-        """Send a request, repeating it until it is answered; tells whether it was."""
+        """Send a request until it is answered and tell whether it was."""
         before = client.answers
-        for _ in range(int(seconds / REPEAT_SECONDS)):
+        for _ in range(int(seconds / RETRY_SECONDS)):
             client.ask(balancer, sequence=sequence)
             if await self.wait_for(
-                lambda: client.answers > before, seconds=REPEAT_SECONDS
+                lambda: client.answers > before, seconds=RETRY_SECONDS
             ):
                 return True
         return False
--- a/testing/adapter/store.py
+++ b/testing/adapter/store.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's store on loopback: read and watched over HTTP."""
+"""Fake of the platform's store: an HTTP server on loopback."""
 
 from __future__ import annotations
 
@@ -9,18 +9,20 @@
 from aiohttp import web
 
 
-class StandInStore:
-    """Keeps items with revisions; ``mode`` makes it fail.
+class FakeStore:
+    """Stores items with revisions and serves reads and watches.
 
-    :ivar mode: ``up``, ``busy`` (503), ``silent`` or ``garbled``.
-    :ivar calls: calls received.
+    :ivar mode: ``up``, or a failure: ``busy`` (status 503), ``silent`` (no answer) or
+        ``garbled`` (a body that isn't valid JSON).
+    :ivar calls: number of calls received.
+    :ivar oldest_revision: oldest revision that a watch can start from.
     """
 
     def __init__(self):
         self.items = {}
         self.events = []
         self.revision = 100
-        self.oldest = 100
+        self.oldest_revision = 100
         self.mode = "up"
         self.calls = 0
         self.changed = asyncio.Event()
@@ -48,20 +50,20 @@
             "lease": 0,
         }
         self.items[key] = item
-        self.note(item)
+        self.record_event(item)
 
     def remove(self, key):
         self.revision += 1
         del self.items[key]
-        self.note({"key": key, "revision": self.revision, "removed": True})
+        self.record_event({"key": key, "revision": self.revision, "removed": True})
 
-    def note(self, event):
+    def record_event(self, event):
         self.events.append(event)
         self.changed.set()
         self.changed = asyncio.Event()
 
     def compact(self):
-        self.oldest = self.revision
+        self.oldest_revision = self.revision
         self.events.clear()
 
     async def get_range(self, request):
@@ -81,7 +83,7 @@
         if failure is not None:
             return failure
         after = int(request.query["after"])
-        if after < self.oldest:
+        if after < self.oldest_revision:
             return web.json_response({"error": "compacted"}, status=410)
         if after >= self.revision:
             await self.wait(int(request.query["waitMs"]) / 1000)
