--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -71,8 +71,26 @@
         for machine in self.fleet.of_role("agent"):
             await self.add_host(machine)
         self.spawn(self.router.run())
+        await self.wait_ready(list(self.fleet.machines.values()))
+
+    async def add_machines(self, service: str, count: int) -> list[Machine]:
+        """Add machines with hosts of a service to the running deployment."""
+        first = 1 + len(self.fleet.of_role("agent"))
+        machines = []
+        for number in range(first, first + count):
+            address = self.fleet.address(2, number)
+            machine = self.fleet.add("agent", address, service)
+            machine.starts = 1
+            machines.append(machine)
+            self.fleet.start(machine)
+            await self.add_host(machine)
+        await self.wait_ready(machines)
+        return machines
+
+    async def wait_ready(self, machines: list[Machine]) -> None:
+        """Wait until processes are ready, and for their directories to settle."""
         end = time.monotonic() + START_SECONDS
-        for machine in self.fleet.machines.values():
+        for machine in machines:
             while not await self.is_ready(machine):
                 if time.monotonic() > end:
                     raise TimeoutError(f"{machine.name} isn't ready")
--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -159,7 +159,11 @@
         return fields
 
     def start(self, machine: Machine) -> None:
-        """Start a machine's process with the command of the deploy file."""
+        """Start a machine's process with the command of the deploy file.
+
+        The first process of a machine that is added later isn't part of the first
+        start of the system; its number of starts is 1 before.
+        """
         role = self.roles[machine.role]
         template = (ROOT / role["template"]).read_text()
         folder = Path(self.folder.name)
@@ -178,6 +182,12 @@
 
     async def restart(self, machine: Machine) -> None:
         """Stop a process as planned and start it again."""
+        await self.shut_down(machine)
+        await asyncio.sleep(RESTART_SECONDS)
+        self.start(machine)
+
+    async def shut_down(self, machine: Machine) -> None:
+        """Stop a process as planned."""
         process = machine.process
         process.send_signal(signal.SIGTERM)
         end = asyncio.get_running_loop().time() + GRACE_SECONDS
@@ -186,8 +196,6 @@
         if process.poll() is None:
             process.kill()
             process.wait()
-        await asyncio.sleep(RESTART_SECONDS)
-        self.start(machine)
 
     def stop(self) -> None:
         """End every process."""
