--- a/review/3/run.py
+++ b/review/3/run.py
@@ -14,7 +14,7 @@
     has_trouble,
 )
 from stand_ins.fleet import ROOT, Machine
-from stand_ins.fresh import Attempt, FreshClient
+from stand_ins.load import Load, find_regressions
 
 PLAN = Plan(
     balancers=3,
@@ -26,37 +26,10 @@
 )
 SPLIT_ROUTE = ("198.18.0.1", 443)
 ADDED_ROUTE = ("198.18.0.2", 443)
-ROLLBACK_WINDOW_SECONDS = 0.25
 REQUESTS_PER_SECOND = 75.0
 FREEZE_SECONDS = 3.5
 
 
-class Load:
-    """Sends requests at a constant rate, to the balancers in turn."""
-
-    def __init__(self, deployment: Deployment, client: FreshClient) -> None:
-        self.deployment = deployment
-        self.client = client
-        self.balancers = [m.address for m in deployment.fleet.of_role("balancer")]
-        self.attempts: list[Attempt] = []
-        self.tasks: set[asyncio.Task[None]] = set()
-
-    async def run(self, route: tuple[str, int], *, rate: float) -> None:
-        """Send requests to a route until cancelled."""
-        number = 0
-        while True:
-            number += 1
-            balancer = self.balancers[number % len(self.balancers)]
-            self.tasks.add(asyncio.create_task(self.send(route, balancer)))
-            await asyncio.sleep(1.0 / rate)
-
-    async def send(self, route: tuple[str, int], balancer: str) -> None:
-        """Send one request."""
-        seconds = PLAN.timeout_seconds
-        attempt = await self.client.request(route, balancer, seconds=seconds)
-        self.attempts.append(attempt)
-
-
 def choose_frozen(deployment: Deployment) -> Machine:
     """Return the machine that most other processes follow."""
     sys.path.insert(0, str(ROOT / "target/deps"))
@@ -95,35 +68,13 @@
         await asyncio.sleep(8.0)
     finally:
         deployment.stop()
-    if not any(attempt.outcome == "answered" for attempt in load.attempts):
+    if not load.served:
         return UNUSABLE
-    return conclude(deployment, Path(__file__).parent, find_regressions(load))
-
-
-def find_regressions(load: Load) -> list[str]:
-    """Return the requests that were handled as only an older version allows."""
-    deployment = load.deployment
-    runs = deployment.record.runs
-    since: dict[str, float] = {}
-    for attempt in load.attempts:
-        if attempt.service == ADDED_ROUTE and attempt.request in runs:
-            at = deployment.record.run_times[attempt.request]
-            since[attempt.balancer] = min(at, since.get(attempt.balancer, at))
-    breaks = []
-    for attempt in sorted(load.attempts, key=lambda attempt: attempt.sent_at):
-        seen = since.get(attempt.balancer, float("inf"))
-        if attempt.service != SPLIT_ROUTE or attempt.sent_at <= (
-            seen + ROLLBACK_WINDOW_SECONDS
-        ):
-            continue
-        for host in runs.get(attempt.request, []):
-            if deployment.fleet.machines[host].service == "old":
-                breaks.append(
-                    f"CONFIG {attempt.request}: sent at {attempt.sent_at:.3f} through "
-                    f"{attempt.balancer}, where a host saw version 3 at {seen:.3f}; "
-                    f"run by {host} of the service that version 3 withdrew"
-                )
-    return breaks
+    breaks = find_regressions(
+        load, changed=SPLIT_ROUTE, added=ADDED_ROUTE, withdrawn="old"
+    )
+    folder = Path(__file__).parent
+    return conclude(deployment, folder, breaks, served=load.served)
 
 
 if __name__ == "__main__":
--- a/review/stand_ins/client.py
+++ b/review/stand_ins/client.py
@@ -63,7 +63,7 @@
         self.received = b""
         self.progress = asyncio.Event()
         self.transport: asyncio.DatagramTransport | None = None
-        self.served = self.failed = 0
+        self.served = 0
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         """Store the transport."""
@@ -116,13 +116,10 @@
         await asyncio.sleep(self.random.uniform(0.0, self.habit.pause))
         while True:
             if self.stream is None and not await self.open():
-                self.failed += 1
                 continue
             if await self.ask():
                 self.served += 1
                 await asyncio.sleep(self.random.uniform(0.1, self.habit.pause))
-            else:
-                self.failed += 1
 
     async def open(self) -> bool:
         """Open a flow and return whether it opened."""
--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -240,19 +240,17 @@
         """Return the number of requests answered in time."""
         return sum(client.served for client in self.clients)
 
-    def failed(self) -> int:
-        """Return the number of requests and openings that failed."""
-        return sum(client.failed for client in self.clients)
-
 
 def has_trouble() -> bool:
     """Return False when the disruption is switched off."""
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def conclude(deployment: Deployment, folder: Path, breaks: list[str]) -> int:
+def conclude(
+    deployment: Deployment, folder: Path, breaks: list[str], *, served: int
+) -> int:
     """Write the record and return the exit code."""
-    counts = f"served {deployment.served()}, failed {deployment.failed()}"
+    counts = f"served {served}"
     verdict = "\n".join([counts, *breaks, "BROKEN" if breaks else "HELD"])
     deployment.record.write(folder / "record.txt", verdict)
     print(verdict)
--- a/review/stand_ins/fresh.py
+++ b/review/stand_ins/fresh.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from stand_ins.client import COPY_SECONDS
 from stand_ins.packets import RANGE, RST, SYN, Packet, decode, encode
@@ -19,14 +19,15 @@
 class Attempt:
     """One request on a flow of its own.
 
-    :param sent_at: time at which its first opening packet was sent.
+    :param sent_at: times at which its opening packet and the copies were sent.
     :param balancer: address that every packet of it is sent to.
     """
 
     request: str
+    ends: tuple[str, int, str, int]
     service: Address
     balancer: str
-    sent_at: float
+    sent_at: list[float] = field(default_factory=list)
     stream: Stream | None = None
     offer: asyncio.Future[Packet] | None = None
     received: bytes = b""
@@ -75,9 +76,9 @@
         ends = (self.address, next(self.ports), *service)
         attempt = self.attempts[ends] = Attempt(
             request=f"{self.random.getrandbits(64):016x}",
+            ends=ends,
             service=service,
             balancer=balancer,
-            sent_at=self.record.now(),
             offer=asyncio.get_running_loop().create_future(),
         )
         name = f"{attempt.request} on {show(ends)} through {balancer}"
@@ -102,6 +103,7 @@
 
         seq = self.random.randrange(RANGE)
         for copy, pause in enumerate(COPY_SECONDS):
+            attempt.sent_at.append(self.record.now())
             send(Packet(*ends, flags=SYN, seq=seq, ack=copy))
             done, _ = await asyncio.wait([attempt.offer], timeout=pause)
             if done:
--- a/review/stand_ins/host.py
+++ b/review/stand_ins/host.py
@@ -91,6 +91,7 @@
         if flow is None:
             flow = HostFlow(seq=self.random.randrange(RANGE))
             self.flows[packet.ends] = flow
+            self.record.note_opening(self.address, packet)
         if flow.stream is None:
             ends = reverse(packet.ends)
             ack = (packet.seq + 1) % RANGE
--- a/review/stand_ins/record.py
+++ b/review/stand_ins/record.py
@@ -36,6 +36,7 @@
         self.flows: dict[Flow, FlowRecord] = {}
         self.runs: dict[str, list[str]] = {}
         self.run_times: dict[str, float] = {}
+        self.openings: dict[tuple[str, Flow], int] = {}
         self.tampered: list[str] = []
 
     def now(self) -> float:
@@ -56,6 +57,10 @@
         if not packet.flags & (SYN | RST):
             self.flow(packet.ends).arrivals.append((self.now(), host))
 
+    def note_opening(self, host: str, packet: Packet) -> None:
+        """Record the first opening packet of a flow that a host takes."""
+        self.openings.setdefault((host, packet.ends), packet.ack)
+
     def note_open(self, host: str, ends: Flow) -> None:
         """Record that a flow has opened at a host."""
         flow = self.flow(ends)
