--- a/review/3/run.py
+++ b/review/3/run.py
@@ -26,7 +26,7 @@
 )
 SPLIT_ROUTE = ("198.18.0.1", 443)
 ADDED_ROUTE = ("198.18.0.2", 443)
-REQUESTS_PER_SECOND = 75.0
+REQUESTS_PER_SECOND = 95.0
 FREEZE_SECONDS = 3.5
 
 
@@ -56,7 +56,7 @@
         load = Load(deployment, await deployment.add_fresh_client())
         deployment.spawn(load.run(SPLIT_ROUTE, rate=REQUESTS_PER_SECOND))
         deployment.spawn(load.run(ADDED_ROUTE, rate=20.0))
-        await asyncio.sleep(6.0)
+        await asyncio.sleep(6.3)
         if has_trouble():
             frozen = choose_frozen(deployment)
             deployment.spawn(deployment.freeze(frozen, seconds=FREEZE_SECONDS))
