--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -6,6 +6,8 @@
 import os
 import signal
 import time
+import traceback
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -255,3 +257,12 @@
     deployment.record.write(folder / "record.txt", verdict)
     print(verdict)
     return BROKEN if breaks else HELD
+
+
+def run_case(main: Callable[[], Coroutine[Any, Any, int]]) -> int:
+    """Run a case; return ``UNUSABLE`` when it couldn't run to its end."""
+    try:
+        return asyncio.run(main())
+    except Exception:
+        traceback.print_exc()
+        return UNUSABLE
