Widen a search past agents that don't answer

Cause: `PendingSearch.next_step` widened a search only once every agent of the route's present services had reported the flow absent; an agent that doesn't answer held it at WAIT, and repeated queries went to the same agents. Ruled out: the balancer's choice of the searching agent (each round asks another one), and lost datagrams (the queries are repeated).

A search now asks the other agents when the route's agents have left it unanswered for 0.1 s, which the repeat at 0.15 s notices. Only the answers of all agents still end it, so no flow is reset sooner. Queries already sent are repeated at their own pace, not at the widening too.

The new test in test_splits fails without the change ('10.0.3.1' silent, one move) and bounds a search at 0.3 s for any set of silent agents and any moves.

--- a/packages/daisygauge-policy/src/daisygauge_policy/_search.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_search.py
@@ -27,6 +27,10 @@
 """Time after which an agent repeats unanswered queries. Agents that lost power
 together begin some tenths of a second apart; clients repeat a packet later."""
 LONGEST_REPEAT_SECONDS = 0.4
+WIDEN_SECONDS = 0.1
+"""Time after which a search no longer waits for the agents of the flow's route. One
+that is frozen or gone must not keep it from the agent that holds the flow. By then the
+queries have been repeated once, so a single lost datagram doesn't widen a search."""
 PENDING_SECONDS = 2.0
 """Time after which a search is dropped: the client has repeated the packet by then."""
 
@@ -118,19 +122,25 @@
         route_agents: Collection[bytes],
         all_agents: Collection[bytes],
         own: bytes,
+        now: float,
     ) -> SearchStep:
         """Return the step that follows from the answers so far.
 
+        The search gives up only on the answers of every agent, however long that takes:
+        a silent one may hold the flow.
+
         :param route_agents: agents of the services that the flow's route names.
         :param all_agents: every agent of the fleet that the asking agent knows. If
             it lacks the asking agent, it is incomplete and the search waits.
         :param own: the asking agent.
         """
-        if own not in all_agents or not self.absent.issuperset(route_agents):
+        if own not in all_agents:
             return SearchStep.WAIT
         if self.absent.issuperset(all_agents):
             return SearchStep.GIVE_UP
-        return SearchStep.WAIT if self.is_wide else SearchStep.WIDEN
+        is_overdue = now - self.since >= WIDEN_SECONDS
+        may_widen = is_overdue or self.absent.issuperset(route_agents)
+        return SearchStep.WIDEN if may_widen and not self.is_wide else SearchStep.WAIT
 
 
 class PendingSearches:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
@@ -3,8 +3,9 @@
 There are many agents, with wide links, while a balancer may be small. So a balancer
 sends the packet of a flow whose agent it doesn't know to one agent, and that agent
 queries the others: first those of the services that the flow's route names, then, when
-none of them holds the flow, all others. An older version of the route, which no process
-keeps, may have named another service when the flow was opened.
+none of them holds the flow or some don't answer in time, all others. An older version of
+the route, which no process keeps, may have named another service when the flow was
+opened.
 """
 
 from __future__ import annotations
@@ -148,10 +149,13 @@
             route_agents=self.list_route_agents(search, flow),
             all_agents=self.candidates.service_tags,
             own=self.own_address,
+            now=now,
         )
         if step is SearchStep.WIDEN:
             search.is_wide = True
-            self.query(flow, search, self.candidates.service_tags, now=now)
+            # Unanswered queries are repeated at their own pace.
+            new = set(self.candidates.service_tags) - search.unanswered
+            self.query(flow, search, new, now=now)
         elif step is SearchStep.GIVE_UP:
             self.report_not_found(flow, search, now=now)
 
--- a/testing/policy/test_search.py
+++ b/testing/policy/test_search.py
@@ -1,7 +1,14 @@
 """The budget for the searches of a flow, and the steps of a search."""
 
+from hypothesis import given, strategies as st
+
 from daisygauge_policy import PendingSearches, SearchBudget, SearchStep
-from daisygauge_policy._search import BURST_PACKETS, MAX_PENDING, PENDING_SECONDS
+from daisygauge_policy._search import (
+    BURST_PACKETS,
+    MAX_PENDING,
+    PENDING_SECONDS,
+    WIDEN_SECONDS,
+)
 
 OWN = b"\x0a\x00\x00\x01"
 OTHER = b"\x0a\x00\x00\x02"
@@ -28,8 +35,10 @@
     assert max(rounds.count(number) for number in rounds) <= BURST_PACKETS
 
 
-def step(search, *, route_agents=(OWN, OTHER), all_agents=(OWN, OTHER)):
-    return search.next_step(route_agents=route_agents, all_agents=all_agents, own=OWN)
+def step(search, *, route_agents=(OWN, OTHER), all_agents=(OWN, OTHER), now=0.0):
+    return search.next_step(
+        route_agents=route_agents, all_agents=all_agents, own=OWN, now=now
+    )
 
 
 def test_a_search_gives_up_once_every_agent_has_answered():
@@ -59,6 +68,39 @@
     assert step(search, all_agents=all_agents) is SearchStep.GIVE_UP
 
 
+def test_a_silent_agent_of_the_route_does_not_keep_a_search_from_the_others():
+    searches = PendingSearches()
+    search = begin(searches, b"flow", ask=(OWN, OTHER))
+    all_agents = (OWN, OTHER, FAR)
+    searches.record_absent(b"flow", OWN)
+
+    assert step(search, all_agents=all_agents) is SearchStep.WAIT
+    widened = step(search, all_agents=all_agents, now=WIDEN_SECONDS)
+
+    assert widened is SearchStep.WIDEN
+
+
+@given(
+    agents=st.sets(st.binary(min_size=4, max_size=4), min_size=2, max_size=8),
+    data=st.data(),
+)
+def test_only_the_answers_of_all_agents_end_a_search(agents, data):
+    """A silent agent may hold the flow, so time alone must not reset it."""
+    all_agents = {OWN, *agents}
+    route_agents = data.draw(st.sets(st.sampled_from(sorted(all_agents))))
+    answered = data.draw(st.sets(st.sampled_from(sorted(all_agents))))
+    searches = PendingSearches()
+    search = begin(searches, b"flow", ask=all_agents)
+    for agent in answered:
+        searches.record_absent(b"flow", agent)
+
+    late = step(
+        search, route_agents=route_agents, all_agents=all_agents, now=PENDING_SECONDS
+    )
+
+    assert (late is SearchStep.GIVE_UP) == (answered == all_agents)
+
+
 def test_an_agent_that_joined_during_a_search_is_asked():
     searches = PendingSearches()
     search = begin(searches, b"flow", ask=(OWN, OTHER))
--- a/testing/relay/test_splits.py
+++ b/testing/relay/test_splits.py
@@ -1,7 +1,9 @@
 """Open flows keep their host when the services that their route names change."""
 
+from socket import inet_aton
+
 import pytest
-from hypothesis import settings, strategies as st
+from hypothesis import given, settings, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
@@ -26,6 +28,8 @@
 UNRELATED_SERVICE = "pattern-library"
 SPLIT = ((SERVICE, 1.0), (SMALL_SERVICE, 1.0))
 SETTLED_SECONDS = 3.0
+SEARCH_SECONDS = 0.3
+"""Longest search for a flow whose agent answers, however many others are silent."""
 CLIENTS = 20
 
 
@@ -99,6 +103,37 @@
     assert answered == CLIENTS
 
 
+@given(data=st.data())
+@settings(max_examples=30, deadline=None)
+def test_a_flow_of_a_moved_route_is_found_while_other_agents_are_silent(data):
+    """A silent agent of the route's new service must not hide the old one's flows."""
+    network = Network()
+    services = ["moved-1", "moved-2"]
+    for number, service in enumerate(services * 2):
+        network.add_host(f"10.0.3.{number + 1}", service=service)
+    clients = network.open_clients(CLIENTS)
+    assert ask_all(network, clients, balancer="10.0.0.1") == CLIENTS
+    moves = data.draw(st.lists(st.sampled_from(services), min_size=1, max_size=3))
+    for service in moves:
+        network.publish_routes(services=((service, 1.0),))
+    network.start_balancer("10.0.0.2")
+    settle(network)
+    others = [a for a, host in network.hosts.items() if host.service != SERVICE]
+    silent = data.draw(st.sets(st.sampled_from(others), max_size=len(others)))
+    network.down.update(silent)
+    # The balancer asks an agent that answers; its next copy would ask another one.
+    searching = tuple(inet_aton(a) for a in network.agents if a not in silent)
+    candidates = network.balancers["10.0.0.2"].candidates
+    candidates.order_all = lambda tag, flow: searching
+
+    answered = ask_all(
+        network, clients, balancer="10.0.0.2", sequence=100, seconds=SEARCH_SECONDS
+    )
+
+    assert answered == CLIENTS
+    assert [client.resets for client in clients] == [0] * CLIENTS
+
+
 def test_a_flow_is_found_while_the_service_of_its_route_has_no_host(network):
     clients = open_split(network)
     network.publish_routes(services=(("not-there-yet", 1.0),))
