Deliver held packets when their request is answered

Cause: a restarted agent takes the client's repeat of a running request for a new one and, when the slots are full, holds its packets. The upstream then answers the request that it has had all along. `Requests.answer` ended the waiting entry but left its held packets, so `receive` added every later packet of the flow to them, which nothing dispatched. Ruled out: the search (the agent holds the flow) and the slots (free again after the answer).

The packets are delivered when the answer comes. The upstream has the request, so they are copies, and nothing runs twice. The new test plays it with a fake host: 1 answer instead of 2 before the change.

--- a/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
@@ -129,9 +129,7 @@
     def apply(self, change: SchedulerChange) -> None:
         """Deliver the dispatched requests and drop the expired ones."""
         for flow in change.sent:
-            held = self.held.pop(flow, None)
-            for data in held.packets if held is not None else ():
-                self.deliver(data)
+            self.deliver_held(flow)
         for flow in change.expired:
             self.held.pop(flow, None)
             self.runtime.counters.count_dropped("request-expired")
@@ -175,6 +173,7 @@
         )
         flow.request_started_at = None
         flow.answered += 1
+        self.deliver_held(key)
         self.apply(self.scheduler.end(key, now=now))
 
     def end(self, key: bytes, flow: AgentFlow, *, now: float) -> None:
@@ -203,12 +202,22 @@
         self.held.pop(flow, None)
         self.apply(self.scheduler.end(flow, now=self.runtime.now()))
 
+    def deliver_held(self, flow: bytes) -> None:
+        """Deliver the held packets of a flow, if there are any.
+
+        A request that is answered while its packets are held had reached the upstream
+        before this agent started; the client has repeated it. The upstream takes the
+        packets as copies. If they stayed, the flow's later requests would be held with
+        them.
+        """
+        held = self.held.pop(flow, None)
+        for data in held.packets if held is not None else ():
+            self.deliver(data)
+
     def release_all(self) -> None:
         """Deliver every held packet; a stopping process can't do it later."""
-        for held in self.held.values():
-            for data in held.packets:
-                self.deliver(data)
-        self.held.clear()
+        for flow in list(self.held):
+            self.deliver_held(flow)
 
 
 def find_request_start(flow: AgentFlow, *, now: float) -> float:
--- a/testing/relay/test_requests.py
+++ b/testing/relay/test_requests.py
@@ -67,6 +67,39 @@
     assert len(host.executed) == 8
 
 
+def acknowledge_from_host(network, host, client):
+    """Let the host acknowledge a packet, which shows its agent that the flow is open."""
+    data = pack_packet(
+        client.service, client.end, flags=ACK, sequence=client.host_sequence + 1
+    )
+    network.from_host(host.address, data)
+
+
+def test_a_flow_goes_on_after_its_request_is_answered_while_it_is_held(network):
+    """A restarted agent takes the repeat of a running request for a new one."""
+    (host,) = network.hosts.values()
+    host.work_seconds = 0.3
+    client, *others = network.open_clients(4)
+    client.ask("10.0.0.1")
+    network.clock.run(0.01)
+    network.first_start = False
+    agent = network.start_agent(host.address)
+    for known in (client, *others):
+        acknowledge_from_host(network, host, known)
+    network.clock.run(0.01)
+    for repeating in (*others, client):
+        repeating.ask("10.0.0.1")
+    network.clock.run(0.01)
+    assert len(agent.requests.held) == 1
+    network.clock.run(1.0)
+
+    client.ask("10.0.0.1", sequence=100)
+    network.clock.run(1.0)
+
+    assert client.answers == 2
+    assert not agent.requests.held
+
+
 def test_the_deadline_of_a_late_first_request_starts_at_its_arrival(network):
     (client,) = network.open_clients(1)
     network.clock.run(3.0)
