Prepare openings for limits that agents put on new flows

An agent may be unable to take a flow, as before, or reluctant: it then takes the flow only if no other agent does.

--- a/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
@@ -28,6 +28,10 @@
     LEAVING = "leaving"
     SILENT = "silent"
     OTHER_SERVICE = "other-service"
+    EVACUATED = "evacuated"
+    COLD = "cold"
+    FAILING = "failing"
+    PACED = "paced"
     FULL = "full"
     LEAST_BUSY = "least-busy"
     OVERFLOW = "overflow"
@@ -74,6 +78,7 @@
     """The agent that decides, with its own load.
 
     :param inability: why its upstream can't take a flow at all, or None.
+    :param reluctance: why its upstream takes a flow only if no other one does, or None.
     :param load: requests running or expected at its upstream.
     :param slots: requests that the upstream runs at a time.
     """
@@ -82,6 +87,17 @@
     load: int
     slots: int
     inability: OpeningReason | None = None
+    reluctance: OpeningReason | None = None
+
+    @property
+    def is_willing(self) -> bool:
+        """True if the upstream takes flows like any other one."""
+        return self.inability is None and self.reluctance is None
+
+    @property
+    def has_free_slot(self) -> bool:
+        """True if the upstream takes a flow without making it wait."""
+        return self.is_willing and self.load < self.slots
 
 
 def decide_opening(
@@ -97,7 +113,8 @@
 
     Up to ``MAX_ASKED`` agents are asked for a free slot. Then the least busy of them
     is asked to take the flow. If its upstream can't, the packet is passed on until an
-    agent's upstream can take the flow.
+    agent's upstream can take the flow. A reluctant agent takes it when no other is left,
+    so that no flow is refused while an upstream could run its requests.
 
     :param candidates: agents of the service in this flow's order.
     :param tried: agents that need not be asked.
@@ -106,14 +123,14 @@
     :param final: True when the agent takes the flow even without a free slot.
     """
     is_able = own.inability is None
-    if is_able and (final or own.load < own.slots):
+    if own.has_free_slot or (is_able and final):
         return TakeOpening()
-    reason = own.inability or OpeningReason.BUSY
+    reason = own.inability or own.reluctance or OpeningReason.BUSY
     tried = (*tried, own.agent)
     rest = [agent for agent in candidates if agent not in tried]
     if rest and not final and hops + 1 < MAX_ASKED:
         return PassOpening(target=rest[0], reason=reason, tried=tried)
-    if is_able and (best is None or own.load <= best.load):
+    if own.is_willing and (best is None or own.load <= best.load):
         return TakeOpening()
     if best is not None and not final:
         return PassOpening(
@@ -124,7 +141,7 @@
         )
     if rest and hops + 1 < MAX_OPENING_HOPS:
         return PassOpening(target=rest[0], reason=reason, tried=tried, final=True)
-    return RefuseOpening(reason=reason)
+    return TakeOpening() if is_able else RefuseOpening(reason=reason)
 
 
 def choose_candidate(
--- a/packages/daisygauge-policy/src/daisygauge_policy/_overflow.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_overflow.py
@@ -101,11 +101,11 @@
     :param hops: agents of this service that have passed the packet on.
     :param home: the agent that offered the packet; it takes the flow in the end.
     """
-    if own.inability is None and own.load < own.slots:
+    if own.has_free_slot:
         return TakeOpening()
     tried = (*tried, own.agent)
     rest = [agent for agent in candidates if agent not in tried]
     if not rest or hops + 1 >= MAX_ASKED:
         return ReturnOpening(target=home)
-    reason = own.inability or OpeningReason.BUSY
+    reason = own.inability or own.reluctance or OpeningReason.BUSY
     return PassOpening(target=rest[0], reason=reason, tried=tried)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -20,6 +20,7 @@
 
 from ._counters import Gauge
 from ._endpoint import Endpoint
+from ._flow_limits import FlowLimits
 from ._flows import AgentFlow, FlowStage, FlowTable
 from ._openings import Openings
 from ._packet import (
@@ -69,6 +70,7 @@
             upstream=self.upstream,
             flows=self.flows,
             running=lambda now: self.scheduler.load(now=now),
+            limits=FlowLimits(),
             deliver=self.deliver,
             send=self.send,
             reset=self.reset,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
@@ -28,6 +28,7 @@
 
 from . import _events as events
 from ._candidates import CandidateLists
+from ._flow_limits import FlowLimits
 from ._flows import AgentFlow, FlowStage, FlowTable
 from ._load import UpstreamLoad
 from ._overflow import Overflow
@@ -57,6 +58,7 @@
 
     :param running: returns the number of requests that run at the upstream or wait for
         it, at a monotonic time.
+    :param limits: limits on the flows that the upstream takes.
     :param deliver: sends a packet to the upstream.
     :param send: sends a frame to another instance.
     :param reset: sends a client the reset of a flow that isn't open.
@@ -70,6 +72,7 @@
         upstream: Upstream,
         flows: FlowTable[AgentFlow],
         running: Callable[[float], int],
+        limits: FlowLimits,
         deliver: Callable[[bytes], None],
         send: Callable[[bytes, Frame], None],
         reset: Callable[[bytes], None],
@@ -79,6 +82,7 @@
         self.upstream = upstream
         self.flows = flows
         self.load = UpstreamLoad(flows=flows, running=running)
+        self.limits = limits
         self.deliver = deliver
         self.send = send
         self.reset = reset
@@ -99,18 +103,21 @@
             agent=self.own_address,
             load=self.load.count(now=now),
             slots=DEFAULT_SLOTS if self.upstream.slots is None else self.upstream.slots,
-            inability=self.find_inability(frame, packet),
+            inability=self.find_inability(frame, packet, now=now),
+            reluctance=self.limits.find_reluctance(now=now),
         )
         self.decide(frame, packet, own, now=now)
 
     def find_inability(
-        self, frame: OpenFrame, packet: RelayedPacket
+        self, frame: OpenFrame, packet: RelayedPacket, *, now: float
     ) -> OpeningReason | None:
         """Return why the upstream can't take a flow at all, or None."""
         is_visit = frame.home_service is not None
         if is_visit and not self.overflow.is_allowed(frame, packet.flow):
             return OpeningReason.OTHER_SERVICE
-        return self.upstream.find_inability(frame.service)
+        return self.upstream.find_inability(
+            frame.service
+        ) or self.limits.find_inability(now=now)
 
     def decide(
         self, frame: OpenFrame, packet: RelayedPacket, own: AskedAgent, *, now: float
@@ -189,6 +196,7 @@
         self.flows.add(packet.flow, entry, now=now)
         self.pending[packet.flow] = PendingOpening(frame=frame, packet=packet)
         self.load.expect(packet.flow, now=now)
+        self.limits.record_taken(now=now)
         self.runtime.counters.taken += 1
         self.runtime.log.write(
             events.OPENING_TAKEN,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_passing.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_passing.py
@@ -118,7 +118,7 @@
     """Return the agent that takes the flow if no other has a free slot, or None."""
     best = frame.best
     is_visit = frame.home_service is not None
-    if is_visit or own.inability is not None:
+    if is_visit or not own.is_willing:
         return best
     if best is None or own.load < best.load:
         return AgentLoad(agent=own.agent, load=own.load)
--- a/testing/policy/test_opening.py
+++ b/testing/policy/test_opening.py
@@ -16,15 +16,19 @@
 ALL = (A, B, C, D, E)
 
 
-def decide(own, *, load=0, slots=2, inability=None, tried=(), hops=None, **options):
+def decide(own, *, load=0, slots=2, tried=(), hops=None, **options):
     return decide_opening(
-        own=AskedAgent(agent=own, load=load, slots=slots, inability=inability),
+        own=AskedAgent(
+            agent=own, load=load, slots=slots,
+            inability=options.pop("inability", None),
+            reluctance=options.pop("reluctance", None),
+        ),
         candidates=options.pop("candidates", ALL),
         tried=tried,
         hops=len(tried) if hops is None else hops,
         best=options.pop("best", None),
         final=options.pop("final", False),
-    )
+    )  # fmt: skip
 
 
 def test_an_agent_with_a_free_slot_takes_a_flow():
@@ -63,6 +67,26 @@
     assert decision == RefuseOpening(reason=OpeningReason.LEAVING)
 
 
+def test_a_reluctant_agent_with_a_free_slot_asks_the_next_one():
+    decision = decide(A, reluctance=OpeningReason.FAILING)
+
+    assert decision == PassOpening(target=B, reason=OpeningReason.FAILING, tried=(A,))
+
+
+def test_a_busy_agent_takes_a_flow_before_a_reluctant_one():
+    best = BusyAgent(agent=B, load=7)
+
+    decision = decide(D, reluctance=OpeningReason.FAILING, tried=(A, B, C), best=best)
+
+    assert (decision.target, decision.final) == (B, True)
+
+
+def test_a_reluctant_agent_takes_a_flow_that_no_other_one_takes():
+    decision = decide(A, reluctance=OpeningReason.FAILING, candidates=(A,))
+
+    assert decision == TakeOpening()
+
+
 def test_an_agent_of_another_service_never_takes_a_flow():
     decision = decide(E, inability=OpeningReason.OTHER_SERVICE, candidates=(A, B))
 
