--- a/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
@@ -113,8 +113,8 @@
 
     Up to ``MAX_ASKED`` agents are asked for a free slot. Then the least busy of them
     is asked to take the flow. If its upstream can't, the packet is passed on until an
-    agent's upstream can take the flow. A reluctant agent takes it when no other is left,
-    so that no flow is refused while an upstream could run its requests.
+    agent's upstream can take the flow. A reluctant agent takes it when no other is
+    left, so that no flow is refused while an upstream could run its requests.
 
     :param candidates: agents of the service in this flow's order.
     :param tried: agents that need not be asked.
--- a/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_searches.py
@@ -3,8 +3,8 @@
 There are many agents, with wide links, while a balancer may be small. So a balancer
 sends the packet of a flow whose agent it doesn't know to one agent, and that agent
 queries the others: first those of the services that the flow's route names, then, when
-none of them holds the flow or some don't answer in time, all others. An older version of
-the route, which no process keeps, may have named another service when the flow was
+none of them holds the flow or some don't answer in time, all others. An older version
+of the route, which no process keeps, may have named another service when the flow was
 opened.
 """
 
--- a/testing/relay/test_requests.py
+++ b/testing/relay/test_requests.py
@@ -68,7 +68,7 @@
 
 
 def acknowledge_from_host(network, host, client):
-    """Let the host acknowledge a packet, which shows its agent that the flow is open."""
+    """Let the host acknowledge a packet; its agent learns that the flow is open."""
     data = pack_packet(
         client.service, client.end, flags=ACK, sequence=client.host_sequence + 1
     )
