Give test agents ports that no outgoing connection takes

test_a_large_body_is_handed_off_unchanged failed once in 'make test' beside other work: the agent's peer port, 48899, was in use. The tests took it from the ephemeral range and closed it before the agent bound it, so another socket could get it meanwhile. They now take ports below that range, each once per run. Ruled out: the product, which never started in that run.

--- a/testing/agent/fakes.py
+++ b/testing/agent/fakes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import datetime
+import itertools
+import os
 import socket
 import ssl
 from contextlib import asynccontextmanager
@@ -52,10 +54,20 @@
 )
 
 
+PORTS = range(20_000, 32_000)
+"""Below the ports that the system gives to outgoing connections, which could take one
+between its probe and its use."""
+ports = itertools.cycle((*PORTS[os.getpid() % len(PORTS) :], *PORTS))
+
+
 def free_port(kind=socket.SOCK_DGRAM):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    for port in ports:
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
 
 
 class FakeBalancer(asyncio.DatagramProtocol):
