Read the status of responses in packets

PacketCodec gets read_status and is_refusal. A refusal is status 421 or 503 with the header X-Not-Executed: the host is overloaded, it hasn't failed.

Shown by testing/adapter/test_packets.py: a body that quotes a status line has none, and random data never raises.

--- a/packages/daisygauge-relay/src/daisygauge_relay/_packet.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_packet.py
@@ -82,6 +82,14 @@
         """Return the id of the request that begins in a packet, or None."""
         ...
 
+    def read_status(self, data: bytes) -> int | None:
+        """Return the status of the response that starts in a packet, or None."""
+        ...
+
+    def is_refusal(self, data: bytes) -> bool:
+        """Return True for a response that says that its request has not run."""
+        ...
+
 
 def acknowledges(packet: RelayedPacket, sequence: int) -> bool:
     """Return True when a packet acknowledges an upstream's first sequence number.
--- a/testing/adapter/test_packets.py
+++ b/testing/adapter/test_packets.py
@@ -91,3 +91,48 @@
     data = f"{method} / HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: abc123\r\n\r\n".encode()
 
     assert CODEC.find_request_id(header + data) == "abc123"
+
+
+def packet_of(data):
+    return HEADER.pack(0, 0, len(data), ACK, 0, bytes(6), bytes(6), 0) + data
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"HTTP/1.1 200 OK\r\n\r\n", 200),
+        (b"HTTP/1.1 500 Internal Server Error\r\n\r\n", 500),
+        (b"HTTP/1.0 503\r\n\r\n", 503),
+        (b"HTTP/1.1 5000 \r\n", None),
+        (b"HTTP/1.1 50", None),
+        (b"body HTTP/1.1 500 ", None),
+        (b"", None),
+    ],
+)
+def test_the_status_is_read_only_where_a_response_starts(data, status):
+    """A body that quotes a status line must not count as a failed response."""
+    assert CODEC.read_status(packet_of(data)) == status
+
+
+@pytest.mark.parametrize(
+    ("data", "is_refusal"),
+    [
+        (b"HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\n\r\n", True),
+        (b"HTTP/1.1 421 Elsewhere\r\nA: b\r\nX-Not-Executed: 1\r\n\r\n", True),
+        (b"HTTP/1.1 503 Busy\r\n\r\n", False),
+        (b"HTTP/1.1 500 Error\r\nX-Not-Executed: 1\r\n\r\n", False),
+        (b"HTTP/1.1 503 Busy\r\n\r\nabc\r\nX-Not-Executed: 1\r\n", False),
+    ],
+)
+def test_a_refusal_needs_its_status_and_its_header(data, is_refusal):
+    """A refusal for overload must not count as a failure of the host."""
+    assert CODEC.is_refusal(packet_of(data)) == is_refusal
+
+
+@given(st.binary(max_size=100))
+def test_random_data_has_a_status_of_three_digits_or_none(data):
+    for packet in (data, packet_of(data), packet_of(b"HTTP/1.1 " + data)):
+        status = CODEC.read_status(packet)
+
+        assert status is None or 100 <= status <= 999
+        assert CODEC.is_refusal(packet) in (True, False)
