Decide from responses whether an upstream is an outlier

Cause: some hosts fail 35 to 45% of their requests while their status check is good, and get new flows like all others. Clients may not repeat the most valuable requests.

Change: OutlierDetector compares the share of failed responses with the usual one by a cumulative sum, ejects the upstream, and lets its share of new flows grow with good responses. Nothing uses it yet.

Ruled out: a threshold over a window (too few responses in half a second), failing agents strictly last (half of the hosts idle when all fail alike), a deterministic third by hash (leaves two of three failing hosts in use), the usual share in frames (no spare bits).

--- a/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
@@ -95,6 +95,13 @@
             "RefuseFlight",
             "decide_first_flight",
         ],
+        "_outliers": [
+            "OutlierChange",
+            "OutlierDetector",
+            "OutlierEjected",
+            "OutlierReturned",
+            "OutliersCommon",
+        ],
         "_overflow": [
             "CrossOpening",
             "OtherService",
