Pass new flows on while the upstream fails requests

Change: Answers classifies the upstream's packets (status, flows ended with a request unanswered, overdue requests), feeds OutlierDetector and is a soft FlowLimit. Openings reports each opening packet to it. Events 670 to 672, answers_failed_total and upstream_ejected.

Ruled out: a timer for overdue requests (they are looked for when a flow is offered); clearing the state with a new incarnation (flapping hosts would get full load each time).

--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_explain.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_explain.py
@@ -28,6 +28,9 @@
         "host-gone",
         "source-lost",
         "source-regained",
+        "outlier-ejected",
+        "outlier-returned",
+        "outliers-common",
     }
 )
 
--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -18,6 +18,8 @@
     encode_frame,
 )
 
+from ._answers import Answers
+from ._candidates import service_tag
 from ._counters import Gauge
 from ._endpoint import Endpoint
 from ._flow_limits import FlowLimits
@@ -61,8 +63,19 @@
             is_expired=self.is_expired, on_removed=self.release_flow
         )
         self.scheduler = RequestScheduler(slots=lambda: self.upstream.slots)
+        self.answers = Answers(
+            runtime=runtime,
+            codec=codec,
+            scheduler=self.scheduler,
+            flows=self.flows,
+            hosts=self.count_hosts,
+        )
         self.requests = Requests(
-            runtime=runtime, codec=codec, scheduler=self.scheduler, deliver=self.deliver
+            runtime=runtime,
+            codec=codec,
+            scheduler=self.scheduler,
+            answers=self.answers,
+            deliver=self.deliver,
         )
         self.openings = Openings(
             runtime=runtime,
@@ -70,7 +83,8 @@
             upstream=self.upstream,
             flows=self.flows,
             running=lambda now: self.scheduler.load(now=now),
-            limits=FlowLimits(),
+            limits=FlowLimits(soft=(self.answers,)),
+            record_asked=self.answers.record_asked,
             deliver=self.deliver,
             send=self.send,
             reset=self.reset,
@@ -150,8 +164,21 @@
                 text="1 while the upstream leaves opening packets unanswered.",
                 read=lambda: float(self.upstream.silent_since is not None),
             ),
+            Gauge(
+                name="upstream_ejected",
+                text="1 while the upstream gets few new flows because it fails many "
+                "requests.",
+                read=lambda: float(
+                    self.answers.outlier.is_ejected(now=self.runtime.now())
+                ),
+            ),
         )
 
+    def count_hosts(self) -> int:
+        """Return the number of hosts of the upstream's service that get new flows."""
+        tag = service_tag(self.upstream.service)
+        return len(self.openings.candidates.ready.get(tag, ()))
+
     def count_open(self, *, now: float) -> int:
         """Return the number of open flows that have not expired.
 
@@ -281,7 +308,7 @@
         else:
             self.unknown_flows.mark_open(packet.flow, flow)
         if packet.length:
-            self.requests.receive_answer(flow, packet, now=now)
+            self.requests.receive_answer(flow, packet, data, now=now)
         if packet.finishing or packet.resetting:
             flow.stage = FlowStage.CLOSED
             self.requests.end(packet.flow, flow, now=now)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
@@ -57,6 +57,7 @@
     :ivar passed: opening packets that an agent passed on to another agent.
     :ivar overflowed: opening packets that an agent took for another service of their
         route.
+    :ivar failed: requests that the upstream failed, by reason.
     :ivar failures: unexpected errors of tasks, by the task's name.
     :ivar answers: time from a request's first packet to its answer's first packet.
     :ivar platform_calls: time of calls to the platform beyond the requested wait.
@@ -75,6 +76,7 @@
     dropped: Counter = field(default_factory=Counter)
     refused: Counter = field(default_factory=Counter)
     lost: Counter = field(default_factory=Counter)
+    failed: Counter = field(default_factory=Counter)
     failures: Counter = field(default_factory=Counter)
     answers: Histogram = field(default_factory=Histogram)
     platform_calls: Histogram = field(default_factory=Histogram)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_events.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_events.py
@@ -232,6 +232,34 @@
     burst=10.0,
 )
 
+OUTLIER_EJECTED = Event(
+    number=670,
+    name="outlier-ejected",
+    level=Level.WARNING,
+    text="The upstream fails a much larger share of its requests than is usual. It "
+    "gets few new flows until its responses are good; open flows stay. Check its log.",
+    fields=("failed_share", "usual_share", "repeated", "hosts"),
+    limited=True,
+)
+OUTLIER_RETURNED = Event(
+    number=671,
+    name="outlier-returned",
+    level=Level.INFO,
+    text="An upstream that was ejected for failed requests gets its full share of new "
+    "flows again.",
+    fields=("seconds",),
+    limited=True,
+)
+OUTLIERS_COMMON = Event(
+    number=672,
+    name="outliers-common",
+    level=Level.WARNING,
+    text="The upstream fails many requests and isn't ejected, or no longer, since too "
+    "many of its service's hosts would be. Look for a common cause, such as a release.",
+    fields=("failed_share", "usual_share", "peer_score", "hosts"),
+    limited=True,
+)
+
 RELAY_EVENTS = (
     OPENING_PLACED,
     OPENING_REFUSED,
@@ -260,4 +288,7 @@
     LINES_SUPPRESSED,
     DATAGRAM_FAILED,
     TASK_RESTARTED,
+    OUTLIER_EJECTED,
+    OUTLIER_RETURNED,
+    OUTLIERS_COMMON,
 )
--- a/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
@@ -86,6 +86,12 @@
                 "reason",
                 counters.lost,
             ),
+            (
+                "answers_failed",
+                "Requests that the upstream failed.",
+                "reason",
+                counters.failed,
+            ),
             ("task_failures", "Errors of tasks.", "task", counters.failures),
         ):
             metric = core.CounterMetricFamily(f"{PREFIX}_{name}", text, labels=[label])
--- a/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
@@ -59,6 +59,7 @@
     :param running: returns the number of requests that run at the upstream or wait for
         it, at a monotonic time.
     :param limits: limits on the flows that the upstream takes.
+    :param record_asked: records an opening packet that arrives, at a monotonic time.
     :param deliver: sends a packet to the upstream.
     :param send: sends a frame to another instance.
     :param reset: sends a client the reset of a flow that isn't open.
@@ -73,6 +74,7 @@
         flows: FlowTable[AgentFlow],
         running: Callable[[float], int],
         limits: FlowLimits,
+        record_asked: Callable[[OpenFrame, float], None],
         deliver: Callable[[bytes], None],
         send: Callable[[bytes, Frame], None],
         reset: Callable[[bytes], None],
@@ -83,6 +85,7 @@
         self.flows = flows
         self.load = UpstreamLoad(flows=flows, running=running)
         self.limits = limits
+        self.record_asked = record_asked
         self.deliver = deliver
         self.send = send
         self.reset = reset
@@ -99,6 +102,7 @@
             # The upstream's answer was lost; it sends the same one again.
             self.deliver(frame.packet)
             return
+        self.record_asked(frame, now)
         own = AskedAgent(
             agent=self.own_address,
             load=self.load.count(now=now),
--- a/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
@@ -9,6 +9,7 @@
 from daisygauge_policy import RequestScheduler, ScheduledRequest, SchedulerChange
 
 from . import _events as events
+from ._answers import Answers
 from ._candidates import find_route
 from ._flows import AgentFlow
 from ._packet import (
@@ -44,6 +45,7 @@
     """Tracks the requests in all flows of one upstream.
 
     :param scheduler: decides when each request is delivered.
+    :param answers: records whether the upstream answers or fails each request.
     :param deliver: sends a packet to the upstream.
     """
 
@@ -53,11 +55,13 @@
         runtime: RelayRuntime,
         codec: PacketCodec,
         scheduler: RequestScheduler,
+        answers: Answers,
         deliver: Callable[[bytes], None],
     ) -> None:
         self.runtime = runtime
         self.codec = codec
         self.scheduler = scheduler
+        self.answers = answers
         self.deliver = deliver
         self.held: dict[bytes, HeldRequest] = {}
 
@@ -142,7 +146,7 @@
             )
 
     def receive_answer(
-        self, flow: AgentFlow, packet: RelayedPacket, *, now: float
+        self, flow: AgentFlow, packet: RelayedPacket, data: bytes, *, now: float
     ) -> None:
         """Handle an upstream's packet with data.
 
@@ -154,6 +158,7 @@
             return
         flow.upstream_next = end
         if flow.request_started_at is not None:
+            self.answers.record_answer(packet.flow, data, now=now)
             self.answer(packet.flow, flow, now=now)
 
     def answer(self, key: bytes, flow: AgentFlow, *, now: float) -> None:
@@ -178,6 +183,8 @@
 
     def end(self, key: bytes, flow: AgentFlow, *, now: float) -> None:
         """Free the slot of a flow that the upstream has ended without an answer."""
+        if flow.request_started_at is not None and not flow.has_ended:
+            self.answers.record_ended(key, now=now)
         flow.has_ended = True
         if flow.request_started_at is None:
             return
--- a/testing/adapter/test_store.py
+++ b/testing/adapter/test_store.py
@@ -62,6 +62,15 @@
     )  # fmt: skip
 
 
+@pytest.mark.parametrize("field", ["health", "status", "check", "healthy"])
+@pytest.mark.parametrize("value", ["good", "bad", False, None])
+def test_a_host_s_report_of_its_health_decides_nothing(field, value):
+    """Some hosts report bad health and are healthy, and others the reverse."""
+    reported = decode_item(make_entry("servers/h-1", ENTRY | {field: value}))
+
+    assert reported == decode_item(make_entry("servers/h-1", ENTRY))
+
+
 @pytest.mark.parametrize(
     "change",
     [
--- a/testing/relay/network.py
+++ b/testing/relay/network.py
@@ -136,6 +136,8 @@
     :ivar unknown_flows: packets of unknown flows, by flow.
     :ivar is_silent: True to ignore packets and send none.
     :ivar returns_openings: True to return every opening packet.
+    :ivar answer: the response to each request; None to send none.
+    :ivar answer_flags: flags of the packet with the response.
     """
 
     def __init__(self, network, address, *, service=SERVICE, slots=2):
@@ -151,6 +153,8 @@
         self.unknown_flows = Counter()
         self.is_silent = False
         self.returns_openings = False
+        self.answer = ANSWER
+        self.answer_flags = ACK
         self.work_seconds = 0.03
 
     def receive(self, data):
@@ -203,10 +207,11 @@
         self.executed.append(body)
         flow = self.flows.get(src + dst)
         sequence = ack if flow is None else flow.sequence + 1 + flow.sent
-        if flow is not None:
-            flow.sent += len(ANSWER)
-        if not self.is_silent:
-            self.send(dst, src, flags=ACK, sequence=sequence, data=ANSWER)
+        answer = self.answer
+        if flow is not None and answer is not None:
+            flow.sent += len(answer)
+        if not self.is_silent and answer is not None:
+            self.send(dst, src, flags=self.answer_flags, sequence=sequence, data=answer)
         self.start()
 
     def return_packet(self, data):
