Don't let flows overflow to a service that their balancer knows is withdrawn

Callers of a route whose split had been withdrawn were served by the withdrawn service up to about a second after the same balancer had served requests by the new version.

Cause: an agent without a free slot offers a flow to the route's other service as its own view names it, and the visited agent checks the offer against its own view. Agents that follow a watcher which stands still learn of a version up to 1.5 s after the balancers; two of them with the older split agree on an overflow that the balancer's version forbids. Balancer, store and the host's machine were not disturbed, and the balancer's own choice of the service was right, which rules those out.

An opening packet now carries a hash of the services among which its balancer chose, and a flow crosses only where both agents' versions of the route name the same services. Services rather than the version are compared, so that versions that leave the route as it is, or change weights only, don't stop overflow. A newer view of an agent doesn't decide either: a flow would show a version that the balancer doesn't have, and its next flows would go back to the older one. The hash travels as a reserved address among the tried agents, which processes of older versions ignore, so that the format stays readable both ways in a rolling update; the list has room for 14 agents now instead of 15.

Limits: agents and balancers of the previous version neither send nor check the hash. A flow whose frame one of them has changed may lose it and then overflows as before.

--- a/packages/daisygauge-relay/src/daisygauge_relay/_candidates.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_candidates.py
@@ -15,6 +15,7 @@
     ServiceShare,
 )
 from daisygauge_policy import rank
+from daisygauge_wire import ROUTE_TAG_BITS
 
 from ._packet import service_host, service_port
 
@@ -57,6 +58,12 @@
     return choose_share(others, flow)
 
 
+def route_tag(route: RouteRecord) -> int:
+    """Return the hash that identifies the services of a route with a share above 0."""
+    names = sorted({share.service for share in route.shares if share.weight > 0.0})
+    return xxh32_intdigest("\0".join(names).encode()) >> (32 - ROUTE_TAG_BITS)
+
+
 def find_route(view: DirectoryView, flow: bytes) -> RouteRecord | None:
     """Return the route to the address that a flow was opened to, or None."""
     return view.routes.get((service_host(flow), service_port(flow)))
--- a/packages/daisygauge-relay/src/daisygauge_relay/_overflow.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_overflow.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from daisygauge_control import RouteRecord
 from daisygauge_policy import OtherService
 from daisygauge_wire import OpenFrame
 
@@ -9,6 +10,7 @@
     CandidateLists,
     choose_other_service,
     find_route,
+    route_tag,
     service_tag,
 )
 from ._packet import service_host, service_port
@@ -28,6 +30,8 @@
         route = find_route(self.runtime.directory.view, flow)
         if route is None or frame.has_crossed or self.has_fixed_weights(flow):
             return None
+        if not names_same_services(route, frame):
+            return None
         service = choose_other_service(route, flow, frame.service)
         if service is None:
             return None
@@ -48,9 +52,19 @@
         The agent that offered the flow may know another version of the route.
         """
         route = find_route(self.runtime.directory.view, flow)
-        if route is None:
+        if route is None or not names_same_services(route, frame):
             return False
         shares = {
             service_tag(share.service) for share in route.shares if share.weight > 0.0
         }
         return {frame.service, frame.home_service} <= shares
+
+
+def names_same_services(route: RouteRecord, frame: OpenFrame) -> bool:
+    """Return True when the balancer's version of a route names the same services.
+
+    A balancer may know a newer version, which withdraws a service that is still named
+    here, or an older one. A flow doesn't cross then, so that all flows of a balancer
+    are served as its own version allows.
+    """
+    return frame.route_tag is None or frame.route_tag == route_tag(route)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_placement.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_placement.py
@@ -6,11 +6,18 @@
 from collections.abc import Callable
 from socket import inet_aton, inet_ntoa
 
+from daisygauge_control import RouteRecord
 from daisygauge_policy import SuspectList, choose_candidate
 from daisygauge_wire import MAX_TRIED, Frame, OpenFrame
 
 from . import _events as events
-from ._candidates import CandidateLists, choose_service, find_route, service_tag
+from ._candidates import (
+    CandidateLists,
+    choose_service,
+    find_route,
+    route_tag,
+    service_tag,
+)
 from ._flows import BalancerFlow, FlowTable
 from ._packet import RelayedPacket, format_flow
 from ._runtime import RelayRuntime
@@ -103,10 +110,16 @@
         if self.candidates.ejected:
             self.update_ejected(now=now)
         flow.last_packet_at = now
-        self.send_opening(flow, packet, data, now=now)
+        self.send_opening(flow, packet, data, route=route, now=now)
 
     def send_opening(
-        self, flow: BalancerFlow, packet: RelayedPacket, data: bytes, *, now: float
+        self,
+        flow: BalancerFlow,
+        packet: RelayedPacket,
+        data: bytes,
+        *,
+        route: RouteRecord,
+        now: float,
     ) -> None:
         """Choose an agent for an opening packet and send it there."""
         tag = service_tag(flow.service)
@@ -140,7 +153,11 @@
         # Listed as tried, so that no agent passes the packet on to a suspect.
         tried = tuple(other for other in suspects if other != agent)
         frame = OpenFrame(
-            balancer=self.own_address, service=tag, packet=data, tried=tried
+            balancer=self.own_address,
+            service=tag,
+            packet=data,
+            tried=tried,
+            route_tag=route_tag(route),
         )
         self.send(agent, frame)
 
--- a/packages/daisygauge-wire/src/daisygauge_wire/__init__.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/__init__.py
@@ -71,6 +71,7 @@
             "OpenFrame",
             "OwnerFrame",
             "QueryFrame",
+            "ROUTE_TAG_BITS",
             "SearchFrame",
             "UnknownFlowFrame",
         ],
--- a/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
@@ -13,6 +13,7 @@
 
 from ._relayed_frames import (
     MAX_TRIED,
+    ROUTE_TAG_BITS,
     AbsentFrame,
     AgentLoad,
     ForwardFrame,
@@ -34,6 +35,11 @@
 _FINAL_BIT = 1
 _UNANSWERED_BIT = 2
 _CROSSED_BIT = 4
+_MIN_TAG_ENTRY = (0xF << ROUTE_TAG_BITS).to_bytes(ADDRESS_BYTES)
+"""An entry of the tried list from here up holds the route tag. These addresses
+(240.0.0.0/4) are reserved, and a process of an older version ignores a tried agent that
+it doesn't know."""
+_MAX_ENTRIES = MAX_TRIED + 1
 _VISIT = struct.Struct("!BI")
 _OFFER = struct.Struct("!B12sIHH")
 _FLOW = struct.Struct("!B12s")
@@ -97,6 +103,7 @@
 
 def _encode_open(frame: OpenFrame) -> bytes:
     best = frame.best or AgentLoad(agent=NO_ADDRESS, load=0)
+    entries = (*frame.tried, *_encode_route_tag(frame.route_tag))
     head = _OPEN.pack(
         _OPEN_KIND,
         frame.balancer,
@@ -105,14 +112,28 @@
         best.load,
         _encode_open_flags(frame),
         frame.hops,
-        len(frame.tried),
+        len(entries),
     )
-    data = head + b"".join(frame.tried) + frame.packet
+    data = head + b"".join(entries) + frame.packet
     if frame.home_service is None:
         return data
     return _VISIT.pack(_VISIT_KIND, frame.home_service) + data
 
 
+def _encode_route_tag(tag: int | None) -> tuple[bytes, ...]:
+    if tag is None:
+        return ()
+    return ((int.from_bytes(_MIN_TAG_ENTRY) | tag).to_bytes(ADDRESS_BYTES),)
+
+
+def _decode_route_tag(entries: tuple[bytes, ...]) -> int | None:
+    tags = (entry for entry in entries if entry >= _MIN_TAG_ENTRY)
+    entry = next(tags, None)
+    if entry is None:
+        return None
+    return int.from_bytes(entry) - int.from_bytes(_MIN_TAG_ENTRY)
+
+
 def _encode_open_flags(frame: OpenFrame) -> int:
     return (
         frame.final * _FINAL_BIT
@@ -140,11 +161,11 @@
 def _decode_open(data: bytes) -> OpenFrame:
     _, balancer, service, agent, load, flags, hops, count = _OPEN.unpack_from(data)
     end = _OPEN.size + count * ADDRESS_BYTES
-    if count > MAX_TRIED or len(data) < end:
+    if count > _MAX_ENTRIES or len(data) < end:
         raise MalformedFrameError(
             "an open frame lists more agents than it contains or than are allowed"
         )
-    tried = tuple(
+    entries = tuple(
         data[start : start + ADDRESS_BYTES]
         for start in range(_OPEN.size, end, ADDRESS_BYTES)
     )
@@ -152,12 +173,13 @@
         balancer=balancer,
         service=service,
         packet=data[end:],
-        tried=tried,
+        tried=tuple(entry for entry in entries if entry < _MIN_TAG_ENTRY),
         hops=hops,
         best=None if agent == NO_ADDRESS else AgentLoad(agent=agent, load=load),
         final=bool(flags & _FINAL_BIT),
         unanswered=bool(flags & _UNANSWERED_BIT),
         has_crossed=bool(flags & _CROSSED_BIT),
+        route_tag=_decode_route_tag(entries),
     )
 
 
--- a/packages/daisygauge-wire/src/daisygauge_wire/_relayed_frames.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_relayed_frames.py
@@ -8,8 +8,9 @@
 
 from msgspec import Struct
 
-MAX_TRIED = 15
+MAX_TRIED = 14
 """Largest number of agents listed in an ``OpenFrame``, which bounds its size."""
+ROUTE_TAG_BITS = 28
 
 
 class AgentLoad(Struct, kw_only=True, frozen=True):
@@ -40,6 +41,9 @@
         packet is offered to ``service`` instead; ``best`` is then the agent that
         offered it. None otherwise.
     :param has_crossed: True when another service has had the packet and gave it back.
+    :param route_tag: hash of the services among which the balancer chose, in
+        ``ROUTE_TAG_BITS`` bits; None when a process of an older version handled the
+        packet.
     """
 
     balancer: bytes
@@ -52,6 +56,7 @@
     unanswered: bool = False
     home_service: int | None = None
     has_crossed: bool = False
+    route_tag: int | None = None
 
 
 class ForwardFrame(Struct, kw_only=True, frozen=True):
--- a/testing/relay/test_overflow.py
+++ b/testing/relay/test_overflow.py
@@ -158,6 +158,65 @@
     assert {network.holder_of(client).service for client in clients} == {SMALL_SERVICE}
 
 
+def publish_to_balancers(network, services):
+    """Publish a version of the route that no agent knows yet."""
+    stale = {address: network.directories.pop(address) for address in network.agents}
+    network.publish_routes(services=services)
+    network.directories |= stale
+
+
+@pytest.mark.parametrize("others", [(), (("order-desk-next", 1.0),)])
+def test_no_flow_crosses_to_a_service_that_its_balancer_knows_is_withdrawn(
+    network, others
+):
+    """A watcher that stands still delays the new version at the agents by 1.5 s."""
+    network.add_host("10.0.1.8", service="order-desk-next")
+    occupy(network, SMALL_SERVICE)
+    publish_to_balancers(network, ((SMALL_SERVICE, 1.0), *others))
+    clients = clients_of(network, SMALL_SERVICE, 3)
+
+    open_all(network, clients)
+    ask_all(network, clients, balancer=BALANCER, seconds=2.0)
+
+    assert {network.holder_of(client).service for client in clients} == {SMALL_SERVICE}
+
+
+def test_no_flow_crosses_to_a_service_that_its_balancer_does_not_know_yet(network):
+    """Later flows of that balancer would be served by the older version again."""
+    network.publish_routes(services=((SMALL_SERVICE, 1.0),))
+    occupy(network, SMALL_SERVICE)
+    stale = network.directories.pop(BALANCER)
+    network.publish_routes(services=SPLIT)
+    network.directories[BALANCER] = stale
+    clients = clients_of(network, SMALL_SERVICE, 3)
+
+    open_all(network, clients)
+    ask_all(network, clients, balancer=BALANCER, seconds=2.0)
+
+    assert {network.holder_of(client).service for client in clients} == {SMALL_SERVICE}
+
+
+def test_flows_cross_while_only_the_weights_of_the_versions_differ(network):
+    occupy(network, SMALL_SERVICE)
+    publish_to_balancers(network, ((SERVICE, 1.0), (SMALL_SERVICE, 9.0)))
+    clients = clients_of(network, SMALL_SERVICE, 3)
+
+    open_all(network, clients)
+
+    assert overflowed(network) == 3
+
+
+def test_flows_of_a_balancer_of_an_older_version_cross(network, monkeypatch):
+    """Such a balancer sends no route tag during a rolling update."""
+    monkeypatch.setattr("daisygauge_relay._placement.route_tag", lambda route: None)
+    occupy(network, SMALL_SERVICE)
+    clients = clients_of(network, SMALL_SERVICE, 3)
+
+    open_all(network, clients)
+
+    assert overflowed(network) == 3
+
+
 def test_a_flow_that_crossed_is_found_by_a_balancer_without_state_of_it(network):
     occupy(network, SMALL_SERVICE)
     clients = clients_of(network, SMALL_SERVICE, 3)
