Place a repeated opening packet by the present version of its route

Callers whose first opening packet was lost or unanswered were served by a service that the route named no longer: their copies after 200 and 600 ms went there although the same balancer had already served requests by the newer version.

Cause: the balancer chooses a flow's service at the first opening packet and keeps it in the flow's entry. A copy looked its route up only to see that there is one. The agents at fault in the case stand still, but copies that pass by them reach live agents of the old service; these, the store and the balancer's view were right, which rules them out.

A copy is now placed again when the present version gives the flow's service no share. A mere change of weights places nothing again, so that flows don't open at hosts of two services. If an upstream has answered, the first copy still goes to it, since the flow may be open there.

Limits: a balancer that doesn't know the newer version yet places by the older one. A packet that was sent on before, and that a stopped agent delivers when it resumes, still opens its flow there.

--- a/packages/daisygauge-relay/src/daisygauge_relay/_placement.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_placement.py
@@ -107,6 +107,7 @@
             flow = BalancerFlow(service=service, last_packet_at=now)
             self.flows.add(packet.flow, flow, now=now)
         self.record_silence(flow, packet, now=now)
+        update_service(flow, route, packet)
         if self.candidates.ejected:
             self.update_ejected(now=now)
         flow.last_packet_at = now
@@ -223,6 +224,19 @@
         self.candidates.eject(ejected)
 
 
+def update_service(
+    flow: BalancerFlow, route: RouteRecord, packet: RelayedPacket
+) -> None:
+    """Choose again for a copy when the route no longer names the flow's service.
+
+    If an upstream has answered, the first copy still goes there: the flow may be open.
+    """
+    is_named = any(s.service == flow.service and s.weight > 0.0 for s in route.shares)
+    goes_to_offer = bool(flow.offers) and packet.copy <= 1
+    if not is_named and not goes_to_offer:
+        flow.service = choose_service(route, packet.flow)
+
+
 def find_redundancy(flow: BalancerFlow, *, now: float) -> RedundantCopy | None:
     """Return why a copy of a flow's opening packet needn't be sent, or None."""
     if flow.owner is not None:
--- a/testing/relay/test_splits.py
+++ b/testing/relay/test_splits.py
@@ -103,6 +103,68 @@
     assert answered == CLIENTS
 
 
+def hosts_asked(network, service):
+    """Return the hosts of a service that received an opening packet."""
+    hosts = network.hosts.values()
+    return [host for host in hosts if host.service == service and host.flows]
+
+
+@pytest.mark.parametrize("share", [(), ((SERVICE, 0.0),)])
+@pytest.mark.parametrize("copy", [1, 2])
+def test_a_copy_of_an_opening_packet_follows_the_version_that_moved_its_route(
+    network, share, copy
+):
+    """The agent that got the first packet stands still while the route moves."""
+    client = network.new_client()
+    network.down.update(network.agents)
+    client.send_opening("10.0.0.1")
+    network.clock.run(0.1)
+    network.down.clear()
+    network.publish_routes(services=(*share, (SMALL_SERVICE, 1.0)))
+    network.clock.run(0.1)
+
+    client.send_opening("10.0.0.1", copy)
+    network.clock.run(0.1)
+
+    assert ask_all(network, [client], balancer="10.0.0.1") == 1
+    assert network.holder_of(client).service == SMALL_SERVICE
+    assert not hosts_asked(network, SERVICE)
+
+
+def test_copies_stay_at_a_service_that_keeps_a_share(network):
+    """A change of weights alone must not open flows at hosts of two services."""
+    clients = [network.new_client() for _ in range(4)]
+    network.down.update(network.agents)
+    for client in clients:
+        client.send_opening("10.0.0.1")
+    network.clock.run(0.2)
+    network.down.clear()
+    network.publish_routes(services=((SERVICE, 0.01), (SMALL_SERVICE, 1.0)))
+
+    for client in clients:
+        client.send_opening("10.0.0.1", 1)
+    network.clock.run(0.1)
+
+    assert all(client.is_open for client in clients)
+    assert not hosts_asked(network, SMALL_SERVICE)
+
+
+def test_a_copy_goes_to_the_upstream_that_answered_before_the_route_moved(network):
+    """The answer to the first packet was lost; the flow is open at that upstream."""
+    client = network.new_client()
+    network.cut |= {(agent, client.end[0]) for agent in network.agents}
+    client.send_opening("10.0.0.1")
+    network.clock.run(0.2)
+    network.cut.clear()
+    network.publish_routes(services=((SMALL_SERVICE, 1.0),))
+
+    client.send_opening("10.0.0.1", 1)
+    network.clock.run(0.1)
+
+    assert ask_all(network, [client], balancer="10.0.0.1") == 1
+    assert network.holder_of(client).service == SERVICE
+
+
 @given(data=st.data())
 @settings(max_examples=30, deadline=None)
 def test_a_flow_of_a_moved_route_is_found_while_other_agents_are_silent(data):
