Keep hosts whose address an entry of an unnamed service claims

Callers lost their open flows, until they gave up, when another program had registered itself at the address of a live host and the agents were restarted. That host got no new flows either.

Cause: the directory keeps one host for each address, the one that started last, whatever its service. The foreign entry so displaced the live host's: balancers left the host out, and its agent took its own upstream for another service's, neither tried packets of open flows there nor answered searches. Agent, host and its own entry were unchanged, and the same restarts without the foreign entry lose nothing.

The protocol says that an entry of a service that the configuration doesn't name is no host to use. It now displaces no host of a service that a version has named since the process started. Services of older versions count, because open flows outlive their route. Such an entry no longer shows either that no entry has lapsed, which a reset of a flow relies on. Entries of unnamed services aren't dropped: a process that starts after a route was withdrawn must still find the flows at that service's hosts.

Two tests of the address rule used services that no configuration named: test_an_address_belongs_to_the_host_that_started_last and test_a_new_flow_never_reaches_another_service_at_a_reused_address. They name them now and check the same.

Limits: a process that starts after a service was withdrawn from all routes can't tell it from a foreign one, and the newer entry counts there. An agent whose settings still name the earlier service relies on the newer entry at its address only once its service is named. A foreign address at which no agent runs still keeps searches for lost flows open.

--- a/packages/daisygauge-control/src/daisygauge_control/_directory.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory.py
@@ -134,8 +134,11 @@
     """The hosts and routes in force; every change replaces the whole view.
 
     :param hosts: usable hosts by service, ordered by id.
-    :param hosts_by_address: newest host at each address, by IPv4 address.
+    :param hosts_by_address: newest host at each address, by IPv4 address. A host of a
+        service that isn't in ``named_services`` comes last.
     :param routes: routes by address and port.
+    :param named_services: services that a configuration has named since the process
+        started. An open flow may be at a host of a service that is named no longer.
     """
 
     version: int = 0
@@ -143,6 +146,7 @@
     hosts: Mapping[str, tuple[HostRecord, ...]] = field(default_factory=dict)
     hosts_by_address: Mapping[str, HostRecord] = field(default_factory=dict)
     routes: Mapping[tuple[str, int], RouteRecord] = field(default_factory=dict)
+    named_services: frozenset[str] = frozenset()
 
     @property
     def is_complete(self) -> bool:
@@ -151,10 +155,14 @@
 
     @property
     def has_replaced_host(self) -> bool:
-        """True if a host is still listed although its address has a newer host."""
+        """True if a host is still listed although its address has a newer host.
+
+        Entries of unnamed services show nothing: another program may have written them.
+        """
         return any(
             self.hosts_by_address[host.address] is not host
-            for hosts in self.hosts.values()
+            for service, hosts in self.hosts.items()
+            if service in self.named_services
             for host in hosts
         )
 
@@ -304,37 +312,44 @@
 
     def _build_view(self, *, now: float) -> DirectoryView:
         hosts: dict[str, list[HostRecord]] = {}
-        hosts_by_address: dict[str, HostRecord] = {}
         routing: RoutingRecord | None = None
         for key in sorted(self.items):
             held = self.items[key]
             match held.lapsed or held.item.content:
                 case HostRecord() as host:
                     hosts.setdefault(host.service, []).append(host)
-                    _keep_newest_host(hosts_by_address, host)
                 case RoutingRecord() as record:
                     routing = record
         view = DirectoryView(
             version=self.view.version,
             idle_timeout_seconds=self.view.idle_timeout_seconds,
             hosts={service: tuple(found) for service, found in hosts.items()},
-            hosts_by_address=hosts_by_address,
             routes=self.view.routes,
+            named_services=self.view.named_services,
         )
-        if routing is None or routing.version <= view.version:
-            return view
-        return replace(
-            view,
-            version=routing.version,
-            idle_timeout_seconds=routing.idle_timeout_seconds,
-            routes={(route.host, route.port): route for route in routing.routes},
-        )
+        if routing is not None and routing.version > view.version:
+            view = replace(
+                view,
+                version=routing.version,
+                idle_timeout_seconds=routing.idle_timeout_seconds,
+                routes={(route.host, route.port): route for route in routing.routes},
+                named_services=view.named_services | _list_services(routing),
+            )
+        return replace(view, hosts_by_address=_select_by_address(view))
+
 
+def _list_services(routing: RoutingRecord) -> frozenset[str]:
+    return frozenset(
+        share.service for route in routing.routes for share in route.shares
+    )
 
-def _keep_newest_host(
-    hosts_by_address: dict[str, HostRecord], host: HostRecord
-) -> None:
-    """Keep the most recently started host of each address."""
-    known = hosts_by_address.get(host.address)
-    if known is None or host.incarnation >= known.incarnation:
-        hosts_by_address[host.address] = host
+
+def _select_by_address(view: DirectoryView) -> dict[str, HostRecord]:
+    """Return the most recently started host of each address.
+
+    An entry of an unnamed service may come from another program and must not displace
+    a live host.
+    """
+    hosts = [host for listed in view.hosts.values() for host in listed]
+    hosts.sort(key=lambda h: (h.service in view.named_services, h.incarnation, h.id))
+    return {host.address: host for host in hosts}
--- a/testing/control/test_directory.py
+++ b/testing/control/test_directory.py
@@ -13,9 +13,11 @@
 )
 
 
-def host(id="h1", *, address="10.0.0.1", state=HostState.READY, incarnation=1):
+def host(
+    id="h1", *, service="desk", address="10.0.0.1", state=HostState.READY, incarnation=1
+):
     return HostRecord(
-        id=id, service="desk", address=address, port=80, failure_domain="a",
+        id=id, service=service, address=address, port=80, failure_domain="a",
         state=state, slots=2, incarnation=incarnation,
     )  # fmt: skip
 
@@ -24,10 +26,9 @@
     return DirectoryItem(key=key, revision=revision, content=content)
 
 
-def routing(version, port=443):
-    route = RouteRecord(
-        name="r", host="198.18.0.1", port=port, shares=(ServiceShare(service="desk"),)
-    )
+def routing(version, port=443, *, services=("desk",)):
+    shares = tuple(ServiceShare(service=name) for name in services)
+    route = RouteRecord(name="r", host="198.18.0.1", port=port, shares=shares)
     return RoutingRecord(version=version, routes=(route,), idle_timeout_seconds=9.0)
 
 
@@ -124,12 +125,59 @@
 
 
 def test_an_address_belongs_to_the_host_that_started_last(directory):
+    directory.apply([item("config", 29, routing(1))], as_of=29, now=1.0)
     directory.apply([item("s/h2", 30, host("h2", incarnation=2))], as_of=30, now=1.0)
 
     assert directory.view.hosts_by_address["10.0.0.1"].id == "h2"
     assert directory.view.has_replaced_host
 
 
+def host_at_address(directory):
+    return directory.view.hosts_by_address["10.0.0.1"].id
+
+
+def test_an_entry_of_an_unnamed_service_displaces_no_host(directory):
+    """Another program may register itself beside a live host."""
+    foreign = host("h2", service="node-exporter", incarnation=2)
+    directory.apply([item("s/h2", 30, foreign)], as_of=30, now=1.0)
+    directory.apply([item("config", 31, routing(1))], as_of=31, now=1.0)
+
+    assert host_at_address(directory) == "h1"
+
+
+def test_an_entry_of_an_unnamed_service_does_not_show_that_no_host_lapsed(directory):
+    """It may be older than an outage, and a wrong proof resets open flows."""
+    foreign = host("h2", service="node-exporter", incarnation=2)
+    directory.apply([item("s/h2", 30, foreign)], as_of=30, now=1.0)
+    directory.apply([item("config", 31, routing(1))], as_of=31, now=1.0)
+
+    assert not directory.view.has_replaced_host
+    assert not directory.lists_every_host(now=1.0)
+
+
+def test_a_host_whose_service_is_named_later_gets_its_reused_address(directory):
+    directory.apply([item("config", 29, routing(1))], as_of=29, now=1.0)
+    later = host("h2", service="press", incarnation=2)
+    directory.apply([item("s/h2", 30, later)], as_of=30, now=1.0)
+    assert host_at_address(directory) == "h1"
+
+    named = routing(2, services=("desk", "press"))
+    directory.apply([item("config", 31, named)], as_of=31, now=2.0)
+
+    assert host_at_address(directory) == "h2"
+
+
+def test_a_host_of_a_withdrawn_service_keeps_its_address(directory):
+    """Flows that were opened under the older version are still there."""
+    directory.apply([item("config", 29, routing(1))], as_of=29, now=1.0)
+    moved = routing(2, services=("press",))
+    directory.apply([item("config", 30, moved)], as_of=30, now=1.0)
+    foreign = host("h2", service="node-exporter", incarnation=2)
+    directory.apply([item("s/h2", 31, foreign)], as_of=31, now=1.0)
+
+    assert host_at_address(directory) == "h1"
+
+
 def test_a_new_process_does_not_list_every_host_at_once(directory):
     assert not directory.lists_every_host(now=1.0)
     directory.apply([], as_of=9, now=3.0)
--- a/testing/relay/test_openings.py
+++ b/testing/relay/test_openings.py
@@ -10,6 +10,7 @@
 
 from .network import (
     ACK,
+    SERVICE,
     SERVICE_ENDPOINT,
     SYN,
     HostFlow,
@@ -96,6 +97,7 @@
 def test_a_new_flow_never_reaches_another_service_at_a_reused_address(network):
     address, host = next(iter(network.hosts.items()))
     host.service = "pattern-library"
+    network.publish_routes(services=((SERVICE, 1.0), ("pattern-library", 0.0)))
     network.publish_host(host, incarnation=2)
     stale = network.balancers["10.0.0.1"].runtime.directory
     stale.view.hosts["order-desk"]
