--- a/testing/ctl/test_check.py
+++ b/testing/ctl/test_check.py
@@ -45,7 +45,7 @@
 
     code = check(write_json("a.json", [with_changes(SERVICE, spec=spec)]))
 
-    assert code == 1
+    assert code == 2
     assert "nmber" in capsys.readouterr().out
 
 
@@ -86,5 +86,5 @@
         write_json("a.json", [SERVICE, with_changes(SERVICE, id="b", spec=other)])
     )
 
-    assert code == 1
+    assert code == 2
     assert field in capsys.readouterr().out
