--- a/packages/daisygauge-relay/src/daisygauge_relay/_placement.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_placement.py
@@ -6,11 +6,18 @@
 from collections.abc import Callable
 from socket import inet_aton, inet_ntoa
 
+from daisygauge_control import RouteRecord
 from daisygauge_policy import SuspectList, choose_candidate
 from daisygauge_wire import MAX_TRIED, Frame, OpenFrame
 
 from . import _events as events
-from ._candidates import CandidateLists, choose_service, find_route, service_tag
+from ._candidates import (
+    CandidateLists,
+    choose_service,
+    find_route,
+    route_tag,
+    service_tag,
+)
 from ._flows import BalancerFlow, FlowTable
 from ._packet import RelayedPacket, format_flow
 from ._runtime import RelayRuntime
@@ -100,13 +107,20 @@
             flow = BalancerFlow(service=service, last_packet_at=now)
             self.flows.add(packet.flow, flow, now=now)
         self.record_silence(flow, packet, now=now)
+        update_service(flow, route, packet)
         if self.candidates.ejected:
             self.update_ejected(now=now)
         flow.last_packet_at = now
-        self.send_opening(flow, packet, data, now=now)
+        self.send_opening(flow, packet, data, route=route, now=now)
 
     def send_opening(
-        self, flow: BalancerFlow, packet: RelayedPacket, data: bytes, *, now: float
+        self,
+        flow: BalancerFlow,
+        packet: RelayedPacket,
+        data: bytes,
+        *,
+        route: RouteRecord,
+        now: float,
     ) -> None:
         """Choose an agent for an opening packet and send it there."""
         tag = service_tag(flow.service)
@@ -140,7 +154,11 @@
         # Listed as tried, so that no agent passes the packet on to a suspect.
         tried = tuple(other for other in suspects if other != agent)
         frame = OpenFrame(
-            balancer=self.own_address, service=tag, packet=data, tried=tried
+            balancer=self.own_address,
+            service=tag,
+            packet=data,
+            tried=tried,
+            route_tag=route_tag(route),
         )
         self.send(agent, frame)
 
@@ -206,6 +224,19 @@
         self.candidates.eject(ejected)
 
 
+def update_service(
+    flow: BalancerFlow, route: RouteRecord, packet: RelayedPacket
+) -> None:
+    """Choose again for a copy when the route no longer names the flow's service.
+
+    If an upstream has answered, the first copy still goes there: the flow may be open.
+    """
+    is_named = any(s.service == flow.service and s.weight > 0.0 for s in route.shares)
+    goes_to_offer = bool(flow.offers) and packet.copy <= 1
+    if not is_named and not goes_to_offer:
+        flow.service = choose_service(route, packet.flow)
+
+
 def find_redundancy(flow: BalancerFlow, *, now: float) -> RedundantCopy | None:
     """Return why a copy of a flow's opening packet needn't be sent, or None."""
     if flow.owner is not None:
