Read evacuations of failure domains from the store

The aim is that no new flow reaches a host of failure domain ZONE while the store has the key op/evacuate/ZONE. This commit brings the keys into the directory of every process; nothing uses them yet.

A field of the configuration or of the hosts was ruled out: a separate item keeps the store's revision of its own key, so that overlapping evacuations and their ends merge like any other change. The value isn't read, since an operator who evacuates in a hurry may write anything there.

Shown by tests of the directory (order, frozen process, compaction, outage, a read of hosts alone, a source that lags), of the follower (a peer, an end before the peer's history, a narrow link, a reply with an unknown kind of item) and of the store's reader.

--- a/packages/daisygauge-control/src/daisygauge_control/__init__.py
+++ b/packages/daisygauge-control/src/daisygauge_control/__init__.py
@@ -24,6 +24,7 @@
             "Directory",
             "DirectoryItem",
             "DirectoryView",
+            "EvacuationRecord",
             "HostRecord",
             "HostState",
             "RouteRecord",
--- a/packages/daisygauge-control/src/daisygauge_control/_directory.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory.py
@@ -1,4 +1,4 @@
-"""Hosts and routes known to one process, merged key by key.
+"""Hosts, routes and evacuations known to one process, merged key by key.
 
 The directory serves relayed flows. It is filled from the platform or from other
 processes. Whatever the order in which changes arrive, each key keeps its highest
@@ -103,7 +103,15 @@
     problem: str
 
 
-Content = HostRecord | RoutingRecord | UnusableRecord
+class EvacuationRecord(
+    Struct, kw_only=True, frozen=True, array_like=True, tag="evacuation"
+):
+    """A request that no new flow reach a host of a failure domain."""
+
+    failure_domain: str
+
+
+Content = HostRecord | RoutingRecord | UnusableRecord | EvacuationRecord
 
 
 class DirectoryItem(Struct, kw_only=True, frozen=True, array_like=True):
@@ -136,6 +144,7 @@
     :param hosts: usable hosts by service, ordered by id.
     :param hosts_by_address: newest host at each address, by IPv4 address.
     :param routes: routes by address and port.
+    :param evacuated: failure domains whose hosts get no new flows.
     """
 
     version: int = 0
@@ -143,6 +152,7 @@
     hosts: Mapping[str, tuple[HostRecord, ...]] = field(default_factory=dict)
     hosts_by_address: Mapping[str, HostRecord] = field(default_factory=dict)
     routes: Mapping[tuple[str, int], RouteRecord] = field(default_factory=dict)
+    evacuated: frozenset[str] = frozenset()
 
     @property
     def is_complete(self) -> bool:
@@ -306,6 +316,7 @@
         hosts: dict[str, list[HostRecord]] = {}
         hosts_by_address: dict[str, HostRecord] = {}
         routing: RoutingRecord | None = None
+        evacuated: set[str] = set()
         for key in sorted(self.items):
             held = self.items[key]
             match held.lapsed or held.item.content:
@@ -314,12 +325,15 @@
                     _keep_newest_host(hosts_by_address, host)
                 case RoutingRecord() as record:
                     routing = record
+                case EvacuationRecord(failure_domain=domain):
+                    evacuated.add(domain)
         view = DirectoryView(
             version=self.view.version,
             idle_timeout_seconds=self.view.idle_timeout_seconds,
             hosts={service: tuple(found) for service, found in hosts.items()},
             hosts_by_address=hosts_by_address,
             routes=self.view.routes,
+            evacuated=frozenset(evacuated),
         )
         if routing is None or routing.version <= view.version:
             return view
--- a/testing/adapter/test_store.py
+++ b/testing/adapter/test_store.py
@@ -6,6 +6,7 @@
 
 from adapter.store import FakeStore
 from daisygauge_control import (
+    EvacuationRecord,
     HistoryLostError,
     HostRecord,
     HostState,
@@ -100,6 +101,42 @@
     assert isinstance(content, HostRecord | UnusableRecord)
 
 
+@pytest.mark.parametrize("value", [b"", b"\xff{", b"[]", b'{"zone": "b"}'])
+def test_the_key_of_an_evacuation_alone_counts(value):
+    content = decode_item(make_entry("op/evacuate/zone-a", value)).content
+
+    assert content == EvacuationRecord(failure_domain="zone-a")
+
+
+def test_an_evacuation_without_a_value_is_decoded():
+    item = decode_item({"key": "op/evacuate/a/b", "revision": 4})
+
+    assert item.content == EvacuationRecord(failure_domain="a/b")
+
+
+def test_an_evacuation_that_names_no_failure_domain_is_unusable():
+    content = decode_item(make_entry("op/evacuate/", {})).content
+
+    assert isinstance(content, UnusableRecord)
+
+
+async def test_evacuations_are_read_and_watched(store, reader):
+    store.put("servers/h-1", ENTRY)
+    store.put("op/evacuate/a", b"not JSON")
+    store.put("op/evacuated", {})
+    update = await reader.read_all()
+    store.remove("op/evacuate/a")
+    store.put("op/evacuate/b", {})
+
+    changes = await reader.watch(after=update.as_of, wait_seconds=1.0)
+
+    assert [item.key for item in update.items] == ["op/evacuate/a", "servers/h-1"]
+    assert [(item.key, item.content) for item in changes.items] == [
+        ("op/evacuate/a", None),
+        ("op/evacuate/b", EvacuationRecord(failure_domain="b")),
+    ]
+
+
 def test_a_route_with_weights_is_decoded():
     route = {
         "name": "r", "host": "198.18.0.1", "prefix": "/8443/", "type": "safe",
--- a/testing/control/test_directory.py
+++ b/testing/control/test_directory.py
@@ -4,6 +4,7 @@
 from daisygauge_control import (
     Directory,
     DirectoryItem,
+    EvacuationRecord,
     HostRecord,
     HostState,
     RouteRecord,
@@ -169,3 +170,95 @@
         other.apply([change], as_of=30, now=0.0)
 
     assert one.view.hosts == other.view.hosts
+
+
+def evacuation(revision, domain="a"):
+    return item(
+        f"op/evacuate/{domain}", revision, EvacuationRecord(failure_domain=domain)
+    )
+
+
+def test_an_evacuation_holds_until_its_key_is_removed(directory):
+    directory.apply([evacuation(10)], as_of=10, now=1.0)
+    assert directory.view.evacuated == {"a"}
+
+    directory.apply([item("op/evacuate/a", 11)], as_of=11, now=2.0)
+    assert directory.view.evacuated == frozenset()
+
+
+def test_overlapping_evacuations_end_separately(directory):
+    directory.apply([evacuation(10), evacuation(11, "b")], as_of=11, now=1.0)
+    directory.apply([item("op/evacuate/a", 12)], as_of=12, now=2.0)
+
+    assert directory.view.evacuated == {"b"}
+
+
+def test_an_evacuation_survives_a_change_of_the_configuration(directory):
+    directory.apply([evacuation(10)], as_of=10, now=1.0)
+    directory.apply([item("config", 20, routing(4))], as_of=20, now=2.0)
+
+    assert directory.view.evacuated == {"a"}
+
+
+def test_an_end_that_the_history_lacks_is_found_by_a_full_read(directory):
+    directory.apply([evacuation(10)], as_of=10, now=1.0)
+    directory.replace([item("s/h1", 5, host())], as_of=30, now=2.0)
+
+    assert directory.view.evacuated == frozenset()
+
+
+def test_an_end_during_an_outage_takes_effect_at_once(directory):
+    """Unlike a host, the key has no lease that an outage could let expire."""
+    directory.apply([evacuation(10)], as_of=10, now=1.0)
+    directory.record_outage(now=1.0)
+    directory.apply([item("op/evacuate/a", 11)], as_of=11, now=2.0)
+
+    assert directory.view.evacuated == frozenset()
+
+
+def test_a_read_of_hosts_alone_ends_no_evacuation(directory):
+    directory.apply([evacuation(10)], as_of=10, now=1.0)
+    directory.apply([item("s/h1", 5, host())], as_of=0, now=2.0)
+
+    assert directory.view.evacuated == {"a"}
+
+
+def test_a_source_that_lags_ends_no_evacuation(directory):
+    directory.apply([evacuation(10)], as_of=10, now=1.0)
+    directory.replace([item("s/h1", 5, host())], as_of=9, now=2.0)
+
+    assert directory.view.evacuated == {"a"}
+
+
+EVACUATION_CHANGES = st.lists(
+    st.tuples(st.sampled_from("ab"), st.booleans()), min_size=1, max_size=8
+)
+
+
+@given(EVACUATION_CHANGES, st.randoms(), st.integers(0, 8))
+def test_a_process_that_was_frozen_merges_by_revision(changes, rng, missed):
+    """Starts and ends in any order, with a full read for those that were missed."""
+    items = [
+        evacuation(10 + n, domain) if begins else item(f"op/evacuate/{domain}", 10 + n)
+        for n, (domain, begins) in enumerate(changes)
+    ]
+    latest = {change.key: change for change in items}
+    late = items[min(missed, len(items)) :]
+    rng.shuffle(late)
+    as_of = 9 + len(items)
+
+    directory = Directory()
+    directory.replace([], as_of=9, now=0.0)
+    for change in late:
+        directory.apply([change], as_of=9, now=1.0)
+    directory.replace(
+        [change for change in latest.values() if change.content is not None],
+        as_of=as_of,
+        now=2.0,
+    )
+
+    assert directory.view.evacuated == {
+        change.content.failure_domain
+        for change in latest.values()
+        if change.content is not None
+    }
--- a/testing/control/test_directory_follower.py
+++ b/testing/control/test_directory_follower.py
@@ -1,7 +1,9 @@
 import asyncio
 import gc
 import random
+import zlib
 
+import msgspec
 import pytest
 import uvloop
 
@@ -11,6 +13,7 @@
     DirectoryItem,
     DirectoryServer,
     DirectoryUpdate,
+    EvacuationRecord,
     HistoryLostError,
     HostRecord,
     HostState,
@@ -21,6 +24,7 @@
     SourceLost,
     SourceRegained,
 )
+from daisygauge_control._directory_exchange import frame_message
 from daisygauge_control._directory_follower import PLATFORM
 from daisygauge_control._directory_messages import (
     ChangesReply,
@@ -500,3 +504,77 @@
     before = server.pack(0)
     directory.apply([host_item(1, 2)], as_of=2, now=0.0)
     assert server.pack(0) != before
+
+
+def evacuation_item(revision):
+    record = EvacuationRecord(failure_domain="a")
+    return DirectoryItem(key="op/evacuate/a", revision=revision, content=record)
+
+
+async def test_a_follower_learns_an_evacuation_and_its_end_from_a_peer(served):
+    """The store is down for the follower; the peer read the key before."""
+    directory, changed, _ = served
+    directory.replace([host_item(1, 5), evacuation_item(6)], as_of=6, now=0.0)
+    follower, _, _ = make_follower(FakeReader(unavailable()), peers=["127.60.0.1"])
+    for _ in range(2):
+        await follower.step()
+    assert follower.directory.view.evacuated == {"a"}
+
+    ending = DirectoryItem(key="op/evacuate/a", revision=7, content=None)
+    directory.apply([ending], as_of=7, now=0.0)
+    changed.notify()
+    await follower.step()
+    assert follower.directory.view.evacuated == frozenset()
+
+
+async def test_a_follower_learns_an_end_before_the_peer_s_history_began(served):
+    directory, _, _ = served
+    directory.replace([host_item(1, 5)], as_of=60, now=0.0)
+    follower, _, _ = make_follower(FakeReader(), peers=["127.60.0.1"])
+    follower.directory.replace([evacuation_item(6)], as_of=6, now=0.0)
+    follower.needs_full_read = False
+
+    await follower.step()
+
+    assert follower.directory.view.evacuated == frozenset()
+
+
+async def test_a_narrow_link_knows_no_evacuation_and_no_route_until_both_are_read():
+    hosts = tuple(host_item(n, n) for n in range(1, 4))
+    reply = ChangesReply(
+        as_of=9, age_seconds=0.1, is_complete=True,
+        items=(*hosts, routing_item(8), evacuation_item(7)),
+    )  # fmt: skip
+    follower, _, _ = narrow_follower(watcher_reply=reply)
+
+    await follower.step()
+    assert not follower.directory.view.is_complete
+    assert follower.directory.first_read_at is None
+    await follower.step()
+
+    assert follower.directory.view.is_complete
+    assert follower.directory.view.evacuated == {"a"}
+
+
+async def test_a_reply_with_an_unknown_kind_of_item_leads_to_another_source():
+    """So does an old version that gets an evacuation from a newer one."""
+    unknown = ["op/later", 5, ["a-later-kind", "x"]]
+    items = zlib.compress(msgspec.msgpack.encode([unknown]))
+    reply = PackedReply(as_of=5, age_seconds=0.0, is_complete=True, items=items)
+
+    async def send_reply(reader, writer):
+        writer.write(frame_message(encode_message(reply)))
+        await writer.drain()
+
+    server = await asyncio.start_server(send_reply, "127.60.0.9", PEER_PORT)
+    reader = FakeReader(unavailable(), DirectoryUpdate(as_of=9, items=()))
+    follower, events, times = make_follower(reader, peers=["127.60.0.9"])
+    for _ in range(2):
+        await follower.step()
+    times[0] = 5.0
+    await follower.step()
+    server.close()
+
+    lost = [event.source for event in events if isinstance(event, SourceLost)]
+    assert lost == [PLATFORM, "127.60.0.9"]
+    assert follower.directory.as_of == 9
