Place no new flow in an evacuated failure domain

Balancers and agents leave out hosts of evacuated failure domains in every list of candidates, and an agent whose host is in one takes no new flow, wherever its packet comes from. Searches still ask all agents, so open flows are served. Deciding at balancers alone was ruled out: one that is cut off from the store and from watchers would go on; agents alone would cost each flow hops.

- An upstream that became silent gets no probe while it is evacuated, and an agent that decides on a packet for the second time uses the current candidates.
- A copy still goes to the agent that has offered, though it is no candidate any more: its upstream has taken the flow.
- Where the settings give evacuation_milliseconds, an agent drops opening packets until it has read the directory (event 632).
- Events 630 and 631, the gauge failure_domains_evacuated and the histogram evacuated_opening_seconds; explain shows the events beside a flow.

--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_explain.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_explain.py
@@ -25,6 +25,8 @@
         "upstream-heard",
         "agents-suspected",
         "directory-moved",
+        "evacuation-seen",
+        "evacuation-ended",
         "host-gone",
         "source-lost",
         "source-regained",
@@ -85,6 +87,12 @@
         matches=lambda names: "opening-taken" in names,
         text="The opening packet was sent to the upstream; no request followed.",
     ),
+    Diagnosis(
+        matches=lambda names: "opening-early" in names,
+        text="The agent had just started and dropped the opening packet, since it did "
+        "not know yet whether its failure domain is evacuated. No copy reached another "
+        "agent. No request has run.",
+    ),
     Diagnosis(
         matches=lambda names: "opening-placed" in names,
         text="The opening packet was sent to an agent that logged nothing about it: "
--- a/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
@@ -162,14 +162,14 @@
     :param copy: times that the client has repeated the packet.
     :param tried: agents asked for earlier copies.
     :param offered: agents that sent an offer, which is their upstream's answer to an
-        earlier copy.
+        earlier copy; they may have left the candidates since.
     :param avoided: agents that don't answer; they get a repeated packet only when
         there are no others.
     """
-    if not candidates:
-        return None
     if copy <= 1 and offered:
         return offered[-1]
+    if not candidates:
+        return None
     if not tried:
         return candidates[copy % len(candidates)]
     usable = [agent for agent in candidates if agent not in avoided] or candidates
--- a/packages/daisygauge-relay/src/daisygauge_relay/_candidates.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_candidates.py
@@ -108,7 +108,7 @@
             self._orders.clear()
 
     def list_agents(self, service: int) -> tuple[bytes, ...]:
-        """Return every agent of a service, including those that drain."""
+        """Return every agent of a service, with draining and evacuated ones."""
         return self.agents.get(service, ())
 
     def order(self, service: int, flow: bytes) -> tuple[bytes, ...]:
@@ -137,9 +137,22 @@
 def _select_ready(
     hosts: tuple[HostRecord, ...], *, view: DirectoryView
 ) -> tuple[HostRecord, ...]:
-    """Return the ready hosts that are the newest ones at their address."""
+    """Return the ready hosts that may get new flows.
+
+    They are the newest ones at their address, outside every evacuated failure domain.
+    """
     return tuple(
         host
         for host in hosts
-        if host.state is HostState.READY and view.hosts_by_address[host.address] is host
+        if host.state is HostState.READY
+        and view.hosts_by_address[host.address] is host
+        and host.failure_domain not in view.evacuated
     )
+
+
+def count_ready(view: DirectoryView) -> dict[str, int]:
+    """Return the number of hosts that may get new flows, by service."""
+    return {
+        service: len(_select_ready(hosts, view=view))
+        for service, hosts in view.hosts.items()
+    }
--- a/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
@@ -59,6 +59,8 @@
         route.
     :ivar failures: unexpected errors of tasks, by the task's name.
     :ivar answers: time from a request's first packet to its answer's first packet.
+    :ivar evacuated_openings: time from an evacuation's arrival at an agent of its
+        failure domain to each opening packet that still came; none was taken.
     :ivar platform_calls: time of calls to the platform beyond the requested wait.
     """
 
@@ -78,6 +80,7 @@
     failures: Counter = field(default_factory=Counter)
     answers: Histogram = field(default_factory=Histogram)
     platform_calls: Histogram = field(default_factory=Histogram)
+    evacuated_openings: Histogram = field(default_factory=Histogram)
 
     def count_dropped(self, reason: str) -> None:
         """Count a datagram that was dropped."""
--- a/packages/daisygauge-relay/src/daisygauge_relay/_events.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_events.py
@@ -85,6 +85,13 @@
     "none.",
     ("flow", "home", "home_load", "load", "slots", *KNOWN_STATE_FIELDS),
 )
+OPENING_EARLY = _flow_event(
+    632,
+    "opening-early",
+    "An opening packet was dropped: this agent has not read the directory yet, so it "
+    "may not know of an evacuation. The client's next copy goes to another agent.",
+    ("flow", "copy", *KNOWN_STATE_FIELDS),
+)
 REQUEST_BEGUN = _flow_event(
     606,
     "request-begun",
@@ -185,6 +192,21 @@
     fields=("source", "failures"),
     limited=True,
 )
+EVACUATION_SEEN = Event(
+    number=630,
+    name="evacuation-seen",
+    level=Level.WARNING,
+    text="New flows no longer go to hosts of a failure domain; 'hosts' counts those "
+    "left for each service. A service without any refuses its new flows.",
+    fields=("failure_domain", "revision", "hosts"),
+)
+EVACUATION_ENDED = Event(
+    number=631,
+    name="evacuation-ended",
+    level=Level.INFO,
+    text="New flows go to hosts of a failure domain again.",
+    fields=("failure_domain", "revision", "seconds", "hosts"),
+)
 SETTINGS_RELOADED = Event(
     number=624,
     name="settings-reloaded",
@@ -241,6 +263,7 @@
     OPENING_TAKEN,
     OPENING_PASSED,
     OPENING_OVERFLOWED,
+    OPENING_EARLY,
     REQUEST_BEGUN,
     REQUEST_ANSWERED,
     REQUEST_EXPIRED,
@@ -255,6 +278,8 @@
     HOST_EXPIRED,
     SOURCE_LOST,
     SOURCE_REGAINED,
+    EVACUATION_SEEN,
+    EVACUATION_ENDED,
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
     LINES_SUPPRESSED,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
@@ -101,6 +101,12 @@
             "Time of calls to the platform beyond the wait asked for.",
             counters.platform_calls,
         )
+        yield self.make_histogram(
+            core,
+            "evacuated_opening_seconds",
+            "Time from an evacuation seen to opening packets passed on because of it.",
+            counters.evacuated_openings,
+        )
         for gauge in self.all_gauges():
             metric = core.GaugeMetricFamily(f"{PREFIX}_{gauge.name}", gauge.text)
             metric.add_metric([], gauge.read())
@@ -144,5 +150,10 @@
                 text="1 while this process wants traffic.",
                 read=lambda: float(self.runtime.is_ready),
             ),
+            Gauge(
+                name="failure_domains_evacuated",
+                text="Failure domains whose hosts get no new flows.",
+                read=lambda: len(directory.view.evacuated),
+            ),
             *self.gauges,
         )
--- a/packages/daisygauge-relay/src/daisygauge_relay/_observer.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_observer.py
@@ -8,6 +8,7 @@
     DirectoryChanged,
     DirectoryEvent,
     DirectoryItem,
+    EvacuationRecord,
     HostExpired,
     HostRecord,
     PlatformCalled,
@@ -19,6 +20,7 @@
 
 from . import _events as events
 from ._counters import RelayCounters
+from ._evacuations import Evacuations
 from ._log import QueuedLog
 
 MAX_LOGGED_CHANGES = 20
@@ -29,11 +31,17 @@
     """Logs and counts the events of the directory's follower."""
 
     def __init__(
-        self, *, log: QueuedLog, counters: RelayCounters, directory: Directory
+        self,
+        *,
+        log: QueuedLog,
+        counters: RelayCounters,
+        directory: Directory,
+        evacuations: Evacuations,
     ) -> None:
         self.log = log
         self.counters = counters
         self.directory = directory
+        self.evacuations = evacuations
 
     def observe(self, event: DirectoryEvent) -> None:
         """Log or count one event."""
@@ -45,6 +53,7 @@
                 self.counters.platform_calls.observe(seconds)
             case DirectoryChanged():
                 self.log_changes(event)
+                self.evacuations.record(event.items)
             case HostExpired():
                 self.log.write(events.HOST_EXPIRED, host=event.id)
             case SourceLost():
@@ -80,5 +89,7 @@
             return f"{item.key}@{item.revision} {service} {address} {state.value}"
         case RoutingRecord(version=version, routes=routes):
             return f"{item.key}@{item.revision} version {version}, {len(routes)} routes"
+        case EvacuationRecord(failure_domain=domain):
+            return f"{item.key}@{item.revision} evacuates {domain}"
         case UnusableRecord(problem=problem):
             return f"{item.key}@{item.revision} unusable: {problem}"
--- a/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
@@ -99,6 +99,9 @@
             # The upstream's answer was lost; it sends the same one again.
             self.deliver(frame.packet)
             return
+        if self.upstream.awaits_evacuations:
+            self.drop_early(packet)
+            return
         own = AskedAgent(
             agent=self.own_address,
             load=self.load.count(now=now),
@@ -106,8 +109,23 @@
             inability=self.find_inability(frame, packet, now=now),
             reluctance=self.limits.find_reluctance(now=now),
         )
+        if own.inability is OpeningReason.EVACUATED:
+            self.runtime.evacuations.record_arrival(self.upstream.failure_domain)
         self.decide(frame, packet, own, now=now)
 
+    def drop_early(self, packet: RelayedPacket) -> None:
+        """Drop an opening packet that arrives before the directory has been read.
+
+        Without a reset, the client's copy 200 ms later goes to another agent.
+        """
+        self.runtime.counters.count_dropped("no-directory")
+        self.runtime.log.write(
+            events.OPENING_EARLY,
+            flow=format_flow(packet.flow),
+            copy=packet.copy,
+            **self.runtime.known_state(),
+        )
+
     def find_inability(
         self, frame: OpenFrame, packet: RelayedPacket, *, now: float
     ) -> OpeningReason | None:
@@ -253,6 +271,8 @@
 
         :param reason: why this agent can't take it.
         """
+        # The view may have changed since the packet arrived.
+        self.candidates.update(self.runtime.directory.view)
         own = AskedAgent(
             agent=self.own_address,
             load=self.load.count(now=now),
@@ -268,7 +288,7 @@
 
         At most one probe is sent in ``PROBE_INTERVAL_SECONDS``.
         """
-        if own.inability is not OpeningReason.SILENT:
+        if own.inability is not OpeningReason.SILENT or self.upstream.is_evacuated:
             return frame
         if not self.upstream.begin_probe(now=now):
             return frame
--- a/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_runtime.py
@@ -25,6 +25,7 @@
 
 from . import _events as events
 from ._counters import Gauge, RelayCounters
+from ._evacuations import Evacuations
 from ._exit_codes import EXIT_FAILED, EXIT_STOPPED
 from ._log import QueuedLog
 from ._observer import DirectoryObserver
@@ -88,8 +89,17 @@
         self.loop = asyncio.get_running_loop()
         self.counters = RelayCounters()
         self.directory = Directory()
+        self.evacuations = Evacuations(
+            log=log,
+            directory=self.directory,
+            clock=self.now,
+            arrivals=self.counters.evacuated_openings,
+        )
         self.observer = DirectoryObserver(
-            log=log, counters=self.counters, directory=self.directory
+            log=log,
+            counters=self.counters,
+            directory=self.directory,
+            evacuations=self.evacuations,
         )
         self.changed = Signal()
         self.follower = DirectoryFollower(
--- a/packages/daisygauge-relay/src/daisygauge_relay/_settings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_settings.py
@@ -162,15 +162,21 @@
     :param outbound: address to which the upstream sends its packets.
     :param fixed_weight_routes: addresses of split routes whose flows never overflow to
         another service, such as that of a canary; ``*`` stands for every route.
+    :param evacuation_milliseconds: time within which an evacuation must be in force,
+        or 0 for no limit. With a limit, the agent takes no flow before it has read the
+        directory.
     """
 
     service: str
     upstream: str
     outbound: str
     fixed_weight_routes: tuple[str, ...] = ()
+    evacuation_milliseconds: float = 0.0
 
     def __post_init__(self) -> None:
         RelaySettings.__post_init__(self)
+        if self.evacuation_milliseconds < 0.0:
+            raise ValueError("evacuation_milliseconds: give a time of 0 or more")
         parse_address(self.upstream)
         parse_address(self.outbound)
         for text in self.fixed_weight_routes:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
@@ -62,6 +62,28 @@
         host = self.host_record
         return None if host is None else host.slots
 
+    @property
+    def failure_domain(self) -> str:
+        """Failure domain of the directory's entry, or else that of the settings."""
+        host = self.host_record
+        settings = self.runtime.settings
+        return settings.failure_domain if host is None else host.failure_domain
+
+    @property
+    def is_evacuated(self) -> bool:
+        """True while the upstream's failure domain is evacuated."""
+        return self.failure_domain in self.runtime.directory.view.evacuated
+
+    @property
+    def awaits_evacuations(self) -> bool:
+        """True while evacuations may be in force that this agent has not read yet.
+
+        A narrow link's first read has only the hosts and doesn't count. Without a time
+        limit for evacuations in the settings, the agent takes flows meanwhile.
+        """
+        is_limited = self.runtime.settings.evacuation_milliseconds > 0.0
+        return is_limited and self.runtime.directory.first_read_at is None
+
     def find_inability(self, service: int) -> OpeningReason | None:
         """Return why the upstream can't take a flow of a service, or None.
 
@@ -73,6 +95,8 @@
         is_leaving = host is not None and host.state is HostState.DRAINING
         if self.runtime.is_leaving or is_leaving:
             return OpeningReason.LEAVING
+        if self.is_evacuated:
+            return OpeningReason.EVACUATED
         if self.silent_since is not None:
             return OpeningReason.SILENT
         return None
--- a/testing/ctl/test_explain.py
+++ b/testing/ctl/test_explain.py
@@ -62,6 +62,7 @@
         (["opening-placed"], "logged nothing"),
         (["opening-placed", "opening-taken", "request-begun"], "no answer was seen"),
         (["opening-taken", "request-begun", "request-expired"], "it has not run"),
+        (["opening-placed", "opening-early"], "had just started"),
         (["opening-refused"], "refused before it opened"),
         (["opening-placed", "opening-uncertain"], "was not notified"),
         (["request-begun", "flow-lost"], "No upstream holds the flow"),
@@ -91,6 +92,22 @@
     assert "source-lost" not in explanation
 
 
+def test_an_evacuation_before_a_flow_is_shown():
+    lines = read_logs(
+        balancer=[
+            make_line(
+                1.0, "evacuation-seen", failure_domain="a", revision=9, hosts={"s": 0}
+            ),
+            make_line(1.5, "opening-refused", flow=FLOW, reason="no-host"),
+        ]
+    )
+
+    explanation = explain(FLOW, lines)
+
+    assert "evacuation-seen" in explanation
+    assert "refused before it opened" in explanation
+
+
 def test_other_requests_of_the_flow_are_left_out():
     lines = read_logs(
         agent=[
--- a/testing/policy/test_opening.py
+++ b/testing/policy/test_opening.py
@@ -152,3 +152,10 @@
 
 def test_no_agent_is_asked_without_candidates():
     assert choose_candidate((), copy=0, tried=[], offered=[]) is None
+
+
+def test_a_copy_goes_to_the_agent_that_offered_though_it_gets_no_new_flows():
+    """Its failure domain was evacuated after its upstream took the flow."""
+    assert choose_candidate((), copy=1, tried=[A], offered=[A]) == A
+    assert choose_candidate((B, C), copy=1, tried=[A], offered=[A]) == A
+    assert choose_candidate((B, C), copy=2, tried=[A], offered=[A]) == B
--- a/testing/relay/network.py
+++ b/testing/relay/network.py
@@ -13,6 +13,7 @@
 from daisygauge_control import (
     Directory,
     DirectoryItem,
+    EvacuationRecord,
     HostRecord,
     HostState,
     RouteRecord,
@@ -30,6 +31,7 @@
 from daisygauge_relay._agent import RelayAgent
 from daisygauge_relay._balancer import RelayBalancer
 from daisygauge_relay._counters import RelayCounters
+from daisygauge_relay._evacuations import Evacuations
 from daisygauge_relay._settings import RelayAgentSettings, RelayBalancerSettings
 
 LATENCY_SECONDS = 0.001
@@ -97,6 +99,10 @@
         self.settings = settings
         self.counters = RelayCounters()
         self.log = RecordingLog()
+        self.evacuations = Evacuations(
+            log=self.log, directory=directory, clock=clock.now,
+            arrivals=self.counters.evacuated_openings,
+        )  # fmt: skip
         self.is_leaving = False
         self.now = clock.now
         self.call_later = clock.call_later
@@ -143,6 +149,7 @@
         self.address = address
         self.service = service
         self.slots = slots
+        self.failure_domain = "a"
         self.flows = {}
         self.running = 0
         self.queue = []
@@ -317,8 +324,19 @@
 
     def publish(self, item):
         self.records[item.key] = item
-        for directory in self.directories.values():
-            directory.apply([item], as_of=item.revision, now=self.clock.now())
+        for name, directory in self.directories.items():
+            accepted = directory.apply(
+                [item], as_of=item.revision, now=self.clock.now()
+            )
+            process = self.agents.get(name) or self.balancers.get(name)
+            if process is not None:
+                process.runtime.evacuations.record(accepted)
+
+    def publish_evacuation(self, failure_domain, *, ends=False):
+        self.revision += 1
+        content = None if ends else EvacuationRecord(failure_domain=failure_domain)
+        key = f"evacuate/{failure_domain}"
+        self.publish(DirectoryItem(key=key, revision=self.revision, content=content))
 
     def publish_routes(self, *ports, version=None, services=((SERVICE, 1.0),)):
         self.revision += 1
@@ -343,8 +361,8 @@
         self.revision += 1
         record = HostRecord(
             id=f"host-{host.address}-{incarnation}", service=host.service,
-            address=host.address, port=9000, failure_domain="a", state=state,
-            slots=host.slots, incarnation=incarnation,
+            address=host.address, port=9000, failure_domain=host.failure_domain,
+            state=state, slots=host.slots, incarnation=incarnation,
         )  # fmt: skip
         self.publish(
             DirectoryItem(key=record.id, revision=self.revision, content=record)
@@ -359,10 +377,11 @@
 
     # Instances.
 
-    def add_host(self, address, *, service=SERVICE, slots=2):
+    def add_host(self, address, *, service=SERVICE, slots=2, failure_domain="a"):
         host = self.hosts[address] = FakeHost(
             self, address, service=service, slots=slots
         )
+        host.failure_domain = failure_domain
         self.publish_host(host)
         self.start_agent(address)
         return host
@@ -380,9 +399,10 @@
             "first_start": self.first_start,
         }
 
-    def start_agent(self, address):
+    def start_agent(self, address, **changes):
         settings = RelayAgentSettings(
-            **self.shared_settings(address), service=self.hosts[address].service,
+            **self.shared_settings(address) | changes,
+            service=self.hosts[address].service,
             upstream=f"{address}:9000", outbound=f"{address}:8162",
         )  # fmt: skip
         runtime = FakeRuntime(self.clock, self.new_directory(address), settings)
--- a/testing/relay/test_metrics.py
+++ b/testing/relay/test_metrics.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from daisygauge_control import Directory
+from daisygauge_control import Directory, DirectoryItem, EvacuationRecord
 from daisygauge_relay._counters import Gauge, Histogram, RelayCounters
 from daisygauge_relay._metrics import MetricsPage
 
@@ -52,6 +52,18 @@
         assert line in text
 
 
+async def test_evacuations_and_the_packets_that_still_came_are_shown(runtime):
+    record = EvacuationRecord(failure_domain="a")
+    item = DirectoryItem(key="evacuate/a", revision=1, content=record)
+    runtime.directory.apply([item], as_of=1, now=0.0)
+    runtime.counters.evacuated_openings.observe(0.04)
+
+    text = await load(MetricsPage(runtime=runtime, gauges=()))
+
+    assert "daisygauge_relay_failure_domains_evacuated 1.0" in text
+    assert 'daisygauge_relay_evacuated_opening_seconds_bucket{le="0.05"} 1.0' in text
+
+
 async def test_the_histogram_counts_each_answer_once(runtime):
     for seconds in (0.001, 0.07, 0.07, 99.0):
         runtime.counters.count_answered(seconds)
--- a/testing/relay/test_settings.py
+++ b/testing/relay/test_settings.py
@@ -66,6 +66,17 @@
         parse(**change)
 
 
+def test_a_negative_evacuation_time_is_refused():
+    fields = {
+        "service": "desk",
+        "upstream": "10.0.0.1:9000",
+        "outbound": "10.0.0.1:8162",
+        "evacuation_milliseconds": -1,
+    }
+    with pytest.raises(RelaySettingsError, match="evacuation_milliseconds"):
+        parse(model=RelayAgentSettings, **fields)
+
+
 def test_a_missing_field_is_named():
     with pytest.raises(RelaySettingsError, match="upstream|outbound|service"):
         parse(model=RelayAgentSettings)
