Test an evacuation with real processes

The tests with fakes join the parts by hand; this one guards the way from the store's key through watchers, peers and settings to a host's socket: an evacuation, an agent that is restarted while the store is down, and the key's removal within a dropped history. Agents of the fleet on loopback have the setting that makes them wait for their first read.

--- a/testing/adapter/fleet.py
+++ b/testing/adapter/fleet.py
@@ -108,12 +108,12 @@
             {"version": version, "routes": [route], "limits": {"idleTimeoutMs": 15000}},
         )
 
-    def publish_host(self, address, *, state="ready"):
+    def publish_host(self, address, *, state="ready", zone="a"):
         self.store.put(
             f"servers/host-{address}",
             {
                 "service": SERVICE, "address": f"{address}:{UPSTREAM_PORT}",
-                "zone": "a", "version": "v1", "capacity": 2, "state": state,
+                "zone": zone, "version": "v1", "capacity": 2, "state": state,
                 "coldRemainingMs": 0, "sequence": 1, "born": 1,
             },
         )  # fmt: skip
@@ -145,6 +145,7 @@
             "service": SERVICE,
             "upstream": f"{address}:{UPSTREAM_PORT}",
             "outbound": f"{address}:{OUTBOUND_PORT}",
+            "evacuation_milliseconds": 5000,
         }
         await self.launch("agent", address, settings)
 
--- a/testing/adapter/test_process.py
+++ b/testing/adapter/test_process.py
@@ -77,6 +77,38 @@
     assert opened
 
 
+async def test_an_evacuation_holds_in_every_process_until_its_key_is_removed(fleet):
+    """Also in a process that starts while the store is down, and after a compaction."""
+    first, second = fleet.balancer_addresses
+    address = fleet.agent_addresses[0]
+    evacuated = fleet.hosts[address]
+    fleet.publish_host(address, zone="b")
+    clients = await open_flows(fleet, 12)
+    staying = len(evacuated.flows)
+    assert staying > 0
+    fleet.store.put("op/evacuate/b", b"")
+    await asyncio.sleep(2.0)
+
+    await open_flows(fleet, 12)
+    assert len(evacuated.flows) == staying
+    assert await ask_all(fleet, clients, first, sequence=1) == 12
+
+    fleet.store.mode = "busy"
+    await fleet.end(address, signal.SIGKILL)
+    await fleet.start_agent(address)
+    await fleet.wait_ready(address)
+    await open_flows(fleet, 12)
+    assert len(evacuated.flows) == staying
+    assert await ask_all(fleet, clients, second, sequence=100) == 12
+
+    fleet.store.remove("op/evacuate/b")
+    fleet.store.compact()
+    fleet.store.mode = "up"
+    await asyncio.sleep(3.0)
+    await open_flows(fleet, 12)
+    assert len(evacuated.flows) > staying
+
+
 async def test_undecodable_entries_are_ignored_and_affect_no_other_host(fleet):
     fleet.store.put("servers/other", b"\xff\x00 no document")
     fleet.store.put("servers/strange", {"service": 7, "address": []})
