Merge evacuation of failure domains

Part of docs/design/013. Resolved by hand: the directory's view has both the named services and the evacuated domains.

--- a/packages/daisygauge-control/src/daisygauge_control/_directory.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory.py
@@ -1,4 +1,4 @@
-"""Hosts and routes known to one process, merged key by key.
+"""Hosts, routes and evacuations known to one process, merged key by key.
 
 The directory serves relayed flows. It is filled from the platform or from other
 processes. Whatever the order in which changes arrive, each key keeps its highest
@@ -103,7 +103,15 @@
     problem: str
 
 
-Content = HostRecord | RoutingRecord | UnusableRecord
+class EvacuationRecord(
+    Struct, kw_only=True, frozen=True, array_like=True, tag="evacuation"
+):
+    """A request that no new flow reach a host of a failure domain."""
+
+    failure_domain: str
+
+
+Content = HostRecord | RoutingRecord | UnusableRecord | EvacuationRecord
 
 
 class DirectoryItem(Struct, kw_only=True, frozen=True, array_like=True):
@@ -137,6 +145,7 @@
     :param hosts_by_address: newest host at each address, by IPv4 address. A host of a
         service that isn't in ``named_services`` comes last.
     :param routes: routes by address and port.
+    :param evacuated: failure domains whose hosts get no new flows.
     :param named_services: services that a configuration has named since the process
         started. An open flow may be at a host of a service that is named no longer.
     """
@@ -146,6 +155,7 @@
     hosts: Mapping[str, tuple[HostRecord, ...]] = field(default_factory=dict)
     hosts_by_address: Mapping[str, HostRecord] = field(default_factory=dict)
     routes: Mapping[tuple[str, int], RouteRecord] = field(default_factory=dict)
+    evacuated: frozenset[str] = frozenset()
     named_services: frozenset[str] = frozenset()
 
     @property
@@ -313,6 +323,7 @@
     def _build_view(self, *, now: float) -> DirectoryView:
         hosts: dict[str, list[HostRecord]] = {}
         routing: RoutingRecord | None = None
+        evacuated: set[str] = set()
         for key in sorted(self.items):
             held = self.items[key]
             match held.lapsed or held.item.content:
@@ -320,11 +331,14 @@
                     hosts.setdefault(host.service, []).append(host)
                 case RoutingRecord() as record:
                     routing = record
+                case EvacuationRecord(failure_domain=domain):
+                    evacuated.add(domain)
         view = DirectoryView(
             version=self.view.version,
             idle_timeout_seconds=self.view.idle_timeout_seconds,
             hosts={service: tuple(found) for service, found in hosts.items()},
             routes=self.view.routes,
+            evacuated=frozenset(evacuated),
             named_services=self.view.named_services,
         )
         if routing is not None and routing.version > view.version:
