Place long flows by the expected utilization of upstreams

Long flows stay at the upstream that they were opened at, but an opening was decided by the number of requests at that moment: slow upstreams with one slot saturated in peaks.

Ruled out: a mean of the slot use added to the load (too late, most flows open at once).

An agent measures service time and request rate by kind of flow, counts open flows, and reports the expected utilization in the five spare flag bits of an opening packet. The least used of four asked agents takes a long flow.

--- a/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
@@ -130,5 +130,6 @@
         "_suspects": [
             "SuspectList",
         ],
+        "_utilization": ["Utilization"],
     },
 )
--- a/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
@@ -19,12 +19,16 @@
 MAX_OPENING_HOPS = 12
 """Largest number of agents that one opening packet is sent to. It bounds the path also
 when the agents' lists of candidates differ."""
+LOW_UTILIZATION = 0.2
+"""Utilization up to which an agent with a free slot takes a flow without asking others:
+its requests would seldom wait, and a less used upstream gains them almost nothing."""
 
 
 class OpeningReason(enum.Enum):
     """Why an opening packet was passed on or refused."""
 
     BUSY = "busy"
+    COMPARED = "compared"
     LEAVING = "leaving"
     SILENT = "silent"
     OTHER_SERVICE = "other-service"
@@ -68,23 +72,36 @@
     """An agent that was asked before, with the load that it reported.
 
     :param load: requests running or expected at its upstream.
+    :param utilization: expected utilization of its upstream with the flow, or None.
     """
 
     agent: bytes
     load: int
+    utilization: float | None = None
 
+    def use(self, other: float | None) -> tuple[float, int]:
+        """Return the key by which upstreams are compared; the lower one takes a flow.
 
-class AskedAgent(Struct, kw_only=True, frozen=True):
+        The loads decide between equal utilizations, and where one is unknown because
+        an agent of an earlier version has passed the packet on.
+
+        :param other: utilization of the other upstream, or None.
+        """
+        is_known = self.utilization is not None and other is not None
+        return (self.utilization if is_known else 0.0, self.load)
+
+
+class AskedAgent(BusyAgent, kw_only=True, frozen=True):
     """The agent that decides, with its own load.
 
     :param inability: why its upstream can't take a flow at all, or None.
     :param reluctance: why its upstream takes a flow only if no other one does, or None.
     :param load: requests running or expected at its upstream.
     :param slots: requests that the upstream runs at a time.
+    :param utilization: expected share of slot time in use with the flow, or None if
+        the load alone decides.
     """
 
-    agent: bytes
-    load: int
     slots: int
     inability: OpeningReason | None = None
     reluctance: OpeningReason | None = None
@@ -99,6 +116,20 @@
         """True if the upstream takes a flow without making it wait."""
         return self.is_willing and self.load < self.slots
 
+    @property
+    def is_lightly_used(self) -> bool:
+        """True if no other upstream would serve a flow noticeably better."""
+        is_low = self.utilization is None or self.utilization <= LOW_UTILIZATION
+        return self.has_free_slot and is_low
+
+    def is_less_used(self, other: BusyAgent) -> bool:
+        """Return True if this upstream should take a flow before another one."""
+        return self.use(other.utilization) < other.use(self.utilization)
+
+    def is_more_used(self, other: BusyAgent) -> bool:
+        """Return True if another upstream should take a flow before this one."""
+        return self.use(other.utilization) > other.use(self.utilization)
+
 
 def decide_opening(
     *,
@@ -111,26 +142,29 @@
 ) -> OpeningDecision:
     """Decide whether an agent takes, passes on or refuses an opening packet.
 
-    Up to ``MAX_ASKED`` agents are asked for a free slot. Then the least busy of them
-    is asked to take the flow. If its upstream can't, the packet is passed on until an
-    agent's upstream can take the flow. A reluctant agent takes it when no other is
-    left, so that no flow is refused while an upstream could run its requests.
+    Up to ``MAX_ASKED`` agents are asked for a free slot at a lightly used upstream.
+    Then the least used one is asked to take the flow. If its upstream can't, the packet
+    is passed on until an agent's upstream can take the flow. A reluctant agent takes it
+    when no other is left, so that no flow is refused while an upstream could run its
+    requests.
 
     :param candidates: agents of the service in this flow's order.
     :param tried: agents that need not be asked.
     :param hops: agents that have passed the packet on.
-    :param best: the least busy agent asked before, or None if none could take it.
+    :param best: the least used agent asked before, or None if none could take it.
     :param final: True when the agent takes the flow even without a free slot.
     """
     is_able = own.inability is None
-    if own.has_free_slot or (is_able and final):
+    if own.is_lightly_used or (is_able and final):
         return TakeOpening()
-    reason = own.inability or own.reluctance or OpeningReason.BUSY
+    is_compared = own.has_free_slot
+    busy = OpeningReason.COMPARED if is_compared else OpeningReason.BUSY
+    reason = own.inability or own.reluctance or busy
     tried = (*tried, own.agent)
     rest = [agent for agent in candidates if agent not in tried]
     if rest and not final and hops + 1 < MAX_ASKED:
         return PassOpening(target=rest[0], reason=reason, tried=tried)
-    if own.is_willing and (best is None or own.load <= best.load):
+    if own.is_willing and (best is None or not own.is_more_used(best)):
         return TakeOpening()
     if best is not None and not final:
         return PassOpening(
--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -4,7 +4,7 @@
 
 from socket import inet_aton, inet_ntoa
 
-from daisygauge_policy import RequestScheduler
+from daisygauge_policy import RequestScheduler, Utilization
 from daisygauge_wire import (
     AbsentFrame,
     ForwardFrame,
@@ -22,7 +22,7 @@
 from ._endpoint import Endpoint
 from ._flow_limits import FlowLimits
 from ._flows import AgentFlow, FlowStage, FlowTable
-from ._openings import Openings
+from ._openings import DEFAULT_SLOTS, Openings
 from ._packet import (
     MalformedPacketError,
     PacketCodec,
@@ -61,8 +61,15 @@
             is_expired=self.is_expired, on_removed=self.release_flow
         )
         self.scheduler = RequestScheduler(slots=lambda: self.upstream.slots)
+        self.utilization = Utilization(
+            slots=lambda: self.upstream.slots or DEFAULT_SLOTS, now=runtime.now()
+        )
         self.requests = Requests(
-            runtime=runtime, codec=codec, scheduler=self.scheduler, deliver=self.deliver
+            runtime=runtime,
+            codec=codec,
+            scheduler=self.scheduler,
+            utilization=self.utilization,
+            deliver=self.deliver,
         )
         self.openings = Openings(
             runtime=runtime,
@@ -70,6 +77,7 @@
             upstream=self.upstream,
             flows=self.flows,
             running=lambda now: self.scheduler.load(now=now),
+            utilization=self.utilization,
             limits=FlowLimits(),
             deliver=self.deliver,
             send=self.send,
@@ -145,6 +153,21 @@
                 text="Mean time of the upstream's latest answers.",
                 read=lambda: self.scheduler.service_seconds,
             ),
+            Gauge(
+                name="utilization",
+                text="Expected share of slot time that the open flows use.",
+                read=lambda: self.utilization.estimate(now=self.runtime.now()),
+            ),
+            Gauge(
+                name="flows_open",
+                text="Flows that count as open in the utilization.",
+                read=lambda: len(self.utilization.open_flows),
+            ),
+            Gauge(
+                name="request_rate",
+                text="Requests a second over the latest seconds.",
+                read=lambda: self.utilization.request_rate(now=self.runtime.now()),
+            ),
             Gauge(
                 name="upstream_silent",
                 text="1 while the upstream leaves opening packets unanswered.",
@@ -252,6 +275,7 @@
         self.requests.receive(flow, packet, frame.packet, now=now)
         if packet.finishing or packet.resetting:
             flow.stage = FlowStage.CLOSED
+            self.utilization.end_flow(packet.flow, now=now)
         if packet.resetting:
             self.requests.abandon(packet.flow, flow, now=now)
 
@@ -285,6 +309,7 @@
         if packet.finishing or packet.resetting:
             flow.stage = FlowStage.CLOSED
             self.requests.end(packet.flow, flow, now=now)
+            self.utilization.end_flow(packet.flow, now=now)
         self.runtime.counters.packets_out += 1
         address = (client_host(packet.flow), self.client_port)
         self.outbound.send(data, address)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_events.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_events.py
@@ -70,13 +70,13 @@
     604,
     "opening-taken",
     "An opening packet was delivered to the upstream.",
-    ("flow", "load", "slots", "hops", *KNOWN_STATE_FIELDS),
+    ("flow", "load", "slots", "utilization", "hops", *KNOWN_STATE_FIELDS),
 )
 OPENING_PASSED = _flow_event(
     605,
     "opening-passed",
     "An opening packet was passed on to another agent.",
-    ("flow", "reason", "target", "load", "hops", *KNOWN_STATE_FIELDS),
+    ("flow", "reason", "target", "load", "utilization", "hops", *KNOWN_STATE_FIELDS),
 )
 OPENING_OVERFLOWED = _flow_event(
     629,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
@@ -10,7 +10,6 @@
 
 from daisygauge_policy import (
     AskedAgent,
-    BusyAgent,
     CrossOpening,
     OpeningReason,
     OverflowDecision,
@@ -18,13 +17,14 @@
     RefuseOpening,
     ReturnOpening,
     TakeOpening,
+    Utilization,
     VisitDecision,
     decide_opening,
     decide_overflow,
     decide_visit,
     is_short,
 )
-from daisygauge_wire import Frame, OfferFrame, OpenFrame
+from daisygauge_wire import Frame, OfferFrame, OpenFrame, round_utilization
 
 from . import _events as events
 from ._candidates import CandidateLists
@@ -32,8 +32,8 @@
 from ._flows import AgentFlow, FlowStage, FlowTable
 from ._load import UpstreamLoad
 from ._overflow import Overflow
-from ._packet import PacketCodec, RelayedPacket, format_flow
-from ._passing import OpeningPasser
+from ._packet import PacketCodec, RelayedPacket, format_flow, service_endpoint
+from ._passing import OpeningPasser, known_agent
 from ._runtime import RelayRuntime
 from ._upstream import Upstream
 
@@ -58,6 +58,7 @@
 
     :param running: returns the number of requests that run at the upstream or wait for
         it, at a monotonic time.
+    :param utilization: estimates the upstream's utilization.
     :param limits: limits on the flows that the upstream takes.
     :param deliver: sends a packet to the upstream.
     :param send: sends a frame to another instance.
@@ -72,6 +73,7 @@
         upstream: Upstream,
         flows: FlowTable[AgentFlow],
         running: Callable[[float], int],
+        utilization: Utilization,
         limits: FlowLimits,
         deliver: Callable[[bytes], None],
         send: Callable[[bytes, Frame], None],
@@ -82,6 +84,7 @@
         self.upstream = upstream
         self.flows = flows
         self.load = UpstreamLoad(flows=flows, running=running)
+        self.utilization = utilization
         self.limits = limits
         self.deliver = deliver
         self.send = send
@@ -99,15 +102,32 @@
             # The upstream's answer was lost; it sends the same one again.
             self.deliver(frame.packet)
             return
+        load = self.load.count(now=now)
         own = AskedAgent(
             agent=self.own_address,
-            load=self.load.count(now=now),
+            load=load,
             slots=DEFAULT_SLOTS if self.upstream.slots is None else self.upstream.slots,
             inability=self.find_inability(frame, packet, now=now),
             reluctance=self.limits.find_reluctance(now=now),
+            utilization=self.estimate_utilization(frame, packet, load=load, now=now),
         )
         self.decide(frame, packet, own, now=now)
 
+    def estimate_utilization(
+        self, frame: OpenFrame, packet: RelayedPacket, *, load: int, now: float
+    ) -> float | None:
+        """Return the upstream's utilization with a new flow, or None.
+
+        A repeated opening packet goes by the load, which asks fewer agents: one on the
+        way of an earlier copy may be dead. So does a flow that may overflow to another
+        service, which depends on free slots.
+        """
+        if packet.copy or self.overflow.find_other(frame, packet.flow) is not None:
+            return None
+        kind = service_endpoint(packet.flow)
+        utilization = self.utilization.estimate_after(kind, load=load, now=now)
+        return None if utilization is None else round_utilization(utilization)
+
     def find_inability(
         self, frame: OpenFrame, packet: RelayedPacket, *, now: float
     ) -> OpeningReason | None:
@@ -132,7 +152,7 @@
         self, frame: OpenFrame, packet: RelayedPacket, own: AskedAgent, *, now: float
     ) -> None:
         """Decide at an agent of the service that the flow was placed for."""
-        best = frame.best and BusyAgent(agent=frame.best.agent, load=frame.best.load)
+        best = frame.best and known_agent(frame.best)
         decision = decide_opening(
             own=own,
             candidates=self.candidates.order(frame.service, packet.flow),
@@ -196,6 +216,8 @@
         self.flows.add(packet.flow, entry, now=now)
         self.pending[packet.flow] = PendingOpening(frame=frame, packet=packet)
         self.load.expect(packet.flow, now=now)
+        kind = service_endpoint(packet.flow)
+        self.utilization.add_flow(packet.flow, kind, now=now)
         self.limits.record_taken(now=now)
         self.runtime.counters.taken += 1
         self.runtime.log.write(
@@ -203,6 +225,7 @@
             flow=format_flow(packet.flow),
             load=own.load,
             slots=own.slots,
+            utilization=own.utilization,
             hops=frame.hops,
             **self.runtime.known_state(),
         )
@@ -235,6 +258,7 @@
             return
         now = self.runtime.now()
         # The entry stays: a late answer must still be reported to its balancer.
+        self.utilization.end_flow(flow, now=now)
         self.upstream.record_silence(now=now)
         opening.frame = replace(opening.frame, unanswered=True)
         self.decide_again(opening, OpeningReason.SILENT, now=now)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_packet.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_packet.py
@@ -106,6 +106,11 @@
     return int.from_bytes(flow[ENDPOINT_BYTES + ADDRESS_BYTES :], "big")
 
 
+def service_endpoint(flow: bytes) -> bytes:
+    """Return the packed address and port that a flow was opened to."""
+    return flow[ENDPOINT_BYTES:]
+
+
 def format_flow(flow: bytes) -> str:
     """Return a flow's two addresses and ports as text, for logs."""
     port = int.from_bytes(flow[ADDRESS_BYTES:ENDPOINT_BYTES], "big")
--- a/packages/daisygauge-relay/src/daisygauge_relay/_passing.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_passing.py
@@ -9,6 +9,7 @@
 
 from daisygauge_policy import (
     AskedAgent,
+    BusyAgent,
     CrossOpening,
     OpeningReason,
     PassOpening,
@@ -108,6 +109,7 @@
             reason=reason.value,
             target=inet_ntoa(target),
             load=own.load,
+            utilization=own.utilization,
             hops=frame.hops,
             **self.runtime.known_state(),
         )
@@ -120,6 +122,11 @@
     is_visit = frame.home_service is not None
     if is_visit or not own.is_willing:
         return best
-    if best is None or own.load < best.load:
-        return AgentLoad(agent=own.agent, load=own.load)
-    return best
+    if best is not None and not own.is_less_used(known_agent(best)):
+        return best
+    return AgentLoad(agent=own.agent, load=own.load, utilization=own.utilization)
+
+
+def known_agent(best: AgentLoad) -> BusyAgent:
+    """Return the agent that a frame names as the best one so far."""
+    return BusyAgent(agent=best.agent, load=best.load, utilization=best.utilization)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
@@ -6,7 +6,12 @@
 
 from msgspec import Struct, field
 
-from daisygauge_policy import RequestScheduler, ScheduledRequest, SchedulerChange
+from daisygauge_policy import (
+    RequestScheduler,
+    ScheduledRequest,
+    SchedulerChange,
+    Utilization,
+)
 
 from . import _events as events
 from ._candidates import find_route
@@ -16,6 +21,7 @@
     PacketCodec,
     RelayedPacket,
     format_flow,
+    service_endpoint,
 )
 from ._runtime import RelayRuntime
 
@@ -44,6 +50,7 @@
     """Tracks the requests in all flows of one upstream.
 
     :param scheduler: decides when each request is delivered.
+    :param utilization: is told of the requests and the upstream's answers.
     :param deliver: sends a packet to the upstream.
     """
 
@@ -53,11 +60,13 @@
         runtime: RelayRuntime,
         codec: PacketCodec,
         scheduler: RequestScheduler,
+        utilization: Utilization,
         deliver: Callable[[bytes], None],
     ) -> None:
         self.runtime = runtime
         self.codec = codec
         self.scheduler = scheduler
+        self.utilization = utilization
         self.deliver = deliver
         self.held: dict[bytes, HeldRequest] = {}
 
@@ -65,6 +74,7 @@
         """Dispatch and expire waiting requests periodically, until cancelled."""
         while True:
             await self.runtime.sleep(DISPATCH_INTERVAL_SECONDS)
+            self.utilization.tick(now=self.runtime.now())
             if self.scheduler.waiting:
                 self.apply(self.scheduler.dispatch(now=self.runtime.now()))
 
@@ -96,6 +106,8 @@
         flow.request_started_at = now
         flow.request_id = self.codec.find_request_id(data)
         self.runtime.counters.requests += 1
+        kind = service_endpoint(packet.flow)
+        self.utilization.record_request(packet.flow, kind, now=now)
         held = self.held[packet.flow] = HeldRequest()
         hold_packet(held, packet, data)
         change = self.scheduler.submit(
@@ -128,7 +140,10 @@
 
     def apply(self, change: SchedulerChange) -> None:
         """Deliver the dispatched requests and drop the expired ones."""
-        for flow in change.sent:
+        now = self.runtime.now()
+        running = self.scheduler.count_running(now=now) - len(change.sent)
+        for sent, flow in enumerate(change.sent, start=1):
+            self.utilization.record_sent(flow, running=running + sent, now=now)
             self.deliver_held(flow)
         for flow in change.expired:
             self.held.pop(flow, None)
@@ -162,6 +177,7 @@
         began = self.scheduler.running.get(key)
         if began is not None:
             self.scheduler.record_service_time(now - began)
+        self.utilization.record_done(key, is_answered=True, now=now)
         self.runtime.counters.count_answered(seconds)
         self.runtime.log.write(
             events.REQUEST_ANSWERED,
@@ -183,6 +199,7 @@
             return
         flow.request_started_at = None
         self.held.pop(key, None)
+        self.utilization.record_done(key, is_answered=False, now=now)
         self.apply(self.scheduler.end(key, now=now))
 
     def abandon(self, key: bytes, flow: AgentFlow, *, now: float) -> None:
@@ -199,8 +216,11 @@
 
     def forget(self, flow: bytes) -> None:
         """Remove the requests of a flow that was removed."""
+        now = self.runtime.now()
         self.held.pop(flow, None)
-        self.apply(self.scheduler.end(flow, now=self.runtime.now()))
+        self.utilization.record_done(flow, is_answered=False, now=now)
+        self.utilization.end_flow(flow, now=now)
+        self.apply(self.scheduler.end(flow, now=now))
 
     def deliver_held(self, flow: bytes) -> None:
         """Deliver the held packets of a flow, if there are any.
--- a/packages/daisygauge-wire/src/daisygauge_wire/__init__.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/__init__.py
@@ -72,7 +72,9 @@
             "OwnerFrame",
             "QueryFrame",
             "SearchFrame",
+            "UTILIZATION_STEP",
             "UnknownFlowFrame",
+            "round_utilization",
         ],
         "_quic": [
             "STREAM_WINDOW_BYTES",
--- a/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
@@ -13,6 +13,8 @@
 
 from ._relayed_frames import (
     MAX_TRIED,
+    UTILIZATION_STEP,
+    UTILIZATION_STEPS,
     AbsentFrame,
     AgentLoad,
     ForwardFrame,
@@ -34,6 +36,9 @@
 _FINAL_BIT = 1
 _UNANSWERED_BIT = 2
 _CROSSED_BIT = 4
+_UTILIZATION_SHIFT = 3
+"""The upper 5 bits of the flags hold the best agent's utilization in steps plus 1, or 0
+while it is unknown. Earlier versions ignore them and send 0."""
 _VISIT = struct.Struct("!BI")
 _OFFER = struct.Struct("!B12sIHH")
 _FLOW = struct.Struct("!B12s")
@@ -118,9 +123,22 @@
         frame.final * _FINAL_BIT
         | frame.unanswered * _UNANSWERED_BIT
         | frame.has_crossed * _CROSSED_BIT
+        | _encode_utilization(frame.best) << _UTILIZATION_SHIFT
     )
 
 
+def _encode_utilization(best: AgentLoad | None) -> int:
+    if best is None or best.utilization is None:
+        return 0
+    steps = round(best.utilization / UTILIZATION_STEP)
+    return min(max(steps, 0), UTILIZATION_STEPS) + 1
+
+
+def _decode_utilization(flags: int) -> float | None:
+    value = flags >> _UTILIZATION_SHIFT
+    return (value - 1) * UTILIZATION_STEP if value else None
+
+
 def decode_frame(data: bytes) -> Frame:
     """Decode a frame.
 
@@ -148,13 +166,14 @@
         data[start : start + ADDRESS_BYTES]
         for start in range(_OPEN.size, end, ADDRESS_BYTES)
     )
+    best = AgentLoad(agent=agent, load=load, utilization=_decode_utilization(flags))
     return OpenFrame(
         balancer=balancer,
         service=service,
         packet=data[end:],
         tried=tried,
         hops=hops,
-        best=None if agent == NO_ADDRESS else AgentLoad(agent=agent, load=load),
+        best=None if agent == NO_ADDRESS else best,
         final=bool(flags & _FINAL_BIT),
         unanswered=bool(flags & _UNANSWERED_BIT),
         has_crossed=bool(flags & _CROSSED_BIT),
--- a/packages/daisygauge-wire/src/daisygauge_wire/_relayed_frames.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_relayed_frames.py
@@ -12,15 +12,30 @@
 """Largest number of agents listed in an ``OpenFrame``, which bounds its size."""
 
 
+UTILIZATION_STEP = 0.05
+"""Resolution of a utilization on the wire. The 5 spare bits of an ``OpenFrame`` hold
+values up to 1.5: above 1 the overload that follows a loss of hosts still compares."""
+UTILIZATION_STEPS = 30
+
+
+def round_utilization(utilization: float) -> float:
+    """Return a utilization as a frame carries it."""
+    steps = min(max(round(utilization / UTILIZATION_STEP), 0), UTILIZATION_STEPS)
+    return steps * UTILIZATION_STEP
+
+
 class AgentLoad(Struct, kw_only=True, frozen=True):
     """Load of the upstream beside an agent that could accept a flow.
 
     :param agent: packed address of the agent.
     :param load: number of requests running or expected there.
+    :param utilization: expected utilization with the flow, as ``round_utilization``
+        returns it, or None while it is unknown.
     """
 
     agent: bytes
     load: int
+    utilization: float | None = None
 
 
 class OpenFrame(Struct, kw_only=True, frozen=True):
--- a/testing/wire/test_relayed.py
+++ b/testing/wire/test_relayed.py
@@ -3,6 +3,7 @@
 
 from daisygauge_wire import (
     MAX_TRIED,
+    UTILIZATION_STEP,
     AbsentFrame,
     AgentLoad,
     ForwardFrame,
@@ -16,6 +17,7 @@
     UnknownFlowFrame,
     decode_frame,
     encode_frame,
+    round_utilization,
 )
 
 ADDRESSES = st.binary(min_size=4, max_size=4).filter(any)
@@ -23,6 +25,12 @@
 PACKETS = st.binary(max_size=80)
 UINT32 = st.integers(0, 2**32 - 1)
 COUNTS = st.integers(0, 65_535)
+AGENT_LOADS = st.builds(
+    AgentLoad,
+    agent=ADDRESSES,
+    load=COUNTS,
+    utilization=st.none() | st.floats(0.0, 9.0).map(round_utilization),
+)
 PACKET_FIELDS = {"balancer": ADDRESSES, "service": UINT32, "packet": PACKETS}
 FRAMES = st.one_of(
     st.builds(ForwardFrame, **PACKET_FIELDS),
@@ -38,7 +46,7 @@
         **PACKET_FIELDS,
         tried=st.lists(ADDRESSES, max_size=MAX_TRIED).map(tuple),
         hops=st.integers(0, 255),
-        best=st.none() | st.builds(AgentLoad, agent=ADDRESSES, load=COUNTS),
+        best=st.none() | AGENT_LOADS,
         final=st.booleans(),
         unanswered=st.booleans(),
         has_crossed=st.booleans(),
@@ -49,7 +57,7 @@
         home_service=UINT32,
         tried=st.lists(ADDRESSES, max_size=MAX_TRIED).map(tuple),
         hops=st.integers(0, 255),
-        best=st.builds(AgentLoad, agent=ADDRESSES, load=COUNTS),
+        best=AGENT_LOADS,
         unanswered=st.booleans(),
     ),
 )
@@ -87,3 +95,29 @@
 
     with pytest.raises(MalformedFrameError, match="offered it"):
         decode_frame(encode_frame(frame))
+
+
+FLAGS_OFFSET = 15
+"""Offset of an open frame's flags, of which earlier versions read the lowest 3 bits."""
+
+
+@given(AGENT_LOADS, st.booleans(), st.booleans(), st.booleans())
+def test_earlier_versions_read_the_same_flags(best, final, unanswered, has_crossed):
+    """Guards against a utilization that changes bits of a frame that they decode."""
+    flags = {"final": final, "unanswered": unanswered, "has_crossed": has_crossed}
+    frame = OpenFrame(balancer=bytes(4), service=1, packet=b"p", best=best, **flags)
+    without = AgentLoad(agent=best.agent, load=best.load)
+    earlier = OpenFrame(
+        balancer=bytes(4), service=1, packet=b"p", best=without, **flags
+    )
+    data, expected = bytearray(encode_frame(frame)), encode_frame(earlier)
+
+    data[FLAGS_OFFSET] &= 0b111
+
+    assert bytes(data) == expected
+    assert decode_frame(expected).best.utilization is None
+
+
+@given(st.floats(0.0, 1.5))
+def test_a_frame_carries_a_utilization_up_to_its_resolution(utilization):
+    assert abs(round_utilization(utilization) - utilization) <= UTILIZATION_STEP / 2.0
