--- a/packages/daisygauge-policy/src/daisygauge_policy/_utilization.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_utilization.py
@@ -28,12 +28,13 @@
 INITIAL_REQUEST_RATE = 1.0
 """Assumed requests a second of one flow. All agents assume the same, so until rates are
 measured, only the number of flows and the service time decide."""
-INITIAL_RATE_SECONDS = 10.0
-"""Time of one open flow that weighs as much as the assumed rate."""
+INITIAL_RATE_SECONDS = 60.0
+"""Time of one open flow that weighs as much as the assumed rate: a dozen flows outweigh
+it after 5 s. With 10 s, the chance of the first requests decided where flows stay."""
 UNSEEN_UTILIZATION = 0.5
-"""Utilization added at the start by flows that may be open without the agent's
-knowledge. It is near that of a moderately loaded upstream: a restarted agent neither
-draws all new flows nor repels them."""
+"""Utilization that a restarted agent adds for flows that are open without its
+knowledge. It is that of a moderately loaded upstream, so that the agent neither draws
+all new flows nor repels them."""
 UNSEEN_SECONDS = 10.0
 """Time over which ``UNSEEN_UTILIZATION`` falls to 0; most open flows send a request
 in it."""
@@ -123,12 +124,15 @@
     """Measures the flows of one upstream and estimates its utilization.
 
     :param slots: returns the number of requests that the upstream runs at a time.
+    :param knows_flows: True if no flow was open before the agent started.
     :param now: monotonic time in seconds, as in all methods.
     """
 
-    def __init__(self, *, slots: Callable[[], int], now: float) -> None:
+    def __init__(
+        self, *, slots: Callable[[], int], knows_flows: bool, now: float
+    ) -> None:
         self.slots = slots
-        self.observed_since = now
+        self.observed_since = -math.inf if knows_flows else now
         self.ticked_at: float | None = None
         self.open_flows: dict[bytes, OpenFlow] = {}
         self.kinds: dict[bytes, KindMeasures] = {}
--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -62,7 +62,9 @@
         )
         self.scheduler = RequestScheduler(slots=lambda: self.upstream.slots)
         self.utilization = Utilization(
-            slots=lambda: self.upstream.slots or DEFAULT_SLOTS, now=runtime.now()
+            slots=lambda: self.upstream.slots or DEFAULT_SLOTS,
+            knows_flows=settings.first_start,
+            now=runtime.now(),
         )
         self.requests = Requests(
             runtime=runtime,
--- a/testing/policy/test_opening.py
+++ b/testing/policy/test_opening.py
@@ -22,6 +22,7 @@
             agent=own, load=load, slots=slots,
             inability=options.pop("inability", None),
             reluctance=options.pop("reluctance", None),
+            utilization=options.pop("utilization", None),
         ),
         candidates=options.pop("candidates", ALL),
         tried=tried,
@@ -93,31 +94,58 @@
     assert decision.target == A
 
 
+def test_a_free_but_much_used_agent_asks_the_next_one():
+    assert decide(A, utilization=0.5) == PassOpening(
+        target=B, reason=OpeningReason.COMPARED, tried=(A,)
+    )
+
+
+def test_a_lightly_used_agent_takes_a_flow():
+    assert decide(A, utilization=0.1) == TakeOpening()
+
+
+@pytest.mark.parametrize(
+    ("own", "best", "takes"),
+    [(0.4, 0.5, True), (0.5, 0.4, False), (0.4, 0.4, False), (0.4, None, False)],
+)
+def test_the_least_used_agent_takes_a_flow(own, best, takes):
+    """The loads, 1 here and 0 at the other, decide where utilization doesn't."""
+    other = BusyAgent(agent=B, load=0, utilization=best)
+
+    decision = decide(D, load=1, utilization=own, tried=(A, B, C), best=other)
+
+    assert isinstance(decision, TakeOpening) == takes
+
+
 @given(
-    st.lists(st.tuples(st.integers(0, 9), st.booleans()), min_size=1, max_size=12),
+    st.lists(
+        st.tuples(st.integers(0, 9), st.booleans(), st.none() | st.floats(0.0, 1.5)),
+        min_size=1,
+        max_size=12,
+    ),
     st.integers(0, 11),
 )
 def test_every_opening_ends_at_an_able_agent_or_is_refused(agents, start):
-    """Pass one packet on between agents of any load and ability."""
+    """Pass one packet on between agents of any load, ability and utilization."""
     names = [bytes([10, 0, 1, n]) for n in range(len(agents))]
     own = start % len(agents)
     tried, hops, best, final = (), 0, None, False
     for _ in range(20):
-        load, is_able = agents[own]
+        load, is_able, utilization = agents[own]
+        asked = AskedAgent(
+            agent=names[own], load=load, slots=2, utilization=utilization,
+            inability=None if is_able else OpeningReason.SILENT,
+        )  # fmt: skip
         decision = decide_opening(
-            own=AskedAgent(
-                agent=names[own], load=load, slots=2,
-                inability=None if is_able else OpeningReason.SILENT,
-            ),
-            candidates=names, tried=tried, hops=hops, best=best, final=final,
+            own=asked, candidates=names, tried=tried, hops=hops, best=best, final=final,
         )  # fmt: skip
-        if is_able and (best is None or load < best.load):
-            best = BusyAgent(agent=names[own], load=load)
+        if is_able and (best is None or asked.is_less_used(best)):
+            best = BusyAgent(agent=names[own], load=load, utilization=utilization)
         if not isinstance(decision, PassOpening):
             break
         tried, final, hops = decision.tried, decision.final, hops + 1
         own = names.index(decision.target)
-    able = any(is_able for _, is_able in agents)
+    able = any(is_able for _, is_able, _ in agents)
     assert isinstance(decision, TakeOpening) == able or hops >= 11
     if isinstance(decision, TakeOpening):
         assert agents[own][1]
