--- a/packages/daisygauge-policy/src/daisygauge_policy/_utilization.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_utilization.py
@@ -114,6 +114,13 @@
         repeats = self.repeats + INITIAL_REQUEST_RATE * INITIAL_RATE_SECONDS
         return repeats / (self.flow_seconds + INITIAL_RATE_SECONDS)
 
+    def mean_service_seconds(self, overall: float) -> float:
+        """Return the mean service time.
+
+        :param overall: mean of all kinds, assumed before the first answer.
+        """
+        return _weighted_mean(self.service_seconds, self.answers, overall)
+
     @property
     def request_rate(self) -> float:
         """Requests of this kind in a second."""
@@ -134,6 +141,7 @@
         self.slots = slots
         self.observed_since = -math.inf if knows_flows else now
         self.ticked_at: float | None = None
+        self.incarnation: object = None
         self.open_flows: dict[bytes, OpenFlow] = {}
         self.kinds: dict[bytes, KindMeasures] = {}
         # Time at which each request got a slot; None while it waits at the upstream.
@@ -148,6 +156,23 @@
                 self.kinds[kind] = KindMeasures(updated_at=now, flows=measures.flows)
         self.ticked_at = now
 
+    def observe_incarnation(self, incarnation: object, *, now: float) -> None:
+        """Forget the flows of an earlier incarnation of the upstream.
+
+        A flow of the present one counts again from its next request, since the entry
+        that names an incarnation may come after flows have opened at it.
+        """
+        is_changed = self.incarnation not in (None, incarnation)
+        self.incarnation = incarnation
+        if not is_changed:
+            return
+        for measures in self.kinds.values():
+            measures.decay(now=now)
+            measures.flows = 0
+        self.open_flows.clear()
+        self.slot_times.clear()
+        self.queued.clear()
+
     def add_flow(self, flow: bytes, kind: bytes, *, now: float) -> OpenFlow:
         """Count a flow as open, once."""
         entry = self.open_flows.get(flow)
@@ -213,25 +238,22 @@
 
     def service_seconds(self, kind: bytes) -> float:
         """Return the expected service time of a kind."""
-        total = sum(measures.service_seconds for measures in self.kinds.values())
-        answers = sum(measures.answers for measures in self.kinds.values())
-        assumed = _weighted_mean(total, answers, INITIAL_SERVICE_SECONDS)
+        overall = self._overall_service_seconds()
         measures = self.kinds.get(kind)
-        if measures is None:
-            return assumed
-        return _weighted_mean(measures.service_seconds, measures.answers, assumed)
+        return overall if measures is None else measures.mean_service_seconds(overall)
 
     def estimate(self, *, now: float) -> float:
         """Return the expected utilization by the present flows."""
         used = 0.0
-        for kind, measures in self.kinds.items():
+        overall = self._overall_service_seconds()
+        for measures in self.kinds.values():
             measures.decay(now=now)
             rate = (
                 measures.request_rate
                 if measures.is_short
                 else measures.flows * measures.flow_rate
             )
-            used += rate * self.service_seconds(kind)
+            used += rate * measures.mean_service_seconds(overall)
         return used / self.slots() + self._unseen(now=now)
 
     def request_rate(self, *, now: float) -> float:
@@ -258,6 +280,11 @@
         used = added * self.service_seconds(kind) / self.slots()
         return self.estimate(now=now) + used
 
+    def _overall_service_seconds(self) -> float:
+        total = sum(measures.service_seconds for measures in self.kinds.values())
+        answers = sum(measures.answers for measures in self.kinds.values())
+        return _weighted_mean(total, answers, INITIAL_SERVICE_SECONDS)
+
     def _unseen(self, *, now: float) -> float:
         age = now - self.observed_since
         return UNSEEN_UTILIZATION * max(0.0, 1.0 - age / UNSEEN_SECONDS)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
@@ -124,6 +124,9 @@
         """
         if packet.copy or self.overflow.find_other(frame, packet.flow) is not None:
             return None
+        host = self.upstream.host_record
+        if host is not None:
+            self.utilization.observe_incarnation((host.id, host.incarnation), now=now)
         kind = service_endpoint(packet.flow)
         utilization = self.utilization.estimate_after(kind, load=load, now=now)
         return None if utilization is None else round_utilization(utilization)
--- a/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
@@ -13,8 +13,6 @@
 
 from ._relayed_frames import (
     MAX_TRIED,
-    UTILIZATION_STEP,
-    UTILIZATION_STEPS,
     AbsentFrame,
     AgentLoad,
     ForwardFrame,
@@ -26,6 +24,8 @@
     QueryFrame,
     SearchFrame,
     UnknownFlowFrame,
+    utilization_of,
+    utilization_steps,
 )
 
 ADDRESS_BYTES = 4
@@ -130,13 +130,12 @@
 def _encode_utilization(best: AgentLoad | None) -> int:
     if best is None or best.utilization is None:
         return 0
-    steps = round(best.utilization / UTILIZATION_STEP)
-    return min(max(steps, 0), UTILIZATION_STEPS) + 1
+    return utilization_steps(best.utilization) + 1
 
 
 def _decode_utilization(flags: int) -> float | None:
     value = flags >> _UTILIZATION_SHIFT
-    return (value - 1) * UTILIZATION_STEP if value else None
+    return utilization_of(value - 1) if value else None
 
 
 def decode_frame(data: bytes) -> Frame:
--- a/packages/daisygauge-wire/src/daisygauge_wire/_relayed_frames.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_relayed_frames.py
@@ -18,10 +18,19 @@
 UTILIZATION_STEPS = 30
 
 
+def utilization_steps(utilization: float) -> int:
+    """Return the number of steps nearest to a utilization."""
+    return min(max(round(utilization / UTILIZATION_STEP), 0), UTILIZATION_STEPS)
+
+
+def utilization_of(steps: int) -> float:
+    """Return the utilization of a number of steps."""
+    return round(steps * UTILIZATION_STEP, 2)
+
+
 def round_utilization(utilization: float) -> float:
     """Return a utilization as a frame carries it."""
-    steps = min(max(round(utilization / UTILIZATION_STEP), 0), UTILIZATION_STEPS)
-    return steps * UTILIZATION_STEP
+    return utilization_of(utilization_steps(utilization))
 
 
 class AgentLoad(Struct, kw_only=True, frozen=True):
--- a/testing/policy/test_utilization.py
+++ b/testing/policy/test_utilization.py
@@ -240,6 +240,16 @@
     assert use.service_seconds("feed") == pytest.approx(0.05, abs=0.01)
 
 
+def test_flows_of_an_earlier_incarnation_do_not_count(use):
+    """Guards against a restarted upstream that stays idle for its lost flows."""
+    use.observe_incarnation(1, now=0.0)
+    run_flow(use, b"a", at=0.0, requests=10)
+    use.observe_incarnation(2, now=10.0)
+    use.end_flow(b"a", now=11.0)
+
+    assert use.estimate(now=11.0) == 0.0
+
+
 def test_short_flows_and_many_slots_go_by_the_load(use):
     for number in range(4):
         run_flow(use, b"%d" % number, kind="download", at=number)
--- a/testing/relay/test_openings.py
+++ b/testing/relay/test_openings.py
@@ -354,3 +354,24 @@
 
     assert [client.resets for client in clients] == [0] * 12
     assert answered == 12
+
+
+def test_a_slow_host_gets_fewer_long_flows():
+    """Guards against agents that lose the utilization that a frame carries."""
+    network = Network(hosts=6, slots=1)
+    slow, *others = network.hosts.values()
+    slow.work_seconds = 0.2
+    for host in others:
+        host.work_seconds = 0.08
+    for _ in range(60):
+        clients = network.open_clients(1)
+        assert ask_all(network, clients, balancer="10.0.0.1", seconds=0.25)
+    reasons = [
+        fields["reason"]
+        for agent in network.agents.values()
+        for name, fields in agent.runtime.log.lines
+        if name == "opening-passed"
+    ]
+
+    assert len(slow.flows) < 0.5 * sum(len(host.flows) for host in others) / 5
+    assert {"compared", "least-busy"} <= set(reasons)
