--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -4,7 +4,7 @@
 
 from socket import inet_aton, inet_ntoa
 
-from daisygauge_policy import RequestScheduler
+from daisygauge_policy import RequestScheduler, Utilization
 from daisygauge_wire import (
     AbsentFrame,
     ForwardFrame,
@@ -24,7 +24,7 @@
 from ._endpoint import Endpoint
 from ._flow_limits import FlowLimits
 from ._flows import AgentFlow, FlowStage, FlowTable
-from ._openings import Openings
+from ._openings import DEFAULT_SLOTS, Openings
 from ._packet import (
     MalformedPacketError,
     PacketCodec,
@@ -70,11 +70,17 @@
             flows=self.flows,
             hosts=self.count_hosts,
         )
+        self.utilization = Utilization(
+            slots=lambda: self.upstream.slots or DEFAULT_SLOTS,
+            knows_flows=settings.first_start,
+            now=runtime.now(),
+        )
         self.requests = Requests(
             runtime=runtime,
             codec=codec,
             scheduler=self.scheduler,
             answers=self.answers,
+            utilization=self.utilization,
             deliver=self.deliver,
         )
         self.openings = Openings(
@@ -85,6 +91,7 @@
             running=lambda now: self.scheduler.load(now=now),
             limits=FlowLimits(soft=(self.answers,)),
             record_asked=self.answers.record_asked,
+            utilization=self.utilization,
             deliver=self.deliver,
             send=self.send,
             reset=self.reset,
@@ -159,6 +166,21 @@
                 text="Mean time of the upstream's latest answers.",
                 read=lambda: self.scheduler.service_seconds,
             ),
+            Gauge(
+                name="utilization",
+                text="Expected share of slot time that the open flows use.",
+                read=lambda: self.utilization.estimate(now=self.runtime.now()),
+            ),
+            Gauge(
+                name="flows_open",
+                text="Flows that count as open in the utilization.",
+                read=lambda: len(self.utilization.open_flows),
+            ),
+            Gauge(
+                name="request_rate",
+                text="Requests a second over the latest seconds.",
+                read=lambda: self.utilization.request_rate(now=self.runtime.now()),
+            ),
             Gauge(
                 name="upstream_silent",
                 text="1 while the upstream leaves opening packets unanswered.",
@@ -279,6 +301,7 @@
         self.requests.receive(flow, packet, frame.packet, now=now)
         if packet.finishing or packet.resetting:
             flow.stage = FlowStage.CLOSED
+            self.utilization.end_flow(packet.flow, now=now)
         if packet.resetting:
             self.requests.abandon(packet.flow, flow, now=now)
 
@@ -312,6 +335,7 @@
         if packet.finishing or packet.resetting:
             flow.stage = FlowStage.CLOSED
             self.requests.end(packet.flow, flow, now=now)
+            self.utilization.end_flow(packet.flow, now=now)
         self.runtime.counters.packets_out += 1
         address = (client_host(packet.flow), self.client_port)
         self.outbound.send(data, address)
--- a/packages/daisygauge-wire/src/daisygauge_wire/__init__.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/__init__.py
@@ -73,7 +73,9 @@
             "QueryFrame",
             "ROUTE_TAG_BITS",
             "SearchFrame",
+            "UTILIZATION_STEP",
             "UnknownFlowFrame",
+            "round_utilization",
         ],
         "_quic": [
             "STREAM_WINDOW_BYTES",
--- a/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_relayed.py
@@ -25,6 +25,8 @@
     QueryFrame,
     SearchFrame,
     UnknownFlowFrame,
+    utilization_of,
+    utilization_steps,
 )
 
 ADDRESS_BYTES = 4
@@ -40,6 +42,9 @@
 (240.0.0.0/4) are reserved, and a process of an older version ignores a tried agent that
 it doesn't know."""
 _MAX_ENTRIES = MAX_TRIED + 1
+_UTILIZATION_SHIFT = 3
+"""The upper 5 bits of the flags hold the best agent's utilization in steps plus 1, or 0
+while it is unknown. Earlier versions ignore them and send 0."""
 _VISIT = struct.Struct("!BI")
 _OFFER = struct.Struct("!B12sIHH")
 _FLOW = struct.Struct("!B12s")
@@ -139,9 +144,21 @@
         frame.final * _FINAL_BIT
         | frame.unanswered * _UNANSWERED_BIT
         | frame.has_crossed * _CROSSED_BIT
+        | _encode_utilization(frame.best) << _UTILIZATION_SHIFT
     )
 
 
+def _encode_utilization(best: AgentLoad | None) -> int:
+    if best is None or best.utilization is None:
+        return 0
+    return utilization_steps(best.utilization) + 1
+
+
+def _decode_utilization(flags: int) -> float | None:
+    value = flags >> _UTILIZATION_SHIFT
+    return utilization_of(value - 1) if value else None
+
+
 def decode_frame(data: bytes) -> Frame:
     """Decode a frame.
 
@@ -169,13 +186,14 @@
         data[start : start + ADDRESS_BYTES]
         for start in range(_OPEN.size, end, ADDRESS_BYTES)
     )
+    best = AgentLoad(agent=agent, load=load, utilization=_decode_utilization(flags))
     return OpenFrame(
         balancer=balancer,
         service=service,
         packet=data[end:],
         tried=tuple(entry for entry in entries if entry < _MIN_TAG_ENTRY),
         hops=hops,
-        best=None if agent == NO_ADDRESS else AgentLoad(agent=agent, load=load),
+        best=None if agent == NO_ADDRESS else best,
         final=bool(flags & _FINAL_BIT),
         unanswered=bool(flags & _UNANSWERED_BIT),
         has_crossed=bool(flags & _CROSSED_BIT),
--- a/packages/daisygauge-wire/src/daisygauge_wire/_relayed_frames.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_relayed_frames.py
@@ -13,15 +13,39 @@
 ROUTE_TAG_BITS = 28
 
 
+UTILIZATION_STEP = 0.05
+"""Resolution of a utilization on the wire. The 5 spare bits of an ``OpenFrame`` hold
+values up to 1.5: above 1 the overload that follows a loss of hosts still compares."""
+UTILIZATION_STEPS = 30
+
+
+def utilization_steps(utilization: float) -> int:
+    """Return the number of steps nearest to a utilization."""
+    return min(max(round(utilization / UTILIZATION_STEP), 0), UTILIZATION_STEPS)
+
+
+def utilization_of(steps: int) -> float:
+    """Return the utilization of a number of steps."""
+    return round(steps * UTILIZATION_STEP, 2)
+
+
+def round_utilization(utilization: float) -> float:
+    """Return a utilization as a frame carries it."""
+    return utilization_of(utilization_steps(utilization))
+
+
 class AgentLoad(Struct, kw_only=True, frozen=True):
     """Load of the upstream beside an agent that could accept a flow.
 
     :param agent: packed address of the agent.
     :param load: number of requests running or expected there.
+    :param utilization: expected utilization with the flow, as ``round_utilization``
+        returns it, or None while it is unknown.
     """
 
     agent: bytes
     load: int
+    utilization: float | None = None
 
 
 class OpenFrame(Struct, kw_only=True, frozen=True):
