Place flows by utilization at upstreams with one slot only

Deployments with two or more slots are served as before: by the model the load gives their callers nearly as much (late feeds 0.12% against 0.03% on equal hosts with two slots), and each opening would pass through three agents in place of one.

Ruled out: all numbers of slots; the gain is for hosts of uneven speed alone.

Shown by test_short_flows_and_several_slots_go_by_the_load.

--- a/packages/daisygauge-policy/src/daisygauge_policy/_utilization.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_utilization.py
@@ -1,6 +1,6 @@
 """Expected share of an upstream's slot time that its flows use.
 
-The load that this module answers: upstreams of different speeds with one or two slots,
+The load that this module answers: upstreams of different speeds with one slot each,
 and long flows, each of which sends a small request every few seconds and stays at the
 upstream that it was opened at. The number of requests at one moment says little about
 such an upstream: slow ones saturate in a peak while fast ones are idle. The agent
@@ -43,9 +43,9 @@
 BACKLOG_SECONDS = 1.0
 """Time over which the requests at the upstream count as utilization. A backlog of an
 outage thus repels flows, while one request more or less weighs like one flow."""
-MAX_SLOTS = 2
-"""Largest number of slots for which utilization decides. With more, requests seldom
-wait below saturation, and the number of requests shows saturation well enough."""
+MAX_SLOTS = 1
+"""Largest number of slots for which utilization decides. With more, fewer requests wait
+below saturation, and asking several agents for each flow gains callers little."""
 SHORT_FLOW_REQUESTS = 1.5
 """Mean requests of an ended flow below which flows of its kind are short."""
 MIN_ENDED_FLOWS = 3.0
