Limit the opening packets that a cold host gets

A host is slow for some seconds after its start, and all its slots are free, so every agent without a free slot passes flows on to it. Where the configuration gives the rate that a cold host can handle, its agent now sends it at most that many opening packets in any span of a second, and passes the others on.

Ruled out: a token bucket, which allows twice the rate in a span that begins with a full bucket; counting at balancers, where each would need a share; the host's start on its own clock, which may jump.

Copies for known flows and probes of a silent host count too. The configuration's services are decoded leniently: an unusable field of a service leaves the routes in force.

--- a/packages/daisygauge-control/src/daisygauge_control/__init__.py
+++ b/packages/daisygauge-control/src/daisygauge_control/__init__.py
@@ -28,6 +28,7 @@
             "HostState",
             "RouteRecord",
             "RoutingRecord",
+            "ServiceRecord",
             "ServiceShare",
             "UnusableRecord",
         ],
--- a/packages/daisygauge-control/src/daisygauge_control/_directory.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory.py
@@ -83,6 +83,19 @@
     priority: int = 0
 
 
+class ServiceRecord(Struct, kw_only=True, frozen=True, array_like=True):
+    """The cold hosts of one service.
+
+    :param slow_start_seconds: time for which a host is cold after its start.
+    :param slow_start_rate: requests a second that a cold host can handle, or 0 for no
+        limit.
+    """
+
+    name: str
+    slow_start_seconds: float = 0.0
+    slow_start_rate: float = 0.0
+
+
 class RoutingRecord(Struct, kw_only=True, frozen=True, array_like=True, tag="routing"):
     """All routes of one configuration.
 
@@ -93,6 +106,7 @@
     version: int
     routes: tuple[RouteRecord, ...]
     idle_timeout_seconds: float
+    services: tuple[ServiceRecord, ...] = ()
 
 
 class UnusableRecord(
@@ -136,6 +150,7 @@
     :param hosts: usable hosts by service, ordered by id.
     :param hosts_by_address: newest host at each address, by IPv4 address.
     :param routes: routes by address and port.
+    :param services: services by name, those that the configuration describes.
     """
 
     version: int = 0
@@ -143,6 +158,7 @@
     hosts: Mapping[str, tuple[HostRecord, ...]] = field(default_factory=dict)
     hosts_by_address: Mapping[str, HostRecord] = field(default_factory=dict)
     routes: Mapping[tuple[str, int], RouteRecord] = field(default_factory=dict)
+    services: Mapping[str, ServiceRecord] = field(default_factory=dict)
 
     @property
     def is_complete(self) -> bool:
@@ -320,6 +336,7 @@
             hosts={service: tuple(found) for service, found in hosts.items()},
             hosts_by_address=hosts_by_address,
             routes=self.view.routes,
+            services=self.view.services,
         )
         if routing is None or routing.version <= view.version:
             return view
@@ -328,6 +345,7 @@
             version=routing.version,
             idle_timeout_seconds=routing.idle_timeout_seconds,
             routes={(route.host, route.port): route for route in routing.routes},
+            services={service.name: service for service in routing.services},
         )
 
 
--- a/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
@@ -22,6 +22,7 @@
             "DEFAULT_CLASS",
             "match_class",
         ],
+        "_cold_rate": ["ColdPeriod", "ColdRateLimit"],
         "_concurrency": [
             "ConcurrencyLimit",
             "RunEnd",
--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -23,6 +23,7 @@
 from ._flow_limits import FlowLimits
 from ._flows import AgentFlow, FlowStage, FlowTable
 from ._openings import Openings
+from ._pacing import ColdHost
 from ._packet import (
     MalformedPacketError,
     PacketCodec,
@@ -64,13 +65,14 @@
         self.requests = Requests(
             runtime=runtime, codec=codec, scheduler=self.scheduler, deliver=self.deliver
         )
+        self.cold_host = ColdHost(runtime=runtime, upstream=self.upstream)
         self.openings = Openings(
             runtime=runtime,
             codec=codec,
             upstream=self.upstream,
             flows=self.flows,
             running=lambda now: self.scheduler.load(now=now),
-            limits=FlowLimits(),
+            limits=FlowLimits(firm=(self.cold_host,)),
             deliver=self.deliver,
             send=self.send,
             reset=self.reset,
@@ -102,6 +104,7 @@
         await self.outbound.open(sockets.outer)
         await self.inner.open(sockets.inner)
         self.runtime.tasks.supervise(self.requests.run, name="requests")
+        self.runtime.tasks.supervise(self.cold_host.run, name="cold-host")
 
     async def drain(self) -> None:
         """Wait until the upstream has no open flow, for at most ``max_drain_seconds``.
@@ -150,6 +153,11 @@
                 text="1 while the upstream leaves opening packets unanswered.",
                 read=lambda: float(self.upstream.silent_since is not None),
             ),
+            Gauge(
+                name="host_cold",
+                text="1 while the upstream's host counts as cold.",
+                read=lambda: float(self.cold_host.is_cold(now=self.runtime.now())),
+            ),
         )
 
     def count_open(self, *, now: float) -> int:
@@ -166,6 +174,7 @@
     def refresh(self) -> None:
         """Update the candidate lists from the directory's current view."""
         self.openings.candidates.update(self.runtime.directory.view)
+        self.cold_host.refresh(now=self.runtime.now())
 
     def is_expired(self, flow: AgentFlow, now: float) -> bool:
         """Return True when a flow has been idle long enough to be removed."""
@@ -275,7 +284,7 @@
         flow = self.flows.get(packet.flow)
         if flow is None:
             flow = self.unknown_flows.add_discovered(packet, now=now)
-        flow.last_packet_at = now
+        flow.last_packet_at = flow.upstream_at = now
         if packet.accepting:
             self.openings.report_offer(flow, packet, now=now)
         else:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
@@ -55,6 +55,7 @@
     :ivar queried: queries that a searching agent sent to other agents.
     :ivar taken: opening packets that an agent delivered to its upstream.
     :ivar passed: opening packets that an agent passed on to another agent.
+    :ivar passed_by_reason: the same, by reason.
     :ivar overflowed: opening packets that an agent took for another service of their
         route.
     :ivar failures: unexpected errors of tasks, by the task's name.
@@ -75,6 +76,7 @@
     dropped: Counter = field(default_factory=Counter)
     refused: Counter = field(default_factory=Counter)
     lost: Counter = field(default_factory=Counter)
+    passed_by_reason: Counter = field(default_factory=Counter)
     failures: Counter = field(default_factory=Counter)
     answers: Histogram = field(default_factory=Histogram)
     platform_calls: Histogram = field(default_factory=Histogram)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_events.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_events.py
@@ -130,6 +130,14 @@
     ("flow", "reason", "absent", *KNOWN_STATE_FIELDS),
     Level.WARNING,
 )
+HOST_COLD = Event(
+    number=640,
+    name="host-cold",
+    level=Level.INFO,
+    text="The host counts as cold and gets a limited number of opening packets a "
+    "second; 'reason' says how this is known.",
+    fields=("reason", "incarnation", "seconds", "per_second", *KNOWN_STATE_FIELDS),
+)
 UPSTREAM_SILENT = Event(
     number=610,
     name="upstream-silent",
@@ -248,6 +256,7 @@
     FLOW_RETURNED,
     FLOW_CLAIMED,
     FLOW_LOST,
+    HOST_COLD,
     UPSTREAM_SILENT,
     UPSTREAM_HEARD,
     SUSPECTS_CHANGED,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_flows.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_flows.py
@@ -70,6 +70,7 @@
     :param last_packet_at: monotonic time of the last packet in either direction.
     :param sequence: the upstream's first sequence number.
     :param client_next: sequence number after the client's newest byte, or None.
+    :param upstream_at: monotonic time of the upstream's last packet.
     :param upstream_next: sequence number after the upstream's newest byte, or None.
     :param request_started_at: monotonic time at which the current request arrived, or
         None.
@@ -90,6 +91,7 @@
     request_id: str | None = None
     answered: int = 0
     has_ended: bool = False
+    upstream_at: float = float("-inf")
 
 
 class FlowTable(Generic[Entry]):
--- a/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
@@ -80,6 +80,12 @@
         for name, text, label, counts in (
             ("dropped", "Datagrams that went nowhere.", "reason", counters.dropped),
             ("refused", "Flows refused.", "reason", counters.refused),
+            (
+                "openings_passed_by_reason",
+                "Opening packets passed on, by reason.",
+                "reason",
+                counters.passed_by_reason,
+            ),
             (
                 "flows_lost",
                 "Flows reset since no upstream holds them.",
--- a/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
@@ -96,9 +96,16 @@
         """Handle an opening packet from a balancer or another agent."""
         flow = self.flows.get(packet.flow)
         if flow is not None and flow.stage in (FlowStage.OFFERED, FlowStage.OPEN):
-            # The upstream's answer was lost; it sends the same one again.
-            self.deliver(frame.packet)
-            return
+            if self.limits.find_inability(now=now) is None:
+                # The upstream's answer was lost; it sends the same one again.
+                self.limits.record_taken(now=now)
+                self.deliver(frame.packet)
+                return
+            if flow.stage is FlowStage.OPEN:
+                self.runtime.counters.count_dropped("opening-limited")
+                return
+            # Another upstream may answer this copy; none may reset the flow.
+            frame = replace(frame, unanswered=True)
         own = AskedAgent(
             agent=self.own_address,
             load=self.load.count(now=now),
@@ -270,8 +277,11 @@
         """
         if own.inability is not OpeningReason.SILENT:
             return frame
+        if self.limits.find_inability(now=now) is not None:
+            return frame
         if not self.upstream.begin_probe(now=now):
             return frame
+        self.limits.record_taken(now=now)
         self.deliver(frame.packet)
         return replace(frame, unanswered=True)
 
--- a/packages/daisygauge-relay/src/daisygauge_relay/_passing.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_passing.py
@@ -102,6 +102,7 @@
         :param frame: the frame that the other agent receives.
         """
         self.runtime.counters.passed += 1
+        self.runtime.counters.passed_by_reason[reason.value] += 1
         self.runtime.log.write(
             events.OPENING_PASSED,
             flow=format_flow(packet.flow),
--- a/packages/daisygauge-relay/src/daisygauge_relay/_settings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from typing import Any
 
@@ -162,15 +163,24 @@
     :param outbound: address to which the upstream sends its packets.
     :param fixed_weight_routes: addresses of split routes whose flows never overflow to
         another service, such as that of a canary; ``*`` stands for every route.
+    :param cold_rate_factor: opening packets a second that a cold host gets, for each
+        request a second that it can handle.
+    :param cold_rate_slack: opening packets a second that it gets in addition.
     """
 
     service: str
     upstream: str
     outbound: str
     fixed_weight_routes: tuple[str, ...] = ()
+    cold_rate_factor: float = 1.0
+    cold_rate_slack: float = 0.0
 
     def __post_init__(self) -> None:
         RelaySettings.__post_init__(self)
+        if not 0.0 < self.cold_rate_factor < math.inf:
+            raise ValueError("cold_rate_factor: give a number above 0, such as 1.5")
+        if not 0.0 <= self.cold_rate_slack < math.inf:
+            raise ValueError("cold_rate_slack: give a number of 0 or more")
         parse_address(self.upstream)
         parse_address(self.outbound)
         for text in self.fixed_weight_routes:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_unknown_flows.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_unknown_flows.py
@@ -215,6 +215,7 @@
         )
         tag = service_tag(self.upstream.service)
         if flow is not None:
+            self.upstream.record_lost_flow(flow, now=now)
             self.return_packet(flow.balancer, tag, self.codec.restore(data), lost=True)
         elif pending is None:
             return
--- a/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
@@ -7,9 +7,13 @@
 
 from . import _events as events
 from ._candidates import service_tag
+from ._flows import AgentFlow, FlowStage
 from ._runtime import RelayRuntime
 from ._settings import RelayAgentSettings
 
+RESTART_SECONDS = 0.1
+"""An upstream that is heard again sooner than this has answered late: no upstream ends
+and starts within the timeout of an opening packet and this time."""
 PROBE_INTERVAL_SECONDS = 0.5
 """Interval at which a silent upstream is probed with an opening packet that is passed
 on as well."""
@@ -23,6 +27,8 @@
     :ivar silent_since: monotonic time at which an opening packet timed out, or None
         while the upstream answers.
     :ivar last_received: monotonic time of its last packet.
+    :ivar returned_at: monotonic time at which it was last known to be back after it had
+        probably ended.
     """
 
     def __init__(self, *, runtime: RelayRuntime, settings: RelayAgentSettings) -> None:
@@ -32,6 +38,7 @@
         self.silent_since: float | None = None
         self.last_probe = float("-inf")
         self.last_received = float("-inf")
+        self.returned_at = float("-inf")
 
     @property
     def host_record(self) -> HostRecord | None:
@@ -96,8 +103,24 @@
         self.runtime.log.write(
             events.UPSTREAM_HEARD, silent_seconds=round(now - self.silent_since, 3)
         )
+        if now - self.silent_since > RESTART_SECONDS:
+            self.returned_at = now
         self.silent_since = None
 
+    def record_lost_flow(self, flow: AgentFlow, *, now: float) -> None:
+        """Record that the upstream doesn't hold a flow any more that it has served.
+
+        Flows of an earlier incarnation come back one by one, as their clients send;
+        only one that the upstream has served since its return shows another start.
+        Upstreams end idle flows themselves.
+        """
+        idle_seconds = self.runtime.directory.view.idle_timeout_seconds
+        is_served = flow.upstream_next is not None and flow.stage is FlowStage.OPEN
+        if not is_served or flow.has_ended or flow.upstream_at <= self.returned_at:
+            return
+        if now - flow.upstream_at < idle_seconds:
+            self.returned_at = now
+
     def record_silence(self, *, now: float) -> None:
         """Record that the upstream left an opening packet unanswered."""
         if self.silent_since is not None:
--- a/testing/adapter/test_malformed.py
+++ b/testing/adapter/test_malformed.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 
 import pytest
 from hypothesis import example, given, strategies as st
@@ -13,6 +14,7 @@
     HttpResponse,
     PlatformUnavailableError,
     RoutingRecord,
+    ServiceRecord,
     UnusableRecord,
 )
 from daisygauge_control._directory_messages import (
@@ -119,6 +121,49 @@
     assert not isinstance(content, RoutingRecord)
 
 
+@given(
+    value=UNEXPECTED_VALUES,
+    field=st.sampled_from(["name", "coldStartS", "coldPerS", "capacity"]),
+)
+@example(value=-1, field="coldPerS")
+@example(value="2", field="coldStartS")
+def test_a_service_with_an_unexpected_value_leaves_the_routes_usable(value, field):
+    """Limits on cold hosts must not stop a configuration that routes are served by."""
+    service = {"name": "a", "coldStartS": 2.0, "coldPerS": 3.0} | {field: value}
+    config = {"version": 7, "routes": [ROUTE], "services": [service]}
+
+    item = decode_item(make_entry("op/config", config))
+
+    assert send_to_peer(item) == (item,)
+    use_item(item)
+    assert len(item.content.routes) == 1
+    for record in item.content.services:
+        assert 0.0 <= record.slow_start_seconds < math.inf
+        assert 0.0 <= record.slow_start_rate < math.inf
+
+
+@given(UNEXPECTED_VALUES)
+def test_services_of_an_unexpected_type_leave_the_routes_usable(services):
+    config = {"version": 7, "routes": [ROUTE], "services": services}
+
+    item = decode_item(make_entry("op/config", config))
+
+    assert send_to_peer(item) == (item,)
+    assert len(item.content.routes) == 1
+
+
+def test_a_service_gives_its_cold_time_and_rate():
+    services = [{"name": "a", "coldStartS": 2.0, "coldPerS": 3}, {"name": "b"}, 7]
+    config = {"version": 7, "routes": [ROUTE], "services": services}
+
+    content = decode_item(make_entry("op/config", config)).content
+
+    assert content.services == (
+        ServiceRecord(name="a", slow_start_seconds=2.0, slow_start_rate=3.0),
+        ServiceRecord(name="b"),
+    )
+
+
 class FakeHttpClient:
     """HTTP client of a store that gives the same answer to every call."""
 
--- a/testing/relay/test_metrics.py
+++ b/testing/relay/test_metrics.py
@@ -69,3 +69,11 @@
     histogram.observe(0.05)
 
     assert histogram.counts == [5, 2, 1]
+
+
+async def test_openings_passed_on_are_shown_by_reason(runtime):
+    runtime.counters.passed_by_reason["cold"] += 3
+
+    text = await load(MetricsPage(runtime=runtime, gauges=()))
+
+    assert 'daisygauge_relay_openings_passed_by_reason_total{reason="cold"} 3.0' in text
--- a/testing/relay/test_settings.py
+++ b/testing/relay/test_settings.py
@@ -112,3 +112,26 @@
     await agent.drain()
 
     assert network.clock.now() - began < 1.5
+
+
+AGENT = SHARED | {
+    "service": "desk",
+    "upstream": "10.0.0.1:9000",
+    "outbound": "10.0.0.1:8162",
+}
+
+
+def test_a_deployment_without_bounds_for_cold_hosts_gives_them_no_slack():
+    settings = parse_relay_settings(json.dumps(AGENT), RelayAgentSettings, name="file")
+
+    assert (settings.cold_rate_factor, settings.cold_rate_slack) == (1.0, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"), [("cold_rate_factor", 0), ("cold_rate_slack", -1)]
+)
+def test_an_unusable_limit_for_cold_hosts_is_named(field, value):
+    text = json.dumps(AGENT | {field: value})
+
+    with pytest.raises(RelaySettingsError, match=field):
+        parse_relay_settings(text, RelayAgentSettings, name="file")
