Let a host that has started or recovered count as busier

Such a host is slow for some seconds and holds no flow, so it looks free and least busy, and gets more flows than it can serve. Its agent now keeps a rate of new flows from the host's responses, compared with its own settled ones; while no flow is due, the host counts as busier by one request. An idle host takes a flow at any time.

Ruled out, with figures in docs/design/015-pace.md: a limit that passes flows on unless nobody else takes them (OpeningReason.PACED), which overloads the other hosts and hurts after a loss of all; no exception for idle hosts; a penalty of two; a fixed ramp; a gradient limit.

--- a/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
@@ -68,6 +68,7 @@
             "expected_seconds",
         ],
         "_scheduler": ["SchedulerChange", "ScheduledRequest", "RequestScheduler"],
+        "_pace": ["Pace", "PeerEntry", "SettledPeers"],
         "_opening": [
             "AskedAgent",
             "BusyAgent",
--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -23,7 +23,7 @@
 from ._flow_limits import FlowLimits
 from ._flows import AgentFlow, FlowStage, FlowTable
 from ._openings import Openings
-from ._pacing import ColdHost
+from ._pacing import ColdHost, PacedHost
 from ._packet import (
     MalformedPacketError,
     PacketCodec,
@@ -62,17 +62,27 @@
             is_expired=self.is_expired, on_removed=self.release_flow
         )
         self.scheduler = RequestScheduler(slots=lambda: self.upstream.slots)
+        self.cold_host = ColdHost(runtime=runtime, upstream=self.upstream)
+        self.paced_host = PacedHost(
+            runtime=runtime,
+            upstream=self.upstream,
+            cold_host=self.cold_host,
+            scheduler=self.scheduler,
+        )
         self.requests = Requests(
-            runtime=runtime, codec=codec, scheduler=self.scheduler, deliver=self.deliver
+            runtime=runtime,
+            codec=codec,
+            scheduler=self.scheduler,
+            deliver=self.deliver,
+            observe=self.paced_host.record_response,
         )
-        self.cold_host = ColdHost(runtime=runtime, upstream=self.upstream)
         self.openings = Openings(
             runtime=runtime,
             codec=codec,
             upstream=self.upstream,
             flows=self.flows,
             running=lambda now: self.scheduler.load(now=now),
-            limits=FlowLimits(firm=(self.cold_host,)),
+            limits=FlowLimits(firm=(self.cold_host,), penalties=(self.paced_host,)),
             deliver=self.deliver,
             send=self.send,
             reset=self.reset,
@@ -104,7 +114,7 @@
         await self.outbound.open(sockets.outer)
         await self.inner.open(sockets.inner)
         self.runtime.tasks.supervise(self.requests.run, name="requests")
-        self.runtime.tasks.supervise(self.cold_host.run, name="cold-host")
+        self.runtime.tasks.supervise(self.watch_directory, name="host-entry")
 
     async def drain(self) -> None:
         """Wait until the upstream has no open flow, for at most ``max_drain_seconds``.
@@ -153,6 +163,12 @@
                 text="1 while the upstream leaves opening packets unanswered.",
                 read=lambda: float(self.upstream.silent_since is not None),
             ),
+            Gauge(
+                name="pace_flows_per_second",
+                text="Rate of new flows of a host that has started or recovered, or 0 "
+                "while it isn't limited.",
+                read=lambda: self.paced_host.pace.rate or 0.0,
+            ),
             Gauge(
                 name="host_cold",
                 text="1 while the upstream's host counts as cold.",
@@ -171,10 +187,21 @@
             if flow.stage is FlowStage.OPEN and not self.is_expired(flow, now)
         )
 
+    async def watch_directory(self) -> None:
+        """Observe each change of the directory, until cancelled.
+
+        The remaining time that an entry gives counts from when the entry is seen.
+        """
+        while True:
+            await self.runtime.changed.wait()
+            self.refresh()
+
     def refresh(self) -> None:
-        """Update the candidate lists from the directory's current view."""
+        """Observe the directory's current view, and starts of the upstream."""
         self.openings.candidates.update(self.runtime.directory.view)
-        self.cold_host.refresh(now=self.runtime.now())
+        now = self.runtime.now()
+        self.cold_host.refresh(now=now)
+        self.paced_host.refresh(now=now)
 
     def is_expired(self, flow: AgentFlow, now: float) -> bool:
         """Return True when a flow has been idle long enough to be removed."""
--- a/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
@@ -56,6 +56,7 @@
     :ivar taken: opening packets that an agent delivered to its upstream.
     :ivar passed: opening packets that an agent passed on to another agent.
     :ivar passed_by_reason: the same, by reason.
+    :ivar paced: opening packets for which a host counted as busier because of its pace.
     :ivar overflowed: opening packets that an agent took for another service of their
         route.
     :ivar failures: unexpected errors of tasks, by the task's name.
@@ -71,6 +72,7 @@
     taken: int = 0
     passed: int = 0
     overflowed: int = 0
+    paced: int = 0
     unknown_flows: int = 0
     requests: int = 0
     dropped: Counter = field(default_factory=Counter)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_events.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_events.py
@@ -138,6 +138,14 @@
     "second; 'reason' says how this is known.",
     fields=("reason", "incarnation", "seconds", "per_second", *KNOWN_STATE_FIELDS),
 )
+PACE_CHANGED = Event(
+    number=641,
+    name="pace-changed",
+    level=Level.INFO,
+    text="The limit on new flows of a host that has started or recovered begins or "
+    "ends; 'reason' says why.",
+    fields=("reason", "flows_per_second", "settled_seconds", "ratio"),
+)
 UPSTREAM_SILENT = Event(
     number=610,
     name="upstream-silent",
@@ -257,6 +265,7 @@
     FLOW_CLAIMED,
     FLOW_LOST,
     HOST_COLD,
+    PACE_CHANGED,
     UPSTREAM_SILENT,
     UPSTREAM_HEARD,
     SUSPECTS_CHANGED,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
@@ -69,6 +69,11 @@
                 "Opening packets taken for another service of their route.",
                 counters.overflowed,
             ),
+            (
+                "openings_paced",
+                "Opening packets for which the host counted as busier by its pace.",
+                counters.paced,
+            ),
             ("strays", "Packets given back to balancers.", counters.unknown_flows),
             ("requests", "Requests seen.", counters.requests),
             ("platform_calls", "Calls to the platform.", self.platform_calls()),
--- a/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
@@ -108,7 +108,7 @@
             frame = replace(frame, unanswered=True)
         own = AskedAgent(
             agent=self.own_address,
-            load=self.load.count(now=now),
+            load=self.limits.weigh(self.load.count(now=now), now=now),
             slots=DEFAULT_SLOTS if self.upstream.slots is None else self.upstream.slots,
             inability=self.find_inability(frame, packet, now=now),
             reluctance=self.limits.find_reluctance(now=now),
--- a/packages/daisygauge-relay/src/daisygauge_relay/_pacing.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_pacing.py
@@ -4,13 +4,25 @@
 
 import math
 
-from daisygauge_control import HostRecord, ServiceRecord
-from daisygauge_policy import ColdPeriod, ColdRateLimit, OpeningReason
+from daisygauge_control import HostRecord, HostState, ServiceRecord
+from daisygauge_policy import (
+    ColdPeriod,
+    ColdRateLimit,
+    OpeningReason,
+    Pace,
+    PeerEntry,
+    RequestScheduler,
+    SettledPeers,
+)
 
 from . import _events as events
 from ._runtime import RelayRuntime
 from ._upstream import Upstream
 
+PACE_PENALTY = 1
+"""Requests added to the load of a host that has used up its pace. With 2 a returned
+host is passed over while others are overloaded; see docs/design/015-pace.md."""
+
 
 class ColdHost:
     """Limits the opening packets that the host gets while it is cold.
@@ -26,15 +38,6 @@
         self.returned_at = upstream.returned_at
         self.was_evacuated = False
 
-    async def run(self) -> None:
-        """Observe each change of the directory, until cancelled.
-
-        An entry's remaining time counts from the moment at which it is seen.
-        """
-        while True:
-            await self.runtime.changed.wait()
-            self.refresh(now=self.runtime.now())
-
     def refresh(self, *, now: float) -> None:
         """Observe the host's entry, its returns and the end of its evacuation."""
         host = self.upstream.host_record
@@ -118,3 +121,138 @@
             per_second=round(per_second, 3),
             **self.runtime.known_state(),
         )
+
+
+class PacedHost:
+    """Makes a host that has started or recovered count as busier.
+
+    While other hosts are as loaded as this one, they take its flows; when all hosts
+    are limited, they are compared as if none were.
+    """
+
+    def __init__(
+        self,
+        *,
+        runtime: RelayRuntime,
+        upstream: Upstream,
+        cold_host: ColdHost,
+        scheduler: RequestScheduler,
+    ) -> None:
+        self.runtime = runtime
+        self.upstream = upstream
+        self.cold_host = cold_host
+        self.scheduler = scheduler
+        self.pace = Pace(slots=lambda: upstream.slots or 1)
+        self.peers = SettledPeers()
+        self.view: object = None
+        self.incarnation: int | None = None
+        self.returned_at = upstream.returned_at
+        self.is_return_unconfirmed = False
+        self.stuck = 0
+        self.last_response_at = -math.inf
+        self.was_limited = False
+
+    def refresh(self, *, now: float) -> None:
+        """Observe other hosts, starts of this one, and responses that are missing."""
+        self.observe_view(now=now)
+        if self.upstream.returned_at != self.returned_at:
+            self.returned_at = self.upstream.returned_at
+            self.is_return_unconfirmed = True
+            self.start(now=now)
+        stuck = len(self.scheduler.running) - self.scheduler.count_running(now=now)
+        if stuck > self.stuck:
+            self.pace.record_failure(now=now)
+        self.stuck = stuck
+        self.log_change(now=now)
+
+    def observe_view(self, *, now: float) -> None:
+        """Observe a changed directory."""
+        view = self.runtime.directory.view
+        if view is self.view:
+            return
+        self.view = view
+        own = self.upstream.host_record
+        self.peers.observe(
+            (
+                PeerEntry(
+                    id=host.id,
+                    incarnation=host.incarnation,
+                    slow_start_seconds=host.slow_start_seconds,
+                )
+                for host in view.hosts.get(self.upstream.service, ())
+                if host.state is HostState.READY
+                and host.address != self.upstream.settings.host
+                and view.hosts_by_address[host.address] is host
+            ),
+            now=now,
+        )
+        if own is None or own.incarnation == self.incarnation:
+            return
+        is_first = self.incarnation is None
+        if not is_first:
+            self.upstream.started_at = now
+        self.incarnation = own.incarnation
+        # The entry of a start that the host's packets have shown already comes later.
+        if not is_first and not self.is_return_unconfirmed:
+            self.start(now=now)
+        self.is_return_unconfirmed = False
+
+    def start(self, *, now: float) -> None:
+        """Limit the host from now on."""
+        self.stuck = 0
+        self.pace.start(slow_seconds=self.cold_host.slow_start_seconds, now=now)
+
+    @property
+    def is_cold_by_entry(self) -> bool:
+        """True while the host's entry says that it is cold."""
+        return self.runtime.now() < self.cold_host.period.cold_until
+
+    def record_response(self, began: float | None, now: float) -> None:
+        """Record a response, or a request that the host has failed.
+
+        :param began: monotonic time at which the request was delivered, or None.
+        """
+        if began is None:
+            self.pace.record_failure(now=now)
+            return
+        if len(self.scheduler.running) > (self.upstream.slots or math.inf):
+            # It has waited for the previous one, since the host had no free slot.
+            began = max(began, self.last_response_at)
+        self.last_response_at = now
+        if not self.pace.is_settled_known and self.is_cold_by_entry:
+            return
+        self.pace.record_response(now - began, now=now)
+
+    def find_extra_load(self, *, load: int, now: float) -> int:
+        """Return the penalty of a limited host that has work and no flow due."""
+        self.refresh(now=now)
+        if not self.peers.are_enough(now=now):
+            return 0
+        may_take = self.pace.may_take(is_idle=load == 0, now=now)
+        if not self.pace.is_settled_known and self.is_cold_by_entry:
+            may_take = load == 0
+        if may_take:
+            return 0
+        self.runtime.counters.paced += 1
+        return PACE_PENALTY
+
+    def record_taken(self, *, now: float) -> None:
+        """Record a new flow of the host."""
+        self.pace.record_taken(now=now)
+
+    def log_change(self, *, now: float) -> None:
+        """Log that the limit begins or ends."""
+        is_limited = self.pace.rate is not None
+        if is_limited == self.was_limited:
+            return
+        self.was_limited = is_limited
+        reason = "lifted"
+        if is_limited:
+            reason = "returned" if self.is_return_unconfirmed else "started"
+        self.runtime.log.write(
+            events.PACE_CHANGED,
+            reason=reason,
+            flows_per_second=round(self.pace.rate or 0.0, 3),
+            settled_seconds=round(self.pace.settled_seconds, 4),
+            ratio=round(self.pace.ratio, 3),
+        )
--- a/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
@@ -45,6 +45,8 @@
 
     :param scheduler: decides when each request is delivered.
     :param deliver: sends a packet to the upstream.
+    :param observe: called with the time of dispatch of an answered request, or None
+        for one that the upstream has failed, and the time now.
     """
 
     def __init__(
@@ -54,11 +56,13 @@
         codec: PacketCodec,
         scheduler: RequestScheduler,
         deliver: Callable[[bytes], None],
+        observe: Callable[[float | None, float], None] = lambda began, now: None,
     ) -> None:
         self.runtime = runtime
         self.codec = codec
         self.scheduler = scheduler
         self.deliver = deliver
+        self.observe = observe
         self.held: dict[bytes, HeldRequest] = {}
 
     async def run(self) -> None:
@@ -162,6 +166,7 @@
         began = self.scheduler.running.get(key)
         if began is not None:
             self.scheduler.record_service_time(now - began)
+            self.observe(began, now)
         self.runtime.counters.count_answered(seconds)
         self.runtime.log.write(
             events.REQUEST_ANSWERED,
@@ -183,6 +188,8 @@
             return
         flow.request_started_at = None
         self.held.pop(key, None)
+        if key in self.scheduler.running:
+            self.observe(None, now)
         self.apply(self.scheduler.end(key, now=now))
 
     def abandon(self, key: bytes, flow: AgentFlow, *, now: float) -> None:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_upstream.py
@@ -29,6 +29,8 @@
     :ivar last_received: monotonic time of its last packet.
     :ivar returned_at: monotonic time at which it was last known to be back after it had
         probably ended.
+    :ivar started_at: monotonic time at which the entry of a new incarnation was first
+        seen.
     """
 
     def __init__(self, *, runtime: RelayRuntime, settings: RelayAgentSettings) -> None:
@@ -39,12 +41,18 @@
         self.last_probe = float("-inf")
         self.last_received = float("-inf")
         self.returned_at = float("-inf")
+        self.started_at = float("-inf")
 
     @property
     def host_record(self) -> HostRecord | None:
         """The host that the directory lists at this address, or None."""
         return self.runtime.directory.view.hosts_by_address.get(self.settings.host)
 
+    @property
+    def last_start(self) -> float:
+        """Monotonic time at which it was last known to have probably started."""
+        return max(self.returned_at, self.started_at)
+
     @property
     def service(self) -> str:
         """Name of the upstream's service in the settings."""
@@ -116,7 +124,7 @@
         """
         idle_seconds = self.runtime.directory.view.idle_timeout_seconds
         is_served = flow.upstream_next is not None and flow.stage is FlowStage.OPEN
-        if not is_served or flow.has_ended or flow.upstream_at <= self.returned_at:
+        if not is_served or flow.has_ended or flow.upstream_at <= self.last_start:
             return
         if now - flow.upstream_at < idle_seconds:
             self.returned_at = now
--- a/testing/relay/test_pacing.py
+++ b/testing/relay/test_pacing.py
@@ -294,3 +294,164 @@
 
     assert all(client.is_open for client in clients)
     assert times == []
+
+
+# The pace.
+
+
+def learn_settled_times(network, agent, *, seconds=0.03):
+    """Let an agent see enough responses of its settled host."""
+    for n in range(30):
+        now = network.clock.now() + n * 0.01
+        agent.paced_host.record_response(now - seconds, now)
+    network.clock.run(0.5)
+
+
+def is_limited(network, address=COLD):
+    agent = network.agents[address]
+    agent.refresh()
+    return agent.paced_host.pace.rate is not None
+
+
+@pytest.fixture
+def settled(network):
+    agent = network.agents[COLD]
+    agent.refresh()
+    learn_settled_times(network, agent)
+    return network
+
+
+def test_a_new_incarnation_limits_its_host(settled):
+    assert not is_limited(settled)
+
+    publish_entry(settled, COLD, incarnation=2, cold_seconds=2.0)
+
+    assert is_limited(settled)
+    assert settled.agents[COLD].runtime.log.lines[-1][1]["reason"] == "started"
+
+
+def test_the_first_entry_that_an_agent_sees_limits_nothing(network):
+    """An agent that starts beside a host which has run for long doesn't limit it."""
+    agent = network.start_agent(COLD)
+    learn_settled_times(network, agent)
+
+    assert not is_limited(network)
+
+
+def test_a_host_that_is_heard_again_is_limited(settled):
+    upstream = settled.agents[COLD].upstream
+    upstream.record_silence(now=settled.clock.now())
+    settled.clock.run(0.5)
+
+    upstream.record_received(now=settled.clock.now())
+
+    assert is_limited(settled)
+
+
+def test_the_late_entry_of_a_known_start_does_not_limit_its_host_again(settled):
+    upstream = settled.agents[COLD].upstream
+    upstream.record_silence(now=settled.clock.now())
+    settled.clock.run(0.5)
+    upstream.record_received(now=settled.clock.now())
+    assert is_limited(settled)
+    settled.agents[COLD].paced_host.pace.rate = None
+
+    publish_entry(settled, COLD, incarnation=2, cold_seconds=2.0)
+
+    assert not is_limited(settled)
+
+
+def test_a_limited_host_counts_as_busier_while_it_has_work(settled):
+    publish_entry(settled, COLD, incarnation=2, cold_seconds=2.0)
+    agent = settled.agents[COLD]
+    agent.refresh()
+    limits, now = agent.openings.limits, settled.clock.now()
+    limits.record_taken(now=now)
+
+    assert limits.weigh(0, now=now + 0.01) == 0
+    assert limits.weigh(1, now=now + 0.01) == 2
+    assert agent.runtime.counters.paced == 1
+
+
+def test_no_host_counts_as_busier_when_all_have_started(settled):
+    """After a loss of everything there is nowhere else for flows to go."""
+    for address in settled.hosts:
+        publish_entry(settled, address, incarnation=2, cold_seconds=2.0)
+    agent = settled.agents[COLD]
+    agent.refresh()
+    now = settled.clock.now()
+    agent.openings.limits.record_taken(now=now)
+
+    assert agent.openings.limits.weigh(1, now=now + 0.01) == 1
+
+
+def test_a_request_that_the_host_ends_without_an_answer_is_a_failure(settled):
+    agent = settled.agents[COLD]
+    before = agent.paced_host.pace.failures
+
+    agent.paced_host.record_response(None, settled.clock.now())
+
+    assert agent.paced_host.pace.failures == before + 1
+
+
+def test_requests_without_an_answer_are_failures(settled):
+    agent = settled.agents[COLD]
+    agent.scheduler.running[b"flow"] = settled.clock.now()
+    settled.clock.run(3.0)
+
+    agent.refresh()
+    agent.refresh()
+
+    assert agent.paced_host.pace.failures == 1
+
+
+def test_time_behind_an_earlier_request_is_no_service_time(settled):
+    """One request more than the slots is sent, and waits at the host."""
+    agent = settled.agents[COLD]
+    pace, now = agent.paced_host.pace, settled.clock.now()
+    before = pace.settled_seconds
+    for flow in (b"a", b"b", b"c"):
+        agent.scheduler.running[flow] = now
+    agent.paced_host.last_response_at = now + 0.03
+
+    agent.paced_host.record_response(now, now + 0.06)
+
+    assert pace.settled_seconds == pytest.approx(before)
+
+
+def test_hosts_come_and_go_and_every_flow_is_opened():
+    network = Network(hosts=4, balancers=1, slots=1)
+    publish_cold_rate(network, rate=0.0)
+    clients = network.open_clients(40)
+    ask_all(network, clients, balancer="10.0.0.1")
+    for n in range(8):
+        host = network.hosts[COLD]
+        host.is_silent = True
+        network.clock.run(0.3)
+        open_steadily(network, 5, seconds=0.2)
+        host.is_silent = False
+        host.flows.clear()
+        publish_entry(network, COLD, incarnation=2 + n, cold_seconds=2.0)
+        opened = open_steadily(network, 10, seconds=0.3)
+
+        assert all(client.is_open for client in opened)
+
+
+def test_flows_returned_after_the_entry_of_a_start_show_no_second_start(network):
+    """The next entry would otherwise count as that of a start known already."""
+    clients = network.open_clients(30)
+    ask_all(network, clients, balancer="10.0.0.1")
+    mine = [c for c in clients if network.holder_of(c) is network.hosts[COLD]]
+    agent = network.agents[COLD]
+    network.hosts[COLD].flows.clear()
+    publish_entry(network, COLD, incarnation=2, cold_seconds=0.0)
+    agent.refresh()
+
+    for client in mine:
+        client.ask("10.0.0.1", sequence=100)
+    network.clock.run(0.1)
+    agent.refresh()
+
+    assert len(mine) > 6
+    assert not agent.cold_host.is_cold(now=network.clock.now())
+    assert not agent.paced_host.is_return_unconfirmed
