Reset idle flows of an earlier incarnation before their clients use them

A client learns that its idle flow is lost from its next request, which is lost with it when it may not be repeated. When the upstream has probably started again, its agent now delivers a copy of the client's latest packet without data for each open idle flow. The upstream takes it or, if it doesn't hold the flow, returns it, and the flow is reset as after any returned packet.

Ruled out: proofs from times, incarnations or one returned packet, since entries come late, clocks jump, and the upstream ends single flows itself. With the copies no reset rests on an inference; a lost copy ends nothing.

--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -20,6 +20,7 @@
 
 from ._counters import Gauge
 from ._endpoint import Endpoint
+from ._flow_checks import FlowChecks
 from ._flow_limits import FlowLimits
 from ._flows import AgentFlow, FlowStage, FlowTable
 from ._openings import Openings
@@ -87,6 +88,12 @@
             send=self.send,
             reset=self.reset,
         )
+        self.flow_checks = FlowChecks(
+            runtime=runtime,
+            upstream=self.upstream,
+            flows=self.flows,
+            deliver=self.deliver,
+        )
         self.searches = Searches(
             runtime=runtime,
             candidates=self.openings.candidates,
@@ -202,6 +209,7 @@
         now = self.runtime.now()
         self.cold_host.refresh(now=now)
         self.paced_host.refresh(now=now)
+        self.flow_checks.refresh()
 
     def is_expired(self, flow: AgentFlow, now: float) -> bool:
         """Return True when a flow has been idle long enough to be removed."""
@@ -241,6 +249,7 @@
                     )
                 case OpenFrame():
                     packet = self.codec.read_from_client(frame.packet)
+                    self.flow_checks.record_opening(packet.flow)
                     self.openings.receive(frame, packet, now=now)
                 case _:
                     self.runtime.counters.count_dropped("unexpected-frame")
@@ -285,6 +294,7 @@
         flow.last_packet_at = now
         if flow.stage is FlowStage.OFFERED:
             flow.stage = FlowStage.OPEN
+        self.flow_checks.remember(flow, packet, frame.packet)
         self.requests.receive(flow, packet, frame.packet, now=now)
         if packet.finishing or packet.resetting:
             flow.stage = FlowStage.CLOSED
@@ -305,13 +315,14 @@
         if packet.returned:
             if packet.opening:
                 self.openings.handle_returned(packet.flow, now=now)
-            else:
+            elif self.flow_checks.record_returned(packet):
                 self.unknown_flows.handle_returned(packet, data, now=now)
             return
         flow = self.flows.get(packet.flow)
         if flow is None:
             flow = self.unknown_flows.add_discovered(packet, now=now)
         flow.last_packet_at = flow.upstream_at = now
+        self.flow_checks.record_packet(packet.flow)
         if packet.accepting:
             self.openings.report_offer(flow, packet, now=now)
         else:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
@@ -57,6 +57,8 @@
     :ivar passed: opening packets that an agent passed on to another agent.
     :ivar passed_by_reason: the same, by reason.
     :ivar paced: opening packets for which a host counted as busier because of its pace.
+    :ivar flows_reset_early: idle flows of an earlier incarnation that were found before
+        their clients used them.
     :ivar overflowed: opening packets that an agent took for another service of their
         route.
     :ivar failures: unexpected errors of tasks, by the task's name.
@@ -73,6 +75,7 @@
     passed: int = 0
     overflowed: int = 0
     paced: int = 0
+    flows_reset_early: int = 0
     unknown_flows: int = 0
     requests: int = 0
     dropped: Counter = field(default_factory=Counter)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_events.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_events.py
@@ -146,6 +146,13 @@
     "ends; 'reason' says why.",
     fields=("reason", "flows_per_second", "settled_seconds", "ratio"),
 )
+FLOW_CHECKED = _flow_event(
+    642,
+    "flow-checked",
+    "The upstream has started again and doesn't hold an idle flow, which is reset "
+    "before its client uses it.",
+    ("flow",),
+)
 UPSTREAM_SILENT = Event(
     number=610,
     name="upstream-silent",
@@ -266,6 +273,7 @@
     FLOW_LOST,
     HOST_COLD,
     PACE_CHANGED,
+    FLOW_CHECKED,
     UPSTREAM_SILENT,
     UPSTREAM_HEARD,
     SUSPECTS_CHANGED,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_flows.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_flows.py
@@ -71,6 +71,9 @@
     :param sequence: the upstream's first sequence number.
     :param client_next: sequence number after the client's newest byte, or None.
     :param upstream_at: monotonic time of the upstream's last packet.
+    :param client_acknowledged: acknowledgement number of the client's latest packet.
+    :param latest_empty: the client's latest packet without data, or None.
+    :param empty_acknowledged: acknowledgement number of that packet.
     :param upstream_next: sequence number after the upstream's newest byte, or None.
     :param request_started_at: monotonic time at which the current request arrived, or
         None.
@@ -92,6 +95,9 @@
     answered: int = 0
     has_ended: bool = False
     upstream_at: float = float("-inf")
+    client_acknowledged: int = 0
+    latest_empty: bytes | None = None
+    empty_acknowledged: int = 0
 
 
 class FlowTable(Generic[Entry]):
--- a/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
@@ -74,6 +74,11 @@
                 "Opening packets for which the host counted as busier by its pace.",
                 counters.paced,
             ),
+            (
+                "flows_reset_early",
+                "Idle flows of an earlier incarnation that were reset.",
+                counters.flows_reset_early,
+            ),
             ("strays", "Packets given back to balancers.", counters.unknown_flows),
             ("requests", "Requests seen.", counters.requests),
             ("platform_calls", "Calls to the platform.", self.platform_calls()),
