--- a/packages/daisygauge-relay/src/daisygauge_relay/_pacing.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_pacing.py
@@ -63,6 +63,7 @@
 
     def is_evacuated(self, host: HostRecord | None) -> bool:
         """Return True while the host's failure domain is evacuated."""
+        # Views of versions without evacuation have no such field.
         evacuated = getattr(self.runtime.directory.view, "evacuated", frozenset())
         return host is not None and host.failure_domain in evacuated
 
