--- a/packages/daisygauge-control/src/daisygauge_control/__init__.py
+++ b/packages/daisygauge-control/src/daisygauge_control/__init__.py
@@ -29,6 +29,7 @@
             "HostState",
             "RouteRecord",
             "RoutingRecord",
+            "ServiceRecord",
             "ServiceShare",
             "UnusableRecord",
         ],
--- a/packages/daisygauge-control/src/daisygauge_control/_directory.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory.py
@@ -83,6 +83,19 @@
     priority: int = 0
 
 
+class ServiceRecord(Struct, kw_only=True, frozen=True, array_like=True):
+    """The cold hosts of one service.
+
+    :param slow_start_seconds: time for which a host is cold after its start.
+    :param slow_start_rate: requests a second that a cold host can handle, or 0 for no
+        limit.
+    """
+
+    name: str
+    slow_start_seconds: float = 0.0
+    slow_start_rate: float = 0.0
+
+
 class RoutingRecord(Struct, kw_only=True, frozen=True, array_like=True, tag="routing"):
     """All routes of one configuration.
 
@@ -93,6 +106,7 @@
     version: int
     routes: tuple[RouteRecord, ...]
     idle_timeout_seconds: float
+    services: tuple[ServiceRecord, ...] = ()
 
 
 class UnusableRecord(
@@ -148,6 +162,7 @@
     :param evacuated: failure domains whose hosts get no new flows.
     :param named_services: services that a configuration has named since the process
         started. An open flow may be at a host of a service that is named no longer.
+    :param services: services by name, those that the configuration describes.
     """
 
     version: int = 0
@@ -157,6 +172,7 @@
     routes: Mapping[tuple[str, int], RouteRecord] = field(default_factory=dict)
     evacuated: frozenset[str] = frozenset()
     named_services: frozenset[str] = frozenset()
+    services: Mapping[str, ServiceRecord] = field(default_factory=dict)
 
     @property
     def is_complete(self) -> bool:
@@ -338,6 +354,7 @@
             idle_timeout_seconds=self.view.idle_timeout_seconds,
             hosts={service: tuple(found) for service, found in hosts.items()},
             routes=self.view.routes,
+            services=self.view.services,
             evacuated=frozenset(evacuated),
             named_services=self.view.named_services,
         )
@@ -347,6 +364,7 @@
                 version=routing.version,
                 idle_timeout_seconds=routing.idle_timeout_seconds,
                 routes={(route.host, route.port): route for route in routing.routes},
+                services={service.name: service for service in routing.services},
                 named_services=view.named_services | _list_services(routing),
             )
         return replace(view, hosts_by_address=_select_by_address(view))
--- a/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/__init__.py
@@ -22,6 +22,7 @@
             "DEFAULT_CLASS",
             "match_class",
         ],
+        "_cold_rate": ["ColdPeriod", "ColdRateLimit"],
         "_concurrency": [
             "ConcurrencyLimit",
             "RunEnd",
@@ -67,6 +68,7 @@
             "expected_seconds",
         ],
         "_scheduler": ["SchedulerChange", "ScheduledRequest", "RequestScheduler"],
+        "_pace": ["Pace", "PeerEntry", "SettledPeers"],
         "_opening": [
             "AskedAgent",
             "BusyAgent",
--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -22,9 +22,11 @@
 from ._candidates import service_tag
 from ._counters import Gauge
 from ._endpoint import Endpoint
+from ._flow_checks import FlowChecks
 from ._flow_limits import FlowLimits
 from ._flows import AgentFlow, FlowStage, FlowTable
 from ._openings import DEFAULT_SLOTS, Openings
+from ._pacing import ColdHost, PacedHost
 from ._packet import (
     MalformedPacketError,
     PacketCodec,
@@ -75,6 +77,13 @@
             knows_flows=settings.first_start,
             now=runtime.now(),
         )
+        self.cold_host = ColdHost(runtime=runtime, upstream=self.upstream)
+        self.paced_host = PacedHost(
+            runtime=runtime,
+            upstream=self.upstream,
+            cold_host=self.cold_host,
+            scheduler=self.scheduler,
+        )
         self.requests = Requests(
             runtime=runtime,
             codec=codec,
@@ -82,6 +91,7 @@
             answers=self.answers,
             utilization=self.utilization,
             deliver=self.deliver,
+            observe=self.paced_host.record_response,
         )
         self.openings = Openings(
             runtime=runtime,
@@ -89,13 +99,23 @@
             upstream=self.upstream,
             flows=self.flows,
             running=lambda now: self.scheduler.load(now=now),
-            limits=FlowLimits(soft=(self.answers,)),
+            limits=FlowLimits(
+                firm=(self.cold_host,),
+                soft=(self.answers,),
+                penalties=(self.paced_host,),
+            ),
             record_asked=self.answers.record_asked,
             utilization=self.utilization,
             deliver=self.deliver,
             send=self.send,
             reset=self.reset,
         )
+        self.flow_checks = FlowChecks(
+            runtime=runtime,
+            upstream=self.upstream,
+            flows=self.flows,
+            deliver=self.deliver,
+        )
         self.searches = Searches(
             runtime=runtime,
             candidates=self.openings.candidates,
@@ -123,6 +143,7 @@
         await self.outbound.open(sockets.outer)
         await self.inner.open(sockets.inner)
         self.runtime.tasks.supervise(self.requests.run, name="requests")
+        self.runtime.tasks.supervise(self.watch_directory, name="host-entry")
 
     async def drain(self) -> None:
         """Wait until the upstream has no open flow, for at most ``max_drain_seconds``.
@@ -194,6 +215,17 @@
                     self.answers.outlier.is_ejected(now=self.runtime.now())
                 ),
             ),
+            Gauge(
+                name="pace_flows_per_second",
+                text="Rate of new flows of a host that has started or recovered, or 0 "
+                "while it isn't limited.",
+                read=lambda: self.paced_host.pace.rate or 0.0,
+            ),
+            Gauge(
+                name="host_cold",
+                text="1 while the upstream's host counts as cold.",
+                read=lambda: float(self.cold_host.is_cold(now=self.runtime.now())),
+            ),
         )
 
     def count_hosts(self) -> int:
@@ -212,9 +244,22 @@
             if flow.stage is FlowStage.OPEN and not self.is_expired(flow, now)
         )
 
+    async def watch_directory(self) -> None:
+        """Observe each change of the directory, until cancelled.
+
+        The remaining time that an entry gives counts from when the entry is seen.
+        """
+        while True:
+            await self.runtime.changed.wait()
+            self.refresh()
+
     def refresh(self) -> None:
-        """Update the candidate lists from the directory's current view."""
+        """Observe the directory's current view, and starts of the upstream."""
         self.openings.candidates.update(self.runtime.directory.view)
+        now = self.runtime.now()
+        self.cold_host.refresh(now=now)
+        self.paced_host.refresh(now=now)
+        self.flow_checks.refresh()
 
     def is_expired(self, flow: AgentFlow, now: float) -> bool:
         """Return True when a flow has been idle long enough to be removed."""
@@ -254,6 +299,7 @@
                     )
                 case OpenFrame():
                     packet = self.codec.read_from_client(frame.packet)
+                    self.flow_checks.record_opening(packet.flow)
                     self.openings.receive(frame, packet, now=now)
                 case _:
                     self.runtime.counters.count_dropped("unexpected-frame")
@@ -298,6 +344,7 @@
         flow.last_packet_at = now
         if flow.stage is FlowStage.OFFERED:
             flow.stage = FlowStage.OPEN
+        self.flow_checks.remember(flow, packet, frame.packet)
         self.requests.receive(flow, packet, frame.packet, now=now)
         if packet.finishing or packet.resetting:
             flow.stage = FlowStage.CLOSED
@@ -319,13 +366,14 @@
         if packet.returned:
             if packet.opening:
                 self.openings.handle_returned(packet.flow, now=now)
-            else:
+            elif self.flow_checks.record_returned(packet):
                 self.unknown_flows.handle_returned(packet, data, now=now)
             return
         flow = self.flows.get(packet.flow)
         if flow is None:
             flow = self.unknown_flows.add_discovered(packet, now=now)
-        flow.last_packet_at = now
+        flow.last_packet_at = flow.upstream_at = now
+        self.flow_checks.record_packet(packet.flow)
         if packet.accepting:
             self.openings.report_offer(flow, packet, now=now)
         else:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_counters.py
@@ -55,6 +55,10 @@
     :ivar queried: queries that a searching agent sent to other agents.
     :ivar taken: opening packets that an agent delivered to its upstream.
     :ivar passed: opening packets that an agent passed on to another agent.
+    :ivar passed_by_reason: the same, by reason.
+    :ivar paced: opening packets for which a host counted as busier because of its pace.
+    :ivar flows_reset_early: idle flows of an earlier incarnation that were found before
+        their clients used them.
     :ivar overflowed: opening packets that an agent took for another service of their
         route.
     :ivar failed: requests that the upstream failed, by reason.
@@ -73,12 +77,15 @@
     taken: int = 0
     passed: int = 0
     overflowed: int = 0
+    paced: int = 0
+    flows_reset_early: int = 0
     unknown_flows: int = 0
     requests: int = 0
     dropped: Counter = field(default_factory=Counter)
     refused: Counter = field(default_factory=Counter)
     lost: Counter = field(default_factory=Counter)
     failed: Counter = field(default_factory=Counter)
+    passed_by_reason: Counter = field(default_factory=Counter)
     failures: Counter = field(default_factory=Counter)
     answers: Histogram = field(default_factory=Histogram)
     platform_calls: Histogram = field(default_factory=Histogram)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_events.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_events.py
@@ -137,6 +137,29 @@
     ("flow", "reason", "absent", *KNOWN_STATE_FIELDS),
     Level.WARNING,
 )
+HOST_COLD = Event(
+    number=640,
+    name="host-cold",
+    level=Level.INFO,
+    text="The host counts as cold and gets a limited number of opening packets a "
+    "second; 'reason' says how this is known.",
+    fields=("reason", "incarnation", "seconds", "per_second", *KNOWN_STATE_FIELDS),
+)
+PACE_CHANGED = Event(
+    number=641,
+    name="pace-changed",
+    level=Level.INFO,
+    text="The limit on new flows of a host that has started or recovered begins or "
+    "ends; 'reason' says why.",
+    fields=("reason", "flows_per_second", "settled_seconds", "ratio"),
+)
+FLOW_CHECKED = _flow_event(
+    642,
+    "flow-checked",
+    "The upstream has started again and doesn't hold an idle flow, which is reset "
+    "before its client uses it.",
+    ("flow",),
+)
 UPSTREAM_SILENT = Event(
     number=610,
     name="upstream-silent",
@@ -299,6 +322,9 @@
     FLOW_RETURNED,
     FLOW_CLAIMED,
     FLOW_LOST,
+    HOST_COLD,
+    PACE_CHANGED,
+    FLOW_CHECKED,
     UPSTREAM_SILENT,
     UPSTREAM_HEARD,
     SUSPECTS_CHANGED,
--- a/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_metrics.py
@@ -69,6 +69,16 @@
                 "Opening packets taken for another service of their route.",
                 counters.overflowed,
             ),
+            (
+                "openings_paced",
+                "Opening packets for which the host counted as busier by its pace.",
+                counters.paced,
+            ),
+            (
+                "flows_reset_early",
+                "Idle flows of an earlier incarnation that were reset.",
+                counters.flows_reset_early,
+            ),
             ("strays", "Packets given back to balancers.", counters.unknown_flows),
             ("requests", "Requests seen.", counters.requests),
             ("platform_calls", "Calls to the platform.", self.platform_calls()),
@@ -80,6 +90,12 @@
         for name, text, label, counts in (
             ("dropped", "Datagrams that went nowhere.", "reason", counters.dropped),
             ("refused", "Flows refused.", "reason", counters.refused),
+            (
+                "openings_passed_by_reason",
+                "Opening packets passed on, by reason.",
+                "reason",
+                counters.passed_by_reason,
+            ),
             (
                 "flows_lost",
                 "Flows reset since no upstream holds them.",
--- a/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_openings.py
@@ -44,6 +44,10 @@
 """Age of a flow when its client sends each copy of its opening packet."""
 DEFAULT_SLOTS = 2
 """Assumed slots of an upstream that is not in the directory."""
+PENALTY_UTILIZATION = 0.5
+"""Utilization that stands for one request of a penalty. It is that of a moderately
+loaded upstream, so that a host that has just returned neither draws all new flows nor
+repels them."""
 
 
 class PendingOpening(Struct, kw_only=True):
@@ -102,21 +106,31 @@
         """Handle an opening packet from a balancer or another agent."""
         flow = self.flows.get(packet.flow)
         if flow is not None and flow.stage in (FlowStage.OFFERED, FlowStage.OPEN):
-            # The upstream's answer was lost; it sends the same one again.
-            self.deliver(frame.packet)
-            return
+            if self.limits.find_inability(now=now) is None:
+                # The upstream's answer was lost; it sends the same one again.
+                self.limits.record_taken(now=now)
+                self.deliver(frame.packet)
+                return
+            if flow.stage is FlowStage.OPEN:
+                self.runtime.counters.count_dropped("opening-limited")
+                return
+            # Another upstream may answer this copy; none may reset the flow.
+            frame = replace(frame, unanswered=True)
         if self.upstream.awaits_evacuations:
             self.drop_early(packet)
             return
         self.record_asked(frame, now)
         load = self.load.count(now=now)
+        weighed = self.limits.weigh(load, now=now)
         own = AskedAgent(
             agent=self.own_address,
-            load=load,
+            load=weighed,
             slots=DEFAULT_SLOTS if self.upstream.slots is None else self.upstream.slots,
             inability=self.find_inability(frame, packet, now=now),
             reluctance=self.limits.find_reluctance(now=now),
-            utilization=self.estimate_utilization(frame, packet, load=load, now=now),
+            utilization=self.estimate_utilization(
+                packet, load=load, penalty=weighed - load, now=now
+            ),
         )
         if own.inability is OpeningReason.EVACUATED:
             self.runtime.evacuations.record_arrival(self.upstream.failure_domain)
@@ -136,22 +150,25 @@
         )
 
     def estimate_utilization(
-        self, frame: OpenFrame, packet: RelayedPacket, *, load: int, now: float
+        self, packet: RelayedPacket, *, load: int, penalty: int, now: float
     ) -> float | None:
         """Return the upstream's utilization with a new flow, or None.
 
         A repeated opening packet goes by the load, which asks fewer agents: one on the
-        way of an earlier copy may be dead. So does a flow that may overflow to another
-        service, which depends on free slots.
+        way of an earlier copy may be dead.
+
+        :param penalty: requests by which the upstream counts as busier than it is.
         """
-        if packet.copy or self.overflow.find_other(frame, packet.flow) is not None:
+        if packet.copy:
             return None
         host = self.upstream.host_record
         if host is not None:
             self.utilization.observe_incarnation((host.id, host.incarnation), now=now)
         kind = service_endpoint(packet.flow)
         utilization = self.utilization.estimate_after(kind, load=load, now=now)
-        return None if utilization is None else round_utilization(utilization)
+        if utilization is None:
+            return None
+        return round_utilization(utilization + PENALTY_UTILIZATION * penalty)
 
     def find_inability(
         self, frame: OpenFrame, packet: RelayedPacket, *, now: float
@@ -321,8 +338,11 @@
         """
         if own.inability is not OpeningReason.SILENT or self.upstream.is_evacuated:
             return frame
+        if self.limits.find_inability(now=now) is not None:
+            return frame
         if not self.upstream.begin_probe(now=now):
             return frame
+        self.limits.record_taken(now=now)
         self.deliver(frame.packet)
         return replace(frame, unanswered=True)
 
--- a/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
@@ -54,6 +54,8 @@
     :param answers: records whether the upstream answers or fails each request.
     :param utilization: is told of the requests and the upstream's answers.
     :param deliver: sends a packet to the upstream.
+    :param observe: called with the time of dispatch of an answered request, or None
+        for one that the upstream has failed, and the time now.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         answers: Answers,
         utilization: Utilization,
         deliver: Callable[[bytes], None],
+        observe: Callable[[float | None, float], None] = lambda began, now: None,
     ) -> None:
         self.runtime = runtime
         self.codec = codec
@@ -72,6 +75,7 @@
         self.answers = answers
         self.utilization = utilization
         self.deliver = deliver
+        self.observe = observe
         self.held: dict[bytes, HeldRequest] = {}
 
     async def run(self) -> None:
@@ -182,6 +186,7 @@
         began = self.scheduler.running.get(key)
         if began is not None:
             self.scheduler.record_service_time(now - began)
+            self.observe(began, now)
         self.utilization.record_done(key, is_answered=True, now=now)
         self.runtime.counters.count_answered(seconds)
         self.runtime.log.write(
@@ -207,6 +212,8 @@
         flow.request_started_at = None
         self.held.pop(key, None)
         self.utilization.record_done(key, is_answered=False, now=now)
+        if key in self.scheduler.running:
+            self.observe(None, now)
         self.apply(self.scheduler.end(key, now=now))
 
     def abandon(self, key: bytes, flow: AgentFlow, *, now: float) -> None:
