Compare eight agents where utilization decides

A long flow stays where it is opened. With four asked, all of them were often slow or busy at the peaks.

--- a/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
@@ -16,6 +16,9 @@
 MAX_ASKED = 4
 """Agents asked for a free slot. With independent loads, more than four choices gain
 little, and each hop adds a network transit."""
+MAX_COMPARED = 8
+"""Agents asked where utilization decides. A long flow stays where it is opened, so a
+less used upstream is worth more hops than a slot that is free at the moment."""
 MAX_OPENING_HOPS = 12
 """Largest number of agents that one opening packet is sent to. It bounds the path also
 when the agents' lists of candidates differ."""
@@ -142,11 +145,11 @@
 ) -> OpeningDecision:
     """Decide whether an agent takes, passes on or refuses an opening packet.
 
-    Up to ``MAX_ASKED`` agents are asked for a free slot at a lightly used upstream.
-    Then the least used one is asked to take the flow. If its upstream can't, the packet
-    is passed on until an agent's upstream can take the flow. A reluctant agent takes it
-    when no other is left, so that no flow is refused while an upstream could run its
-    requests.
+    Up to ``MAX_ASKED`` agents, or ``MAX_COMPARED`` by utilization, are asked for a free
+    slot at a lightly used upstream. Then the least used one is asked to take the flow.
+    If its upstream can't, the packet is passed on until an agent's upstream can take
+    the flow. A reluctant agent takes it when no other is left, so that no flow is
+    refused while an upstream could run its requests.
 
     :param candidates: agents of the service in this flow's order.
     :param tried: agents that need not be asked.
@@ -162,7 +165,8 @@
     reason = own.inability or own.reluctance or busy
     tried = (*tried, own.agent)
     rest = [agent for agent in candidates if agent not in tried]
-    if rest and not final and hops + 1 < MAX_ASKED:
+    max_asked = MAX_ASKED if own.utilization is None else MAX_COMPARED
+    if rest and not final and hops + 1 < max_asked:
         return PassOpening(target=rest[0], reason=reason, tried=tried)
     if own.is_willing and (best is None or not own.is_more_used(best)):
         return TakeOpening()
--- a/testing/policy/test_opening.py
+++ b/testing/policy/test_opening.py
@@ -12,7 +12,7 @@
     decide_opening,
 )
 
-A, B, C, D, E = (bytes([10, 0, 0, n]) for n in range(5))
+A, B, C, D, E, F = (bytes([10, 0, 0, n]) for n in range(6))
 ALL = (A, B, C, D, E)
 
 
@@ -68,6 +68,20 @@
     assert decision == RefuseOpening(reason=OpeningReason.LEAVING)
 
 
+def test_more_agents_are_asked_where_utilization_decides():
+    """Few long flows find a fast upstream among four when many are slow."""
+    tried = ALL[:4]
+    best = BusyAgent(agent=B, load=0, utilization=0.6)
+
+    by_load = decide(E, load=2, tried=tried, best=best)
+    by_utilization = decide(
+        E, load=2, tried=tried, best=best, utilization=0.9, candidates=(*ALL, F)
+    )
+
+    assert (by_load.target, by_load.final) == (B, True)
+    assert (by_utilization.target, by_utilization.final) == (F, False)
+
+
 def test_a_reluctant_agent_with_a_free_slot_asks_the_next_one():
     decision = decide(A, reluctance=OpeningReason.FAILING)
 
@@ -112,7 +126,10 @@
     """The loads, 1 here and 0 at the other, decide where utilization doesn't."""
     other = BusyAgent(agent=B, load=0, utilization=best)
 
-    decision = decide(D, load=1, utilization=own, tried=(A, B, C), best=other)
+    # D is the last agent that is asked.
+    decision = decide(
+        D, load=1, utilization=own, tried=(A, B, C), best=other, candidates=ALL[:4]
+    )
 
     assert isinstance(decision, TakeOpening) == takes
 
