Say in tests which failure they guard against

Disable Hypothesis's time limit of 200 ms an example in the new property tests outside testing/policy, whose profile disables it already: it fails on a busy machine and checks no behaviour.

--- a/testing/adapter/test_malformed.py
+++ b/testing/adapter/test_malformed.py
@@ -5,7 +5,7 @@
 import math
 
 import pytest
-from hypothesis import example, given, strategies as st
+from hypothesis import example, given, settings, strategies as st
 
 from daisygauge_control import (
     Directory,
@@ -127,6 +127,7 @@
 )
 @example(value=-1, field="coldPerS")
 @example(value="2", field="coldStartS")
+@settings(deadline=None)
 def test_a_service_with_an_unexpected_value_leaves_the_routes_usable(value, field):
     """Limits on cold hosts must not stop a configuration that routes are served by."""
     service = {"name": "a", "coldStartS": 2.0, "coldPerS": 3.0} | {field: value}
@@ -143,7 +144,9 @@
 
 
 @given(UNEXPECTED_VALUES)
+@settings(deadline=None)
 def test_services_of_an_unexpected_type_leave_the_routes_usable(services):
+    """Limits on cold hosts must not stop a configuration that routes are served by."""
     config = {"version": 7, "routes": [ROUTE], "services": services}
 
     item = decode_item(make_entry("op/config", config))
@@ -153,6 +156,7 @@
 
 
 def test_a_service_gives_its_cold_time_and_rate():
+    """A rate that isn't read would leave cold hosts without a limit."""
     services = [{"name": "a", "coldStartS": 2.0, "coldPerS": 3}, {"name": "b"}, 7]
     config = {"version": 7, "routes": [ROUTE], "services": services}
 
--- a/testing/adapter/test_packets.py
+++ b/testing/adapter/test_packets.py
@@ -1,5 +1,5 @@
 import pytest
-from hypothesis import given, strategies as st
+from hypothesis import given, settings, strategies as st
 
 from daisygauge_platform._packets import (
     ACK,
@@ -130,7 +130,9 @@
 
 
 @given(st.binary(max_size=100))
+@settings(deadline=None)
 def test_random_data_has_a_status_of_three_digits_or_none(data):
+    """A garbled packet must not end the handling of its flow."""
     for packet in (data, packet_of(data), packet_of(b"HTTP/1.1 " + data)):
         status = CODEC.read_status(packet)
 
--- a/testing/adapter/test_store.py
+++ b/testing/adapter/test_store.py
@@ -112,6 +112,7 @@
 
 @pytest.mark.parametrize("value", [b"", b"\xff{", b"[]", b'{"zone": "b"}'])
 def test_the_key_of_an_evacuation_alone_counts(value):
+    """An unreadable value must not keep an evacuation from taking effect."""
     content = decode_item(make_entry("op/evacuate/zone-a", value)).content
 
     assert content == EvacuationRecord(failure_domain="zone-a")
@@ -130,6 +131,7 @@
 
 
 async def test_evacuations_are_read_and_watched(store, reader):
+    """A key that only one of the two ways reads would be in force in some processes."""
     store.put("servers/h-1", ENTRY)
     store.put("op/evacuate/a", b"not JSON")
     store.put("op/evacuated", {})
--- a/testing/control/test_directory.py
+++ b/testing/control/test_directory.py
@@ -1,5 +1,5 @@
 import pytest
-from hypothesis import given, strategies as st
+from hypothesis import given, settings, strategies as st
 
 from daisygauge_control import (
     Directory,
@@ -284,6 +284,7 @@
 
 
 @given(EVACUATION_CHANGES, st.randoms(), st.integers(0, 8))
+@settings(deadline=None)
 def test_a_process_that_was_frozen_merges_by_revision(changes, rng, missed):
     """Starts and ends in any order, with a full read for those that were missed."""
     items = [
--- a/testing/ctl/test_explain.py
+++ b/testing/ctl/test_explain.py
@@ -93,6 +93,7 @@
 
 
 def test_an_evacuation_before_a_flow_is_shown():
+    """The flow's own lines don't show why there is no host."""
     lines = read_logs(
         balancer=[
             make_line(
--- a/testing/ctl/test_routing_check.py
+++ b/testing/ctl/test_routing_check.py
@@ -73,6 +73,7 @@
 
 
 def test_a_valid_configuration_has_no_findings(check):
+    """A false finding would teach operators to ignore findings."""
     code, result = check(CONFIGURATION)
 
     assert (code, result["valid"], result["findings"]) == (0, 1, [])
@@ -316,6 +317,7 @@
 
 
 @given(CONFIGURATIONS)
+@settings(deadline=None)
 @example(CONFIGURATION)
 def test_the_processes_accept_what_the_check_accepts(value):
     raw = base64.b64encode(json.dumps(value).encode()).decode()
--- a/testing/policy/test_cold_rate.py
+++ b/testing/policy/test_cold_rate.py
@@ -69,10 +69,12 @@
 
 
 def test_a_host_without_an_entry_is_cold(period):
+    """It may just have started, with its entry still to come."""
     assert period.is_cold(now=1_000.0)
 
 
 def test_a_host_is_cold_for_the_time_that_its_entry_gives(period):
+    """Guards against a limit that ends while the host is slow, or later."""
     observe(period, cold=2.0, now=10.0)
 
     assert period.is_cold(now=11.9)
--- a/testing/policy/test_opening.py
+++ b/testing/policy/test_opening.py
@@ -83,6 +83,7 @@
 
 
 def test_a_reluctant_agent_with_a_free_slot_asks_the_next_one():
+    """A failing host is idle, so that flows would be drawn to it."""
     decision = decide(A, reluctance=OpeningReason.FAILING)
 
     assert decision == PassOpening(target=B, reason=OpeningReason.FAILING, tried=(A,))
@@ -97,6 +98,7 @@
 
 
 def test_a_reluctant_agent_takes_a_flow_that_no_other_one_takes():
+    """No flow is refused because hosts fail requests."""
     decision = decide(A, reluctance=OpeningReason.FAILING, candidates=(A,))
 
     assert decision == TakeOpening()
@@ -109,12 +111,14 @@
 
 
 def test_a_free_but_much_used_agent_asks_the_next_one():
+    """Long flows stay where they are opened, and a slow upstream would saturate."""
     assert decide(A, utilization=0.5) == PassOpening(
         target=B, reason=OpeningReason.COMPARED, tried=(A,)
     )
 
 
 def test_a_lightly_used_agent_takes_a_flow():
+    """Asking others would cost hops and gain almost nothing."""
     assert decide(A, utilization=0.1) == TakeOpening()
 
 
--- a/testing/policy/test_outliers.py
+++ b/testing/policy/test_outliers.py
@@ -92,6 +92,7 @@
 
 @pytest.mark.parametrize("hosts", [0, 1, 2])
 def test_a_third_of_a_small_service_is_no_host(hosts):
+    """Ejecting one of two hosts would be more than the allowed third."""
     changes, _ = record(new_detector(hosts), "xxxxxx")
 
     assert changes
@@ -99,6 +100,7 @@
 
 
 def test_the_share_of_new_flows_grows_with_good_responses():
+    """A host that gets its full share at once would fail many flows again."""
     detector, now = ejected()
     shares = []
     for _ in range(5):
@@ -206,6 +208,7 @@
 
 
 def test_a_failing_host_takes_no_flow_of_another_service():
+    """The flow's own service may still answer it."""
     own = AskedAgent(agent=b"a", load=0, slots=2, reluctance=OpeningReason.FAILING)
 
     decision = decide_visit(
--- a/testing/policy/test_pace.py
+++ b/testing/policy/test_pace.py
@@ -45,6 +45,7 @@
 
 
 def test_the_rate_of_a_started_host_is_an_eighth_of_what_it_runs(pace):
+    """A higher rate gives a slow host flows that wait in its queue."""
     pace.start(slow_seconds=2.0, now=10.0)
     pace.record_taken(now=10.0)
 
@@ -54,6 +55,7 @@
 
 
 def test_an_idle_host_takes_a_flow_at_any_time(pace):
+    """Guards against a healthy host that is left idle."""
     pace.start(slow_seconds=2.0, now=10.0)
     pace.record_taken(now=10.0)
 
@@ -87,6 +89,7 @@
 
 
 def test_failures_shrink_the_rate_once_in_an_interval(pace):
+    """Failures that were under way together would stop the host's flows."""
     pace.start(slow_seconds=2.0, now=10.0)
     respond(pace, SETTLED, start=10.0, until=10.85)
     before = pace.rate
@@ -120,6 +123,7 @@
 
 
 def test_peers_are_settled_when_the_time_of_their_entries_is_over():
+    """Flows must not be moved to hosts that have just started, too."""
     peers = SettledPeers()
     peers.observe([make_entry("a", slow=2.0), make_entry("b", slow=0.0)], now=10.0)
     assert peers.are_enough(now=10.0)
@@ -135,6 +139,7 @@
 
 
 def test_a_host_without_peers_has_no_settled_ones():
+    """There is no other host that its flows could go to."""
     assert not SettledPeers().are_enough(now=10.0)
 
 
--- a/testing/policy/test_utilization.py
+++ b/testing/policy/test_utilization.py
@@ -212,6 +212,7 @@
 
 
 def test_a_request_that_waits_at_the_upstream_is_not_in_service(use):
+    """Its wait would make a fast but busy upstream look slow."""
     for flow in (b"a", b"b"):
         use.record_request(flow, "feed", now=0.0)
     use.record_sent(b"a", running=1, now=0.0)
@@ -223,6 +224,7 @@
 
 
 def test_measures_from_before_a_freeze_are_dropped(use):
+    """Guards against placement by a load that is gone."""
     run_flow(use, b"a", at=0.0, requests=40, seconds=0.9)
     use.tick(now=40.0)
     use.tick(now=45.0)
@@ -232,6 +234,7 @@
 
 
 def test_old_values_age_out(use):
+    """Guards against an upstream that was slow once and is avoided for good."""
     run_flow(use, b"a", at=0.0, requests=40, seconds=0.9)
     use.end_flow(b"a", now=41.0)
 
@@ -251,6 +254,7 @@
 
 
 def test_short_flows_and_several_slots_go_by_the_load(use):
+    """Comparing eight agents would delay them and gain little."""
     for number in range(4):
         run_flow(use, b"%d" % number, kind="download", at=number)
         use.end_flow(b"%d" % number, now=number + 0.5)
--- a/testing/relay/test_answers.py
+++ b/testing/relay/test_answers.py
@@ -208,6 +208,7 @@
 
 
 def test_the_gauge_shows_an_ejected_upstream(network):
+    """Operators would not see why a host gets few flows."""
     fail(network, ERROR)
     agent = network.agents[BAD]
     gauges = {gauge.name: gauge for gauge in agent.gauges()}
--- a/testing/relay/test_evacuation.py
+++ b/testing/relay/test_evacuation.py
@@ -423,6 +423,7 @@
 
 
 def test_start_and_end_are_logged_with_the_hosts_left(network):
+    """Operators learn from these lines which service has no host left."""
     runtime = network.balancers[BALANCER].runtime
     network.publish_evacuation("a")
     seen_revision = network.revision
@@ -578,6 +579,7 @@
 
 
 def test_the_check_of_the_random_plays_sees_a_violation():
+    """Guards against random plays that would pass whatever agents do."""
     play = EvacuationPlay()
     play.evacuate("a", False)
     client = play.network.new_client()
--- a/testing/relay/test_metrics.py
+++ b/testing/relay/test_metrics.py
@@ -84,6 +84,7 @@
 
 
 async def test_openings_passed_on_are_shown_by_reason(runtime):
+    """The alert on cold hosts reads this counter."""
     runtime.counters.passed_by_reason["cold"] += 3
 
     text = await load(MetricsPage(runtime=runtime, gauges=()))
--- a/testing/relay/test_pacing.py
+++ b/testing/relay/test_pacing.py
@@ -123,6 +123,7 @@
 
 
 def test_a_configuration_without_services_limits_nothing():
+    """Deployments without these fields are served as before."""
     network = Network(hosts=1, balancers=1)
     set_cold_rate(network)
     publish_entry(network, COLD, incarnation=2, cold_seconds=3.0)
@@ -420,6 +421,7 @@
 
 
 def test_hosts_come_and_go_and_every_flow_is_opened():
+    """Guards against limits that leave a flow without any host."""
     network = Network(hosts=4, balancers=1, slots=1)
     publish_cold_rate(network, rate=0.0)
     clients = network.open_clients(40)
--- a/testing/wire/test_relayed.py
+++ b/testing/wire/test_relayed.py
@@ -1,5 +1,5 @@
 import pytest
-from hypothesis import given, strategies as st
+from hypothesis import given, settings, strategies as st
 
 from daisygauge_wire import (
     MAX_TRIED,
@@ -118,6 +118,7 @@
 
 
 def test_a_full_list_of_an_older_version_is_decoded():
+    """Refusing the frame would delay flows in a rolling update."""
     tried = tuple(bytes([10, 0, 0, n]) for n in range(15))
     frame = OpenFrame(balancer=bytes(4), service=1, packet=b"SYN", tried=tried)
 
@@ -141,6 +142,7 @@
 
 
 @given(AGENT_LOADS, st.booleans(), st.booleans(), st.booleans())
+@settings(deadline=None)
 def test_earlier_versions_read_the_same_flags(best, final, unanswered, has_crossed):
     """Guards against a utilization that changes bits of a frame that they decode."""
     flags = {"final": final, "unanswered": unanswered, "has_crossed": has_crossed}
@@ -158,5 +160,7 @@
 
 
 @given(st.floats(0.0, 1.5))
+@settings(deadline=None)
 def test_a_frame_carries_a_utilization_up_to_its_resolution(utilization):
+    """A coarser value would make unequal upstreams look equal."""
     assert abs(round_utilization(utilization) - utilization) <= UTILIZATION_STEP / 2.0
