--- a/packages/daisygauge-control/src/daisygauge_control/_directory.py
+++ b/packages/daisygauge-control/src/daisygauge_control/_directory.py
@@ -84,7 +84,7 @@
 
 
 class ServiceRecord(Struct, kw_only=True, frozen=True, array_like=True):
-    """The cold hosts of one service.
+    """The limits of one service's hosts while they are cold.
 
     :param slow_start_seconds: time for which a host is cold after its start.
     :param slow_start_rate: requests a second that a cold host can handle, or 0 for no
--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_routing_check.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_routing_check.py
@@ -9,8 +9,8 @@
 import ipaddress
 from collections.abc import Iterator
 
-from daisygauge_control import RouteRecord, RoutingRecord
-from daisygauge_platform import ReadConfiguration, ServiceLimits
+from daisygauge_control import RouteRecord, RoutingRecord, ServiceRecord
+from daisygauge_platform import ReadConfiguration
 from daisygauge_records import Problem
 
 MAX_PORT = 65_535
@@ -250,7 +250,7 @@
 
 
 def _describe_services(
-    new: tuple[ServiceLimits, ...], old: tuple[ServiceLimits, ...]
+    new: tuple[ServiceRecord, ...], old: tuple[ServiceRecord, ...]
 ) -> Iterator[str]:
     old_limits = {limits.name: limits for limits in old}
     new_limits = {limits.name: limits for limits in new}
@@ -261,7 +261,7 @@
             yield f"service {_quote(name)}: {after}, until now {before}"
 
 
-def _describe_limits(limits: ServiceLimits | None) -> str:
+def _describe_limits(limits: ServiceRecord | None) -> str:
     if limits is None or not limits.slow_start_seconds:
         return "hosts have no limit after their start"
     if not limits.slow_start_rate:
