--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -18,6 +18,7 @@
     encode_frame,
 )
 
+from ._agent_gauges import make_gauges
 from ._answers import Answers
 from ._candidates import service_tag
 from ._counters import Gauge
@@ -166,67 +167,7 @@
 
     def gauges(self) -> tuple[Gauge, ...]:
         """Return the agent's gauges for the metrics page."""
-        return (
-            Gauge(
-                name="flows",
-                text="Flows known.",
-                read=lambda: len(self.flows),
-            ),
-            Gauge(
-                name="requests_running",
-                text="Requests at the upstream.",
-                read=lambda: len(self.scheduler.running),
-            ),
-            Gauge(
-                name="requests_waiting",
-                text="Requests that wait for the upstream.",
-                read=lambda: len(self.scheduler.waiting),
-            ),
-            Gauge(
-                name="service_seconds",
-                text="Mean time of the upstream's latest answers.",
-                read=lambda: self.scheduler.service_seconds,
-            ),
-            Gauge(
-                name="utilization",
-                text="Expected share of slot time that the open flows use.",
-                read=lambda: self.utilization.estimate(now=self.runtime.now()),
-            ),
-            Gauge(
-                name="flows_open",
-                text="Flows that count as open in the utilization.",
-                read=lambda: len(self.utilization.open_flows),
-            ),
-            Gauge(
-                name="request_rate",
-                text="Requests a second over the latest seconds.",
-                read=lambda: self.utilization.request_rate(now=self.runtime.now()),
-            ),
-            Gauge(
-                name="upstream_silent",
-                text="1 while the upstream leaves opening packets unanswered.",
-                read=lambda: float(self.upstream.silent_since is not None),
-            ),
-            Gauge(
-                name="upstream_ejected",
-                text="1 while the upstream gets few new flows because it fails many "
-                "requests.",
-                read=lambda: float(
-                    self.answers.outlier.is_ejected(now=self.runtime.now())
-                ),
-            ),
-            Gauge(
-                name="pace_flows_per_second",
-                text="Rate of new flows of a host that has started or recovered, or 0 "
-                "while it isn't limited.",
-                read=lambda: self.paced_host.pace.rate or 0.0,
-            ),
-            Gauge(
-                name="host_cold",
-                text="1 while the upstream's host counts as cold.",
-                read=lambda: float(self.cold_host.is_cold(now=self.runtime.now())),
-            ),
-        )
+        return make_gauges(self)
 
     def count_hosts(self) -> int:
         """Return the number of hosts of the upstream's service that get new flows."""
