Give constants plain reasons and remove unused names

OpeningReason.PACED and Pace.slow_until were unused. PacedHost takes the time as an argument, and ColdRateLimit drops old packets in one place.

--- a/packages/daisygauge-policy/src/daisygauge_policy/_cold_rate.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_cold_rate.py
@@ -37,19 +37,22 @@
 
         :param per_second: opening packets allowed in any span of a second.
         """
-        span_began = now - SPAN_SECONDS - SPAN_MARGIN_SECONDS
+        span_began = self._drop_earlier(now=now)
         if self.started > span_began:
             return False
-        while self.sent and self.sent[0] <= span_began:
-            self.sent.popleft()
         return len(self.sent) + 1 <= per_second
 
     def record_sent(self, *, now: float) -> None:
         """Record an opening packet that is sent to the host."""
+        self._drop_earlier(now=now)
+        self.sent.append(now)
+
+    def _drop_earlier(self, *, now: float) -> float:
+        """Forget the packets from before the span; return the span's beginning."""
         span_began = now - SPAN_SECONDS - SPAN_MARGIN_SECONDS
         while self.sent and self.sent[0] <= span_began:
             self.sent.popleft()
-        self.sent.append(now)
+        return span_began
 
 
 class ColdPeriod:
--- a/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_opening.py
@@ -38,7 +38,6 @@
     EVACUATED = "evacuated"
     COLD = "cold"
     FAILING = "failing"
-    PACED = "paced"
     FULL = "full"
     LEAST_BUSY = "least-busy"
     OVERFLOW = "overflow"
@@ -82,7 +81,7 @@
     load: int
     utilization: float | None = None
 
-    def use(self, other: float | None) -> tuple[float, int]:
+    def comparison_key(self, other: float | None) -> tuple[float, int]:
         """Return the key by which upstreams are compared; the lower one takes a flow.
 
         The loads decide between equal utilizations, and where one is unknown because
@@ -127,11 +126,13 @@
 
     def is_less_used(self, other: BusyAgent) -> bool:
         """Return True if this upstream should take a flow before another one."""
-        return self.use(other.utilization) < other.use(self.utilization)
+        own_key = self.comparison_key(other.utilization)
+        return own_key < other.comparison_key(self.utilization)
 
     def is_more_used(self, other: BusyAgent) -> bool:
         """Return True if another upstream should take a flow before this one."""
-        return self.use(other.utilization) > other.use(self.utilization)
+        own_key = self.comparison_key(other.utilization)
+        return own_key > other.comparison_key(self.utilization)
 
 
 def decide_opening(
--- a/packages/daisygauge-policy/src/daisygauge_policy/_outliers.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_outliers.py
@@ -1,11 +1,10 @@
 """Whether an upstream that fails requests takes new flows.
 
-The load that this module addresses: for some seconds 10 to 14% of a service's hosts
-answer 35 to 45% of their requests with an error, or don't answer them, while their
-status check is good. Clients may not repeat some requests, so each failure loses one.
-A host answers about 12 requests a second, so that the decision must rest on a few
-responses. It must hold back when many hosts fail alike, as after a bad release: the
-other hosts can't take the flows then.
+The load that this module addresses: for some seconds a few of a service's hosts answer
+many of their requests with an error, or don't answer them, while their status check is
+good. Clients may not repeat some requests, so each failure loses one, and the decision
+must rest on a few responses. No host is ejected when many fail alike, as after a bad
+release: the other hosts can't take the flows then.
 
 A cumulative sum (CUSUM) of log-likelihood ratios compares the usual share of failed
 responses with a much larger one. Every failure raises it and every good response
@@ -22,8 +21,8 @@
 USUAL_SHARE = 0.01
 """Assumed share of failed responses of a healthy upstream."""
 OUTLIER_DIFFERENCE = 0.35
-"""Part of the usually good responses that an outlier fails. It is the lower end of the
-observed failures; hosts that fail less are detected more slowly."""
+"""Part of the usually good responses that an outlier fails. Hosts that fail less are
+detected more slowly; a smaller value gives each failure less weight."""
 EJECT_SCORE = 6.0
 """With the assumed usual share a failure scores 3.6 and a good response -0.43: two
 failures with at most two good responses between them eject, one failure never does."""
@@ -61,18 +60,17 @@
 above a share of about 0.3, just below the largest ejected share."""
 MANY_SCORE = 6.0
 """Evidence that many peers are unwilling. With half of the peers unwilling it takes
-about five opening packets from balancers, 0.4 s in the load described above."""
+about five opening packets from balancers."""
 PEER_SECONDS = 3.0
 """Time constant with which this evidence decays."""
 BUSY_FACTOR = 2
 """An ejected upstream takes a flow like any other one when the least busy willing agent
-has more than this number of requests for each slot. In a model of all hosts failing
-alike at 0.8 of their slots 1 kept as many calls in time, but twice as many flows
-reached a few failing hosts; with 3 half as many calls were in time."""
+has more than this number of requests for each slot. A smaller value sends more flows to
+failing hosts; a larger one makes more requests late when all hosts fail alike."""
 MAX_UNWILLING_IN_A_ROW = 2
 """An ejected upstream takes a flow like any other one after this many peers that are
-all unwilling: with 12% of the hosts ejected this is so for 1.4% of the flows, and when
-all fail alike two of the four asked agents still compare their loads."""
+all unwilling. That is rare while few hosts are ejected, and when all fail alike two of
+the four asked agents still compare their loads."""
 COUNTED_HOPS = 3
 """Later hops are left out: after them an agent takes a flow whatever its state."""
 
--- a/packages/daisygauge-policy/src/daisygauge_policy/_pace.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_pace.py
@@ -22,7 +22,8 @@
 """Rate at the start and lowest rate, as a share of the requests a second that the host
 runs when settled."""
 LAST_SHARE = 2.0
-"""Rate above which the limit is lifted; the rate of new flows is below 1 by then."""
+"""Rate at which the limit is lifted, as such a share: new flows come less often than
+this, so that the limit no longer holds any back."""
 DOUBLING_SECONDS = 0.3
 """Time in which the rate doubles while responses are as fast as settled ones."""
 LONGEST_STEP_SECONDS = 0.2
@@ -32,8 +33,8 @@
 """The rate shrinks once in this time: responses that were under way together say the
 same."""
 SLOW_RATIO = 1.3
-"""Responses are slow if their mean is this many times the settled mean. Hosts that warm
-up are 1.6 times as slow; the mean below scatters by 0.25 for usual work."""
+"""Responses are slow if their mean is this many times the settled mean. A lower ratio
+takes the usual scatter of a mean of few responses for a slow host."""
 RATIO_WEIGHT = 0.2
 """Weight of a new response in the moving mean, which spans about five."""
 SETTLED_WEIGHT = 0.02
@@ -67,7 +68,6 @@
         self.settled_responses = 0
         self.ratio = 1.0
         self.failures = 0
-        self.slow_until = -math.inf
         self.lifted_at = -math.inf
         self._taken_at = -math.inf
         self._stepped_at = -math.inf
--- a/packages/daisygauge-policy/src/daisygauge_policy/_utilization.py
+++ b/packages/daisygauge-policy/src/daisygauge_policy/_utilization.py
@@ -1,6 +1,6 @@
 """Expected share of an upstream's slot time that its flows use.
 
-The load that this module answers: upstreams of different speeds with one slot each,
+The load that this module addresses: upstreams of different speeds with one slot each,
 and long flows, each of which sends a small request every few seconds and stays at the
 upstream that it was opened at. The number of requests at one moment says little about
 such an upstream: slow ones saturate in a peak while fast ones are idle. The agent
@@ -19,8 +19,8 @@
 from msgspec import Struct
 
 MEMORY_SECONDS = 20.0
-"""Time constant of the moving means. A shorter one follows chance more than load: at 10
-requests a second, 20 s hold 200 requests, whose total work varies by about 8%."""
+"""Time constant of the moving means. A shorter one holds too few requests, so that the
+means follow chance more than load."""
 INITIAL_SERVICE_SECONDS = 0.05
 """Assumed service time before the first answer."""
 INITIAL_SERVICE_WEIGHT = 1.0
@@ -30,7 +30,7 @@
 measured, only the number of flows and the service time decide."""
 INITIAL_RATE_SECONDS = 60.0
 """Time of one open flow that weighs as much as the assumed rate: a dozen flows outweigh
-it after 5 s. With 10 s, the chance of the first requests decided where flows stay."""
+it after 5 s. With less, the chance of the first requests decides where flows stay."""
 UNSEEN_UTILIZATION = 0.5
 """Utilization that a restarted agent adds for flows that are open without its
 knowledge. It is that of a moderately loaded upstream, so that the agent neither draws
--- a/packages/daisygauge-relay/src/daisygauge_relay/_flow_checks.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_flow_checks.py
@@ -20,7 +20,7 @@
 from ._upstream import Upstream
 
 CHECKS_AT_ONCE = 32
-"""Flows of one group of checks, which delays clients' packets by a few milliseconds."""
+"""Flows of one group of checks. Clients' packets wait while a group is sent."""
 CHECK_INTERVAL_SECONDS = 0.02
 """Pause between two groups of checks."""
 MAX_RESET_DISTANCE = 65_536
--- a/packages/daisygauge-relay/src/daisygauge_relay/_pacing.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_pacing.py
@@ -20,8 +20,8 @@
 from ._upstream import Upstream
 
 PACE_PENALTY = 1
-"""Requests added to the load of a host that has used up its pace. With 2 a returned
-host is passed over while others are overloaded; see docs/design/015-pace.md."""
+"""Requests added to the load of a host that has used up its pace. With more, a returned
+host is passed over while others are overloaded."""
 
 
 class ColdHost:
@@ -202,10 +202,9 @@
         self.stuck = 0
         self.pace.start(slow_seconds=self.cold_host.slow_start_seconds, now=now)
 
-    @property
-    def is_cold_by_entry(self) -> bool:
-        """True while the host's entry says that it is cold."""
-        return self.runtime.now() < self.cold_host.period.cold_until
+    def is_cold_by_entry(self, *, now: float) -> bool:
+        """Return True while the host's entry says that it is cold."""
+        return now < self.cold_host.period.cold_until
 
     def record_response(self, began: float | None, now: float) -> None:
         """Record a response, or a request that the host has failed.
@@ -219,7 +218,7 @@
             # It has waited for the previous one, since the host had no free slot.
             began = max(began, self.last_response_at)
         self.last_response_at = now
-        if not self.pace.is_settled_known and self.is_cold_by_entry:
+        if not self.pace.is_settled_known and self.is_cold_by_entry(now=now):
             return
         self.pace.record_response(now - began, now=now)
 
@@ -229,7 +228,7 @@
         if not self.peers.are_enough(now=now):
             return 0
         may_take = self.pace.may_take(is_idle=load == 0, now=now)
-        if not self.pace.is_settled_known and self.is_cold_by_entry:
+        if not self.pace.is_settled_known and self.is_cold_by_entry(now=now):
             may_take = load == 0
         if may_take:
             return 0
--- a/packages/daisygauge-wire/src/daisygauge_wire/_relayed_frames.py
+++ b/packages/daisygauge-wire/src/daisygauge_wire/_relayed_frames.py
@@ -11,8 +11,7 @@
 MAX_TRIED = 14
 """Largest number of agents listed in an ``OpenFrame``, which bounds its size."""
 ROUTE_TAG_BITS = 28
-
-
+"""Size of a route tag; the upper 4 bits of its entry mark it as a tag."""
 UTILIZATION_STEP = 0.05
 """Resolution of a utilization on the wire. The 5 spare bits of an ``OpenFrame`` hold
 values up to 1.5: above 1 the overload that follows a loss of hosts still compares."""
