Don't count an agent's own pause as failures of its upstream

After a pause an agent may handle an opening packet before the answers that came meanwhile. Two requests running across the pause then counted as overdue and ejected a healthy host for some seconds. Requests are now overdue only by the time in which the agent ran. The new test failed before (two failures counted). The read-through found it; no caller was seen to be harmed.

--- a/packages/daisygauge-ctl/src/daisygauge_ctl/_explain.py
+++ b/packages/daisygauge-ctl/src/daisygauge_ctl/_explain.py
@@ -30,6 +30,8 @@
         "host-gone",
         "source-lost",
         "source-regained",
+        "host-cold",
+        "pace-changed",
         "outlier-ejected",
         "outlier-returned",
         "outliers-common",
--- a/packages/daisygauge-relay/src/daisygauge_relay/_answers.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_answers.py
@@ -39,6 +39,9 @@
 time, so that slow requests among fast ones don't count as failed every time."""
 LATE_DECAY = 0.99
 """Factor by which each answer shortens an extended limit."""
+PAUSE_SECONDS = 0.5
+"""Interval between ticks above which the agent itself was stopped; ticks come every
+0.05 s."""
 
 
 class FailureReason(enum.Enum):
@@ -82,6 +85,8 @@
         self.overdue: set[bytes] = set()
         self.late_limit = 0.0
         self.last_answer_at = float("-inf")
+        self.ticked_at: float | None = None
+        self.resumed_at = float("-inf")
 
     # The interface of FlowLimit.
 
@@ -158,14 +163,29 @@
         if flow in self.scheduler.running and not was_overdue:
             self.record_response(FailureReason.ENDED, now=now)
 
+    def tick(self, *, now: float) -> None:
+        """Record that the agent runs."""
+        if self.is_resuming(now=now):
+            self.resumed_at = now
+        self.ticked_at = now
+
+    def is_resuming(self, *, now: float) -> bool:
+        """Return True after a pause of the agent itself, until its next tick."""
+        return self.ticked_at is not None and now - self.ticked_at > PAUSE_SECONDS
+
     def find_overdue(self, *, now: float) -> None:
-        """Count running requests that are overdue as failed, each one once."""
+        """Count running requests that are overdue as failed, each one once.
+
+        After a pause of the agent, answers that came meanwhile are still to be read.
+        """
+        if self.is_resuming(now=now):
+            return
         self.overdue &= self.scheduler.running.keys()
         limit = self.find_limit()
         for flow, began in self.scheduler.running.items():
             has_others = self.last_answer_at > began
             wait = limit if has_others else max(limit, SILENT_OVERDUE_SECONDS)
-            if now - began < wait or flow in self.overdue:
+            if now - max(began, self.resumed_at) < wait or flow in self.overdue:
                 continue
             entry = self.flows.get(flow)
             if entry is None or entry.has_ended:
--- a/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
@@ -83,6 +83,7 @@
         while True:
             await self.runtime.sleep(DISPATCH_INTERVAL_SECONDS)
             self.utilization.tick(now=self.runtime.now())
+            self.answers.tick(now=self.runtime.now())
             if self.scheduler.waiting:
                 self.apply(self.scheduler.dispatch(now=self.runtime.now()))
 
--- a/testing/relay/test_answers.py
+++ b/testing/relay/test_answers.py
@@ -121,6 +121,25 @@
     assert not is_ejected(network)
 
 
+def test_a_pause_of_the_agent_is_no_failure_of_its_host(network):
+    """Answers that came during the pause are read only after the first opening."""
+    fail(network, None)
+    clients = open_at(network, BAD, 2)
+    answers = network.agents[BAD].answers
+    answers.tick(now=network.clock.now())
+    for client in clients:
+        client.ask(BALANCER, sequence=100)
+    network.clock.run(0.01)
+    network.clock.time += 3.0
+
+    answers.check(now=network.clock.now())
+    answers.tick(now=network.clock.now())
+    answers.check(now=network.clock.now())
+
+    assert not network.agents[BAD].runtime.counters.failed
+    assert not is_ejected(network)
+
+
 def test_an_idle_flow_that_the_host_ends_is_no_failure(network):
     clients = open_at(network, BAD, 3)
     for client in clients:
