Don't take a FIN that overtakes its answer for a failure

A FIN whose sequence number lies beyond the bytes seen so far now counts as an answer under way, whose status is read when it comes. A FIN in its place, and a reset, are failures as before. Two of the three new tests failed before.

--- a/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_agent.py
@@ -323,7 +323,7 @@
             self.requests.receive_answer(flow, packet, data, now=now)
         if packet.finishing or packet.resetting:
             flow.stage = FlowStage.CLOSED
-            self.requests.end(packet.flow, flow, now=now)
+            self.requests.end(packet, flow, now=now)
             self.utilization.end_flow(packet.flow, now=now)
         self.runtime.counters.packets_out += 1
         address = (client_host(packet.flow), self.client_port)
--- a/packages/daisygauge-relay/src/daisygauge_relay/_flows.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_flows.py
@@ -79,6 +79,8 @@
         None.
     :param request_id: id of the current request, if its packet holds one.
     :param answered: number of answered requests.
+    :param is_answer_due: True while an answer is under way that the upstream's FIN has
+        overtaken.
     :param has_ended: True once the upstream has ended the flow or the client has reset
         it: later data is no request. After the client's FIN the answer still comes.
     """
@@ -93,6 +95,7 @@
     request_started_at: float | None = None
     request_id: str | None = None
     answered: int = 0
+    is_answer_due: bool = False
     has_ended: bool = False
     upstream_at: float = float("-inf")
     client_acknowledged: int = 0
--- a/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
+++ b/packages/daisygauge-relay/src/daisygauge_relay/_requests.py
@@ -180,6 +180,9 @@
         if flow.request_started_at is not None:
             self.answers.record_answer(packet.flow, data, now=now)
             self.answer(packet.flow, flow, now=now)
+        elif flow.is_answer_due:
+            flow.is_answer_due = False
+            self.answers.record_answer(packet.flow, data, now=now)
 
     def answer(self, key: bytes, flow: AgentFlow, *, now: float) -> None:
         """Record that the upstream has begun to answer a flow's request."""
@@ -203,18 +206,27 @@
         self.deliver_held(key)
         self.apply(self.scheduler.end(key, now=now))
 
-    def end(self, key: bytes, flow: AgentFlow, *, now: float) -> None:
-        """Free the slot of a flow that the upstream has ended without an answer."""
+    def end(self, packet: RelayedPacket, flow: AgentFlow, *, now: float) -> None:
+        """Free the slot of a flow that the upstream ends before its answer is seen.
+
+        A FIN may overtake the answer that precedes it; only then the request has not
+        failed.
+        """
+        key = packet.flow
+        is_answered = packet.finishing and follows_unseen_data(flow, packet)
         if flow.request_started_at is not None and not flow.has_ended:
-            self.answers.record_ended(key, now=now)
+            flow.is_answer_due = is_answered
+            if not is_answered:
+                self.answers.record_ended(key, now=now)
         flow.has_ended = True
         if flow.request_started_at is None:
             return
         flow.request_started_at = None
         self.held.pop(key, None)
-        self.utilization.record_done(key, is_answered=False, now=now)
-        if key in self.scheduler.running:
-            self.observe(None, now)
+        self.utilization.record_done(key, is_answered=is_answered, now=now)
+        began = self.scheduler.running.get(key)
+        if began is not None:
+            self.observe(began if is_answered else None, now)
         self.apply(self.scheduler.end(key, now=now))
 
     def abandon(self, key: bytes, flow: AgentFlow, *, now: float) -> None:
@@ -283,6 +295,16 @@
     return end is not None
 
 
+def follows_unseen_data(flow: AgentFlow, packet: RelayedPacket) -> bool:
+    """Return True when an upstream's packet follows bytes that have not arrived.
+
+    That is assumed where the upstream's sequence numbers aren't known.
+    """
+    if flow.upstream_next is not None:
+        return packet.sequence != flow.upstream_next
+    return not flow.sequence or packet.sequence != flow.sequence + 1
+
+
 def find_progress(known: int | None, packet: RelayedPacket) -> int | None:
     """Return the sequence number after a packet's bytes, or None for a retransmission.
 
--- a/testing/relay/test_answers.py
+++ b/testing/relay/test_answers.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from daisygauge_platform._packets import ACK, RST
+from daisygauge_platform._packets import ACK, FIN, RST
 
-from .network import Network, ask_all, pack_packet
+from .network import ANSWER, Network, ask_all, pack_endpoint, pack_packet
 
 BALANCER = "10.0.0.1"
 ERROR = b"HTTP/1.1 500 Internal Server Error\r\n\r\n"
@@ -50,6 +50,16 @@
     pytest.fail("the host holds too few flows")
 
 
+def open_at_without_requests(network, address):
+    """Open flows until one has been answered by a host; return it."""
+    for _ in range(200):
+        clients = network.open_clients(1)
+        key = pack_endpoint(*clients[0].end) + pack_endpoint(*clients[0].service)
+        if key in network.hosts[address].flows:
+            return clients
+    pytest.fail("no flow reached the host")
+
+
 def play_flows(network, count):
     """Open flows with one request each; return how many each host got."""
     taken = dict.fromkeys(network.hosts, 0)
@@ -140,6 +150,41 @@
     assert not is_ejected(network)
 
 
+def finish_early(network, client, *, answer_bytes):
+    """Let the host's FIN overtake the answer that precedes it."""
+    end = client.host_sequence + 1 + answer_bytes
+    fin = pack_packet(client.service, client.end, flags=FIN | ACK, sequence=end)
+    network.from_host(BAD, fin)
+    network.clock.run(0.005)
+
+
+@pytest.mark.parametrize(("answer", "failures"), [(ANSWER, {}), (ERROR, {"status": 1})])
+def test_a_fin_that_overtakes_its_answer_is_no_failure(network, answer, failures):
+    """A host sends both packets at once; they may arrive in either order."""
+    network.hosts[BAD].answer = answer
+    network.hosts[BAD].work_seconds = 0.02
+    (client,) = open_at_without_requests(network, BAD)
+    client.ask(BALANCER)
+    network.clock.run(0.01)
+
+    finish_early(network, client, answer_bytes=len(answer))
+    network.clock.run(0.1)
+
+    assert client.answers == 1
+    assert dict(network.agents[BAD].runtime.counters.failed) == failures
+
+
+def test_a_fin_in_place_of_an_answer_is_a_failure(network):
+    fail(network, None)
+    (client,) = open_at_without_requests(network, BAD)
+    client.ask(BALANCER)
+    network.clock.run(0.01)
+
+    finish_early(network, client, answer_bytes=0)
+
+    assert network.agents[BAD].runtime.counters.failed["ended"] == 1
+
+
 def test_an_idle_flow_that_the_host_ends_is_no_failure(network):
     clients = open_at(network, BAD, 3)
     for client in clients:
