--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -15,6 +15,7 @@
 
 from .clients import ClientFlow, Clients, Router
 from .hosts import Host
+from .proxy import StorePath
 from .store import Store
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -22,6 +23,8 @@
 CLIENT_ADDRESSES = 3
 HEARTBEAT_SECONDS = 1.2
 STABLE_SECONDS = 4.0
+READER_SECONDS = 1.5
+SERVING_SECONDS = 3.5
 
 
 class CannotRunError(Exception):
@@ -82,6 +85,7 @@
 
     :param hosts: service of each host, by the host's name.
     :param record: path of the record.
+    :param later: hosts whose machines the case starts itself.
     """
 
     def __init__(
@@ -91,8 +95,10 @@
         balancers: int,
         record: Path,
         work_seconds: float = 0.02,
+        later: tuple[str, ...] = (),
     ) -> None:
         self.services = hosts
+        self.later = later
         self.work_seconds = work_seconds
         self.block, self.ports = find_place(len(hosts) + balancers)
         self.balancers = [self.address(0, n) for n in range(1, balancers + 1)]
@@ -103,6 +109,7 @@
         self.record = record.open("w")
         self.began = time.monotonic()
         self.store = Store()
+        self.paths: dict[str, StorePath] = {}
         self.hosts: dict[str, Host] = {}
         self.states: dict[str, str] = {}
         self.disturbed_at: dict[str, float] = {}
@@ -160,12 +167,18 @@
         )
         for address in addresses:
             await self.open_socket(address, self.ports.client, self.clients.receive)
+        for number, address in enumerate((*self.balancers, *self.machines.values())):
+            path = StorePath(host=self.store_address, port=self.ports.store)
+            self.paths[address] = path
+            await path.start(self.address(8, number + 1), self.ports.store)
         for name in self.services:
-            await self.start_host(name)
-            await self.start_agent(name)
+            if name not in self.later:
+                await self.start_host(name)
+                self.register(name, state="ready")
+                await self.start_agent(name)
         for address in self.balancers:
             await self.start_balancer(address)
-        for address in (*self.balancers, *self.machines.values()):
+        for address in tuple(self.processes):
             await self.wait_ready(address)
         self.is_first_start = False
         for work in (self.router.run, self.keep_registered):
@@ -182,6 +195,8 @@
                 await process.wait()
         for transport in self.transports:
             transport.close()
+        for path in self.paths.values():
+            path.close()
         if self.store.server is not None:
             self.store.server.close()
         self.directory.cleanup()
@@ -220,12 +235,14 @@
     def is_calm(self, address: str) -> bool:
         """Return True when nothing was done to a machine in the stable window."""
         now = asyncio.get_running_loop().time()
+        if self.paths[address].is_cut:
+            return False
         return now - self.disturbed_at[address] > STABLE_SECONDS
 
     # Hosts.
 
     async def start_host(self, name: str) -> None:
-        """Start a host and register it in the store."""
+        """Start a host, which isn't registered yet."""
         address = self.machines[name]
         transport = await self.open_socket(
             address,
@@ -239,7 +256,6 @@
             send=lambda raw: transport.sendto(raw, (address, self.ports.outbound)),
             note=self.note,
         )
-        self.register(name, state="ready")
 
     def register(self, name: str, *, state: str) -> None:
         """Write a host's entry into the store."""
@@ -254,7 +270,8 @@
         """
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
-            for name, host in self.hosts.items():
+            for name in self.states:
+                host = self.hosts[name]
                 is_changed = not self.store.holds(
                     f"servers/{name}", self.make_entry(name)
                 )
@@ -289,7 +306,7 @@
             "client_address": f"{address}:{ports.client}",
             "ready": f"{address}:{ports.ready}",
             "inner_ports": list(ports.inner),
-            "platform": f"{self.store_address}:{ports.store}",
+            "platform": f"{self.paths[address].server_host}:{ports.store}",
             "first_peers": [f"{b}:{ports.inner[0]}" for b in self.balancers[:3]],
             "first_start": self.is_first_start,
             "log_delay_seconds": 3,
@@ -352,6 +369,29 @@
         self.note(f"the process at {address} has ended with code {code}")
         await self.start_balancer(address)
 
+    def list_readers(self) -> list[str]:
+        """Return the machines with a host that read the store lately."""
+        since = asyncio.get_running_loop().time() - READER_SECONDS
+        machines = [self.machines[name] for name in self.states]
+        return [m for m in machines if self.paths[m].used_at > since]
+
+    async def remove_host(self, name: str) -> None:
+        """Let a host drain and leave, and stop its machine."""
+        self.hosts[name].is_draining = True
+        self.register(name, state="draining")
+        await asyncio.sleep(SERVING_SECONDS)
+        self.hosts[name].end()
+        del self.states[name]
+        self.store.remove(f"servers/{name}")
+        self.note(f"{name} has left")
+        self.signal(self.machines[name], signal.SIGTERM)
+
+    def cut(self, address: str, *, is_cut: bool) -> None:
+        """Cut a machine off from the store, or end the cut."""
+        self.paths[address].is_cut = is_cut
+        self.disturbed_at[address] = asyncio.get_running_loop().time()
+        self.note(f"{address} is cut off from the store: {is_cut}")
+
     def signal(self, address: str, number: signal.Signals) -> None:
         """Send a signal to a process that this fleet started."""
         self.disturbed_at[address] = asyncio.get_running_loop().time()
